Fix the shared types, the reducer skeleton and the checks

Cause: an empty repository; parts that are built side by side need the same events, effects, messages, ports and settings loader first.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure shallotfold and demonstrate it."""
--- /dev/null
+++ b/src/shallotfold/_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the entry points of the binaries."""
--- /dev/null
+++ b/src/shallotfold/_cli/entry_main.py
@@ -0,0 +1,6 @@
+"""Start `shallotfold-entry`."""
+
+
+def main() -> int:
+    """Run the binary and return its exit code."""
+    raise NotImplementedError
--- /dev/null
+++ b/src/shallotfold/_controller/__init__.py
@@ -0,0 +1,1 @@
+"""Run a controller: hold duties under leases, order upstreams, report usage."""
--- /dev/null
+++ b/src/shallotfold/_entry/effects.py
@@ -0,0 +1,179 @@
+"""Declare the effects that the entry's reducer asks its shell to run."""
+
+import attrs
+
+from shallotfold._model.requests import Outcome
+from shallotfold._model.requests import RecordedAnswer
+from shallotfold._model.requests import Refusal
+from shallotfold._wire.messages import PeerMessage
+from shallotfold._wire.usage_messages import UsageCount
+
+
+@attrs.frozen(kw_only=True)
+class StartAttempt:
+    """Send a request to an upstream.
+
+    Attributes:
+        request_id: Id of the request.
+        attempt: Number of the attempt, from 1.
+        upstream: Name of the upstream.
+        url: Base URL of the upstream.
+        credential: Name of the upstream's credential.
+        priority: Priority for the engine; 1 is the highest.
+        resume: Whether to go on after the tokens that the caller has.
+    """
+
+    request_id: str
+    attempt: int
+    upstream: str
+    url: str
+    credential: str
+    priority: int
+    resume: bool
+
+
+@attrs.frozen(kw_only=True)
+class CancelAttempt:
+    """Cancel a running attempt; its connection is destroyed."""
+
+    request_id: str
+    attempt: int
+
+
+@attrs.frozen(kw_only=True)
+class FinishAnswer:
+    """End a whole answer at the caller."""
+
+    request_id: str
+
+
+@attrs.frozen(kw_only=True)
+class RefuseRequest:
+    """Give the final refusal to the caller at once.
+
+    When the answer has started, the shell ends the stream with an error event.
+    """
+
+    request_id: str
+    refusal: Refusal
+
+
+@attrs.frozen(kw_only=True)
+class ReplayAnswer:
+    """Answer a repeat with the recorded answer of the first run."""
+
+    request_id: str
+    answer: RecordedAnswer
+
+
+@attrs.frozen(kw_only=True)
+class ClaimIdempotencyKey:
+    """Claim an idempotency key in the store before dispatch."""
+
+    request_id: str
+    workspace: str
+    idempotency_key: str
+    body_sha256: str
+
+
+@attrs.frozen(kw_only=True)
+class SettleClaim:
+    """Record how a claimed request ended.
+
+    Attributes:
+        request_id: Id of the request.
+        outcome: `NOT_RUN` frees the claim; `RAN` records the answer kept by
+            the shell; `UNKNOWN` is recorded as unknown.
+    """
+
+    request_id: str
+    outcome: Outcome
+
+
+@attrs.frozen(kw_only=True)
+class SendToPeer:
+    """Send a message to one peer; the entry itself is a valid receiver."""
+
+    host: str
+    message: PeerMessage
+
+
+@attrs.frozen(kw_only=True)
+class FetchConfiguration:
+    """Read a newer configuration from the store."""
+
+    version: int
+
+
+@attrs.frozen(kw_only=True)
+class LoadConfigurationDocument:
+    """Decode a document assembled from a peer into `ConfigurationRead`."""
+
+    version: int
+    document: bytes
+    sha256: str
+
+
+@attrs.frozen(kw_only=True)
+class FlushUsage:
+    """Write cumulative counts of this entry to the store in one value."""
+
+    sequence: int
+    counts: tuple[UsageCount, ...]
+
+
+@attrs.frozen(kw_only=True)
+class RecordExplanation:
+    """Remember one step of a request's way, for `shallotfold explain`."""
+
+    request_id: str
+    step: str
+    detail: str
+
+
+@attrs.frozen(kw_only=True)
+class CountMetric:
+    """Add to a statsd counter."""
+
+    name: str
+    value: int = 1
+
+
+@attrs.frozen(kw_only=True)
+class TimeMetric:
+    """Record a statsd timing in seconds."""
+
+    name: str
+    value_s: float
+
+
+@attrs.frozen(kw_only=True)
+class SetReady:
+    """Report readiness to the balancer."""
+
+    ready: bool
+
+
+@attrs.frozen(kw_only=True)
+class ExitProcess:
+    """Stop the process; everything has drained."""
+
+
+Effect = (
+    StartAttempt
+    | CancelAttempt
+    | FinishAnswer
+    | RefuseRequest
+    | ReplayAnswer
+    | ClaimIdempotencyKey
+    | SettleClaim
+    | SendToPeer
+    | FetchConfiguration
+    | LoadConfigurationDocument
+    | FlushUsage
+    | RecordExplanation
+    | CountMetric
+    | TimeMetric
+    | SetReady
+    | ExitProcess
+)
--- /dev/null
+++ b/src/shallotfold/_entry/events.py
@@ -0,0 +1,217 @@
+"""Declare the events that the entry's reducer consumes.
+
+Times are in seconds: `now_s` from the monotonic clock, `wall_s` since the
+epoch. The reducer reads no clock and draws no random number.
+"""
+
+from collections.abc import Sequence
+
+import attrs
+
+from shallotfold._model.configuration import Configuration
+from shallotfold._model.requests import CallerRequest
+from shallotfold._model.requests import Outcome
+from shallotfold._model.requests import RecordedAnswer
+from shallotfold._model.upstreams import HostRecord
+from shallotfold._model.upstreams import UpstreamLoad
+from shallotfold._wire.messages import PeerMessage
+
+
+@attrs.frozen(kw_only=True)
+class Event:
+    """Base of all events.
+
+    Attributes:
+        now_s: Monotonic time at which the event was observed.
+    """
+
+    now_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Tick(Event):
+    """Time has passed; sent at least every `TICK_INTERVAL_S`.
+
+    Attributes:
+        wall_s: Seconds since the epoch.
+        random: Uniform random number in [0, 1).
+    """
+
+    wall_s: float
+    random: float
+
+
+@attrs.frozen(kw_only=True)
+class RequestArrived(Event):
+    """A caller's request was read and parsed."""
+
+    request: CallerRequest
+    wall_s: float
+
+
+@attrs.frozen(kw_only=True)
+class CallerLeft(Event):
+    """The caller closed its connection before the whole answer."""
+
+    request_id: str
+
+
+@attrs.frozen(kw_only=True)
+class TokensForwarded(Event):
+    """Tokens of an attempt were written to the caller."""
+
+    request_id: str
+    attempt: int
+    count: int
+
+
+@attrs.frozen(kw_only=True)
+class AttemptEnded(Event):
+    """An attempt on an upstream has ended.
+
+    Attributes:
+        request_id: Id of the request.
+        attempt: Number of the attempt.
+        outcome: `RAN` only when the end marker of the answer was seen.
+        status: HTTP status of the upstream; 0 without an answer.
+        prompt_tokens: Input tokens as the upstream counted them; 0 if unsaid.
+        output_tokens: Output tokens received in this attempt.
+        retry_after_s: What the upstream's refusal asked for; -1 if nothing.
+        answer_started: Whether bytes of the answer reached the caller.
+    """
+
+    request_id: str
+    attempt: int
+    outcome: Outcome
+    status: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    retry_after_s: float = -1.0
+    answer_started: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class LoadReported(Event):
+    """A load report of an upstream was read."""
+
+    upstream: str
+    load: UpstreamLoad
+
+
+@attrs.frozen(kw_only=True)
+class LoadFetchFailed(Event):
+    """An upstream did not answer the request for its load report."""
+
+    upstream: str
+
+
+@attrs.frozen(kw_only=True)
+class PrefixesCached(Event):
+    """An upstream published that it holds or dropped prompt prefixes.
+
+    Attributes:
+        upstream: Name of the upstream.
+        held: Digests now held.
+        dropped: Digests no longer held.
+        complete: Whether `held` is the whole cache after a gap.
+    """
+
+    upstream: str
+    held: tuple[str, ...]
+    dropped: tuple[str, ...]
+    complete: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class HostsListed(Event):
+    """The platform's lagging host list was read."""
+
+    hosts: Sequence[HostRecord]
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationRead(Event):
+    """A whole, valid configuration was read from the store or a peer.
+
+    Attributes:
+        version: Its version.
+        configuration: Its content.
+        document: Canonical bytes, passed on to peers.
+        sha256: Digest of the document.
+    """
+
+    version: int
+    configuration: Configuration
+    document: bytes
+    sha256: str
+
+
+@attrs.frozen(kw_only=True)
+class VersionConfirmed(Event):
+    """The store confirmed which configuration version is the newest.
+
+    Attributes:
+        version: The newest version.
+        read_started_s: Monotonic time before the read was sent.
+    """
+
+    version: int
+    read_started_s: float
+
+
+@attrs.frozen(kw_only=True)
+class PeerConnected(Event):
+    """An authenticated stream to a peer is open."""
+
+    host: str
+
+
+@attrs.frozen(kw_only=True)
+class PeerDisconnected(Event):
+    """The stream to a peer has closed."""
+
+    host: str
+
+
+@attrs.frozen(kw_only=True)
+class PeerMessageReceived(Event):
+    """A message from an authenticated peer arrived."""
+
+    host: str
+    message: PeerMessage
+
+
+@attrs.frozen(kw_only=True)
+class ClaimSucceeded(Event):
+    """The idempotency key of a request now belongs to this request."""
+
+    request_id: str
+
+
+@attrs.frozen(kw_only=True)
+class ClaimFailed(Event):
+    """The idempotency key of a request could not be claimed.
+
+    Attributes:
+        request_id: Id of the request.
+        reason: `IN_PROGRESS`, `KEY_REUSED` or `STORE_UNAVAILABLE` as the name
+            of a refusal code; `UPSTREAM_FAILED` for a first run whose outcome
+            is unknown.
+        answer: Recorded answer of the first run, when there is one.
+    """
+
+    request_id: str
+    reason: str
+    answer: RecordedAnswer | None = None
+
+
+@attrs.frozen(kw_only=True)
+class UsageFlushed(Event):
+    """The store has the counts up to a flush sequence."""
+
+    sequence: int
+
+
+@attrs.frozen(kw_only=True)
+class ShutdownRequested(Event):
+    """The process was asked to stop; drain."""
--- /dev/null
+++ b/src/shallotfold/_entry/reducer.py
@@ -0,0 +1,82 @@
+"""Route every event of an entry to the parts that handle it."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Any
+
+from shallotfold._entry import configuration
+from shallotfold._entry import events
+from shallotfold._entry import membership
+from shallotfold._entry import pools
+from shallotfold._entry import requests
+from shallotfold._entry import usage
+from shallotfold._entry.effects import Effect
+from shallotfold._entry.state import EntryState
+from shallotfold._wire import control_messages
+from shallotfold._wire import grant_messages
+from shallotfold._wire import usage_messages
+
+# Handlers take the event type that they are registered for.
+Handler = Callable[[EntryState, Any], list[Effect]]
+
+
+def reduce(state: EntryState, event: events.Event) -> list[Effect]:
+    """Apply an event to `state` in place and return the effects to run."""
+    effects: list[Effect] = []
+    for handler in _HANDLERS_BY_EVENT[type(event)]:
+        effects.extend(handler(state, event))
+    return effects
+
+
+def _route_message(
+    state: EntryState, event: events.PeerMessageReceived
+) -> list[Effect]:
+    handler = _HANDLERS_BY_MESSAGE[type(event.message)]
+    return handler(state, event)
+
+
+_HANDLERS_BY_MESSAGE: dict[type, Handler] = {
+    **dict.fromkeys(control_messages.MESSAGES, membership.on_message),
+    control_messages.ConfigurationRequest: configuration.on_message,
+    control_messages.ConfigurationPart: configuration.on_message,
+    grant_messages.GrantRequest: pools.on_message,
+    grant_messages.GrantCancelled: pools.on_message,
+    grant_messages.GrantReleased: pools.on_message,
+    grant_messages.RunningAnnounced: pools.on_message,
+    grant_messages.Grant: requests.on_message,
+    grant_messages.GrantRefused: requests.on_message,
+    grant_messages.GrantRedirected: requests.on_message,
+    grant_messages.GrantPreempted: requests.on_message,
+    **dict.fromkeys(usage_messages.MESSAGES, usage.on_message),
+}
+
+_HANDLERS_BY_EVENT: dict[type[events.Event], Sequence[Handler]] = {
+    events.Tick: (
+        membership.on_tick,
+        configuration.on_tick,
+        pools.on_tick,
+        requests.on_tick,
+        usage.on_tick,
+    ),
+    events.RequestArrived: (requests.on_arrival,),
+    events.CallerLeft: (requests.on_caller_left,),
+    events.TokensForwarded: (requests.on_tokens,),
+    events.AttemptEnded: (requests.on_attempt_ended,),
+    events.LoadReported: (pools.on_load,),
+    events.LoadFetchFailed: (pools.on_load_failed,),
+    events.PrefixesCached: (pools.on_prefixes,),
+    events.HostsListed: (membership.on_hosts, pools.on_hosts),
+    events.ConfigurationRead: (configuration.on_read,),
+    events.VersionConfirmed: (configuration.on_confirmed,),
+    events.PeerConnected: (membership.on_connected, pools.on_peer_change),
+    events.PeerDisconnected: (
+        membership.on_disconnected,
+        pools.on_peer_change,
+        requests.on_peer_change,
+    ),
+    events.PeerMessageReceived: (_route_message,),
+    events.ClaimSucceeded: (requests.on_claimed,),
+    events.ClaimFailed: (requests.on_claim_failed,),
+    events.UsageFlushed: (usage.on_flushed,),
+    events.ShutdownRequested: (requests.on_shutdown,),
+}
--- /dev/null
+++ b/src/shallotfold/_entry/state.py
@@ -0,0 +1,39 @@
+"""Hold the whole state of an entry's reducer, one part per job."""
+
+import attrs
+
+from shallotfold._entry.claims import ClaimsState
+from shallotfold._entry.configuration import ConfigurationState
+from shallotfold._entry.membership import MembershipState
+from shallotfold._entry.pools import PoolsState
+from shallotfold._entry.requests import RequestsState
+from shallotfold._entry.usage import UsageState
+
+
+@attrs.define(kw_only=True)
+class EntryState:
+    """State of one entry process.
+
+    Attributes:
+        host: Name of this host.
+        data_centre: Where it runs.
+        incarnation: Start time of the process in nanoseconds.
+        configuration: Configuration in force, and how fresh it is.
+        membership: Peers and upstream hosts.
+        requests: Requests of callers connected here.
+        pools: Pools of upstreams that this entry owns.
+        claims: Requests waiting for their idempotency key.
+        usage: Counts of answered requests.
+        draining: Whether a shutdown was requested.
+    """
+
+    host: str
+    data_centre: str
+    incarnation: int
+    configuration: ConfigurationState = attrs.field(factory=ConfigurationState)
+    membership: MembershipState = attrs.field(factory=MembershipState)
+    requests: RequestsState = attrs.field(factory=RequestsState)
+    pools: PoolsState = attrs.field(factory=PoolsState)
+    claims: ClaimsState = attrs.field(factory=ClaimsState)
+    usage: UsageState = attrs.field(factory=UsageState)
+    draining: bool = False
--- /dev/null
+++ b/src/shallotfold/_errors.py
@@ -0,0 +1,115 @@
+"""Define the exception tree of shallotfold.
+
+Every message names what is wrong and what to do about it.
+"""
+
+from collections.abc import Sequence
+
+import attrs
+
+
+class ShallotfoldError(Exception):
+    """Base of every error that shallotfold raises on purpose."""
+
+
+class UsageError(ShallotfoldError):
+    """Report a mistake of the user; the text tells what to do instead."""
+
+
+@attrs.frozen
+class Fault:
+    """One mistake found in user input.
+
+    Attributes:
+        source: File or object that holds the mistake.
+        key: Dotted path of the wrong key.
+        found: What stands there now, as text.
+        allowed: What may stand there.
+        remedy: What to do, as an imperative sentence.
+    """
+
+    source: str
+    key: str
+    found: str
+    allowed: str
+    remedy: str
+
+    def __str__(self) -> str:
+        """Render the fault on one line."""
+        return (
+            f"{self.source}: {self.key}: found {self.found}; "
+            f"allowed: {self.allowed}. {self.remedy}"
+        )
+
+
+class InvalidInputError(UsageError):
+    """Report all faults of one settings file or configuration at once.
+
+    Attributes:
+        faults: The faults, in the order in which they were found.
+    """
+
+    def __init__(self, faults: Sequence[Fault]) -> None:
+        self.faults = tuple(faults)
+        super().__init__("\n".join(str(fault) for fault in self.faults))
+
+
+class PlatformError(ShallotfoldError):
+    """Base of the errors met when calling the platform."""
+
+
+class StoreUnavailableError(PlatformError):
+    """The key-value service gave no answer; a write may have taken effect."""
+
+
+class StoreConflictError(PlatformError):
+    """A compare-and-swap found another revision and changed nothing.
+
+    Attributes:
+        key: Key of the failed write.
+        actual_revision: Revision found in the store; 0 when absent.
+    """
+
+    def __init__(self, key: str, actual_revision: int) -> None:
+        self.key = key
+        self.actual_revision = actual_revision
+        super().__init__(
+            f"{key} is at revision {actual_revision}; "
+            "read it again and repeat the change on the newer value"
+        )
+
+
+class LeaseLostError(PlatformError):
+    """The lease has lapsed or was never granted; acquire it again."""
+
+
+class OrderRefusedError(PlatformError):
+    """The platform refused an order and did not carry it out.
+
+    Attributes:
+        code: Reason given by the platform, for example `no_capacity`.
+    """
+
+    def __init__(self, code: str, message: str) -> None:
+        self.code = code
+        super().__init__(message)
+
+
+class OrderOutcomeUnknownError(PlatformError):
+    """No answer to an order; look it up by its id before repeating it."""
+
+
+class ReportConflictError(PlatformError):
+    """Another report with other figures was taken for this window."""
+
+
+class PeerError(ShallotfoldError):
+    """Base of the errors met between entries."""
+
+
+class HandshakeError(PeerError):
+    """The other side failed authentication or speaks another version."""
+
+
+class FrameError(PeerError):
+    """Bytes on a peer connection do not form a valid bounded frame."""
--- /dev/null
+++ b/src/shallotfold/_model/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the domain data that every process shares."""
--- /dev/null
+++ b/src/shallotfold/_model/serialization.py
@@ -0,0 +1,62 @@
+"""Turn configurations into canonical JSON and back."""
+
+import hashlib
+import json
+
+import cattrs
+from cattrs.preconf.json import make_converter
+
+from shallotfold._errors import Fault
+from shallotfold._errors import InvalidInputError
+from shallotfold._model.configuration import Configuration
+
+_CONVERTER = make_converter(forbid_extra_keys=True)
+
+
+def dump_configuration(configuration: Configuration) -> bytes:
+    """Return the canonical JSON document of a configuration."""
+    content = _CONVERTER.unstructure(configuration)
+    return json.dumps(content, sort_keys=True, separators=(",", ":")).encode()
+
+
+def load_configuration(
+    document: bytes, source: str = "configuration"
+) -> Configuration:
+    """Read a configuration from JSON.
+
+    Raises:
+        InvalidInputError: The document is no JSON or has wrong fields; all
+            faults are given at once.
+    """
+    try:
+        return _CONVERTER.structure(json.loads(document), Configuration)
+    except ValueError as error:
+        raise InvalidInputError(
+            [
+                Fault(
+                    source=source,
+                    key="document",
+                    found=str(error),
+                    allowed="a JSON object",
+                    remedy="Print it again with the operator library.",
+                )
+            ]
+        ) from error
+    except cattrs.BaseValidationError as error:
+        raise InvalidInputError(
+            [
+                Fault(
+                    source=source,
+                    key=text.rpartition(" @ ")[2],
+                    found=text.rpartition(" @ ")[0],
+                    allowed="the fields of the configuration model",
+                    remedy="Print it again with the operator library.",
+                )
+                for text in cattrs.transform_error(error, path="$")
+            ]
+        ) from error
+
+
+def document_sha256(document: bytes) -> str:
+    """Return the hexadecimal SHA-256 digest of a document."""
+    return hashlib.sha256(document).hexdigest()
--- /dev/null
+++ b/src/shallotfold/_operator/__init__.py
@@ -0,0 +1,1 @@
+"""Build, check and print configurations."""
--- /dev/null
+++ b/src/shallotfold/_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Meet the platform: ports as protocols, and their HTTP adapters."""
--- /dev/null
+++ b/src/shallotfold/_settings/__init__.py
@@ -0,0 +1,1 @@
+"""Load and check the TOML settings of the binaries."""
--- /dev/null
+++ b/src/shallotfold/_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform and the upstreams during development."""
--- /dev/null
+++ b/src/shallotfold/_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Carry typed messages between entries: codec, framing, handshake."""
--- /dev/null
+++ b/tests/model/test_serialization.py
@@ -0,0 +1,24 @@
+import pytest
+
+from shallotfold import InvalidInputError
+from shallotfold._model import serialization
+from shallotfold._model.configuration import Configuration
+from shallotfold._model.configuration import RequestClass
+
+
+def test_configuration_survives_its_document() -> None:
+    configuration = Configuration(
+        classes_by_name={"chat": RequestClass(name="chat", tier=1)}
+    )
+    document = serialization.dump_configuration(configuration)
+    assert serialization.load_configuration(document) == configuration
+
+
+def test_unknown_field_is_named() -> None:
+    with pytest.raises(InvalidInputError, match="colour"):
+        serialization.load_configuration(b'{"colour": 1}')
+
+
+def test_broken_document_is_a_usage_error() -> None:
+    with pytest.raises(InvalidInputError, match="JSON object"):
+        serialization.load_configuration(b"{")
