--- /dev/null
+++ b/src/shallotfold/_runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Run a process: event loop, signals, logs and metrics."""
