--- /dev/null
+++ b/src/shallotfold/_controller/knowledge.py
@@ -0,0 +1,59 @@
+"""Keep the controller's view of hosts and configuration fresh."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from shallotfold._controller import effects
+from shallotfold._controller import placement
+
+if TYPE_CHECKING:
+    from shallotfold._controller import events
+    from shallotfold._controller.state import ControllerState
+
+HOSTS_PERIOD_S = 5.0
+HOLDER_CONFIGURATION_PERIOD_S = 2.0
+IDLE_CONFIGURATION_PERIOD_S = 20.0
+FIRST_CONFIGURATION_PERIOD_S = 0.5
+
+
+def on_tick(state: ControllerState, event: events.Tick) -> list[effects.Effect]:
+    """Read what is due; processes that hold nothing read rarely."""
+    due: list[effects.Effect] = []
+    jitter = 0.75 + event.random / 2
+    if event.now_s >= state.next_hosts_s:
+        state.next_hosts_s = event.now_s + HOSTS_PERIOD_S * jitter
+        due.append(effects.FetchHosts())
+    if event.now_s >= state.next_configuration_s:
+        period_s = _configuration_period_s(state)
+        state.next_configuration_s = event.now_s + period_s * jitter
+        due.append(effects.FetchConfiguration(newer_than=state.version))
+    return due
+
+
+def on_hosts(
+    state: ControllerState, event: events.HostsListed
+) -> list[effects.Effect]:
+    """Take over the platform's list."""
+    state.hosts_by_name = {host.name: host for host in event.hosts}
+    return []
+
+
+def on_configuration(
+    state: ControllerState, event: events.ConfigurationRead
+) -> list[effects.Effect]:
+    """Adopt a configuration if its version is higher."""
+    if event.version <= state.version:
+        return []
+    state.version = event.version
+    state.configuration = event.configuration
+    placement.rank_duties(state)
+    return []
+
+
+def _configuration_period_s(state: ControllerState) -> float:
+    if not state.version:
+        return FIRST_CONFIGURATION_PERIOD_S
+    if state.duties.held_by_name:
+        return HOLDER_CONFIGURATION_PERIOD_S
+    return IDLE_CONFIGURATION_PERIOD_S
--- /dev/null
+++ b/src/shallotfold/_controller/lease.py
@@ -0,0 +1,148 @@
+"""Hold, renew and drop the one lease of this process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from shallotfold._controller import effects
+from shallotfold._controller import handover
+from shallotfold._controller.duty_state import HeldLease
+
+if TYPE_CHECKING:
+    from shallotfold._controller import events
+    from shallotfold._controller.state import ControllerState
+
+
+STOP_MARGIN_S = 1.0
+RENEWALS_PER_TTL = 4
+RETRY_S = 0.5
+IDLE_LEASE_S = 15.0
+
+
+def may_send(state: ControllerState, duty: str, now_s: float) -> bool:
+    """Tell whether this process may send under a duty now."""
+    held = state.duties.held_by_name.get(duty)
+    return (
+        held is not None
+        and held.active_from_s <= now_s
+        and send_time_left_s(state, now_s) > 0
+    )
+
+
+def send_time_left_s(state: ControllerState, now_s: float) -> float:
+    """Return how long sends under the lease are allowed from now on."""
+    held = state.duties.lease
+    return held.deadline_s - STOP_MARGIN_S - now_s if held else 0.0
+
+
+def on_lease_granted(
+    state: ControllerState, event: events.LeaseGranted
+) -> list[effects.Effect]:
+    """Arm the fence, then acquire what is waiting."""
+    duties = state.duties
+    extra = [effects.RevokeLease(lease_id=event.lease_id)]
+    if duties.lease is not None:
+        return list(extra)
+    duties.lease_call_open = False
+    if duties.aborting:
+        duties.acquiring.clear()
+        return list(extra)
+    duties.lease = HeldLease(
+        lease_id=event.lease_id,
+        ttl_s=event.ttl_s,
+        deadline_s=event.started_s + event.ttl_s,
+        next_renewal_s=event.started_s + event.ttl_s / RENEWALS_PER_TTL,
+        used_s=event.now_s,
+    )
+    if send_time_left_s(state, event.now_s) <= 0 or state.draining:
+        return handover.step_down(state, "the lease came too late")
+    return [
+        effects.ArmFence(deadline_s=duties.lease.deadline_s),
+        *acquisitions(state, sorted(duties.acquiring)),
+    ]
+
+
+def on_lease_renewed(
+    state: ControllerState, event: events.LeaseRenewed
+) -> list[effects.Effect]:
+    """Move the deadline, counted from before the renewal was sent."""
+    duties = state.duties
+    lease = duties.lease
+    if lease is None or lease.lease_id != event.lease_id:
+        return []
+    duties.lease_call_open = False
+    lease.deadline_s = event.started_s + lease.ttl_s
+    lease.next_renewal_s = event.started_s + lease.ttl_s / RENEWALS_PER_TTL
+    return [effects.ArmFence(deadline_s=lease.deadline_s)]
+
+
+def on_lease_call_failed(
+    state: ControllerState, event: events.LeaseCallFailed
+) -> list[effects.Effect]:
+    """Try again soon; the deadline stays where it was."""
+    duties = state.duties
+    held_id = duties.lease.lease_id if duties.lease else ""
+    if event.lease_id != held_id:
+        return []
+    duties.lease_call_open = False
+    if duties.lease is not None:
+        duties.lease.next_renewal_s = event.now_s + RETRY_S
+    else:
+        duties.acquiring.clear()
+    return [effects.CountMetric(name="lease.unanswered")]
+
+
+def on_lease_lost(
+    state: ControllerState, event: events.LeaseLost
+) -> list[effects.Effect]:
+    """Give everything up at once."""
+    lease = state.duties.lease
+    if lease is None or lease.lease_id != event.lease_id:
+        return []
+    return handover.step_down(state, "the store refused the renewal")
+
+
+def renew(state: ControllerState, now_s: float) -> list[effects.Effect]:
+    """Renew the lease when it is due."""
+    duties = state.duties
+    lease = duties.lease
+    if lease is None or duties.lease_call_open or now_s < lease.next_renewal_s:
+        return []
+    duties.lease_call_open = True
+    return [effects.RenewLease(lease_id=lease.lease_id)]
+
+
+def drop_when_idle(
+    state: ControllerState, now_s: float
+) -> list[effects.Effect]:
+    """End a lease under which nothing was held for a while."""
+    duties = state.duties
+    lease = duties.lease
+    if lease is None:
+        return []
+    if duties.held_by_name or duties.acquiring:
+        lease.used_s = now_s
+    if now_s - lease.used_s < IDLE_LEASE_S:
+        return []
+    return handover.step_down(state, "no duty is held")
+
+
+def acquisitions(
+    state: ControllerState, names: list[str]
+) -> list[effects.Effect]:
+    """Return the effects that record this process as holder of duties."""
+    held = state.duties.lease
+    if held is None:
+        return []
+    return [
+        effects.AcquireDuty(
+            duty=name, lease_id=held.lease_id, token=token(state)
+        )
+        for name in names
+    ]
+
+
+def token(state: ControllerState) -> str:
+    """Return the token of this process under its current lease."""
+    held = state.duties.lease
+    return f"{state.process_token}/{held.lease_id if held else ''}"
--- /dev/null
+++ b/src/shallotfold/_controller/lease_fence.py
@@ -0,0 +1,39 @@
+"""Kill this process when a lease deadline passes, even across a freeze.
+
+The kernel timer sends SIGALRM, left at its default action. A process that was
+stopped past the deadline is killed when it is continued, before it runs one
+more instruction, so no check of the clock can be overtaken by a freeze.
+"""
+
+import signal
+import time
+
+MIN_DELAY_S = 0.000_001
+
+
+class LeaseFence:
+    """Guard over the earliest deadline of the leases of this process."""
+
+    def __init__(self) -> None:
+        self._deadline_s = 0.0
+
+    @property
+    def deadline_s(self) -> float:
+        """Monotonic deadline of the armed timer; 0 while disarmed."""
+        return self._deadline_s
+
+    def arm(self, deadline_s: float) -> None:
+        """Arm or move the timer; a deadline in the past kills at once."""
+        signal.signal(signal.SIGALRM, signal.SIG_DFL)
+        delay_s = max(deadline_s - time.monotonic(), MIN_DELAY_S)
+        signal.setitimer(signal.ITIMER_REAL, delay_s)
+        self._deadline_s = deadline_s
+
+    def disarm(self) -> None:
+        """Stop the timer after every send under the lease was aborted."""
+        signal.setitimer(signal.ITIMER_REAL, 0)
+        self._deadline_s = 0.0
+
+    def remaining_s(self) -> float:
+        """Return the time until the deadline; 0 or less when none is left."""
+        return self._deadline_s - time.monotonic()
--- /dev/null
+++ b/src/shallotfold/_controller/placement.py
@@ -0,0 +1,85 @@
+"""Spread duties over the live controllers."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from shallotfold._controller import effects
+from shallotfold._controller import handover
+from shallotfold._fleet.duties import ranked_hosts
+from shallotfold._model.upstreams import HostRole
+from shallotfold._model.upstreams import HostState
+
+if TYPE_CHECKING:
+    from shallotfold._controller import events
+    from shallotfold._controller.state import ControllerState
+
+
+REBALANCE_S = 30.0
+HANDED_OVER_PAUSE_S = 60.0
+
+
+def on_hosts(
+    state: ControllerState, event: events.HostsListed
+) -> list[effects.Effect]:
+    """Rank this host among the live ones for each duty."""
+    del event
+    rank_duties(state)
+    return []
+
+
+def rank_duties(state: ControllerState) -> None:
+    """Compute this host's rank for each duty from the host list."""
+    record = state.hosts_by_name.get(state.host)
+    if record is not None and record.state is HostState.LEAVING:
+        state.duties.rank_by_name = {}
+        return
+    live = {*_live_hosts(state), state.host}
+    state.duties.rank_by_name = {
+        name: ranked_hosts(name, live).index(state.host)
+        for name in state.duty_names()
+    }
+
+
+def hand_surplus_over(
+    state: ControllerState, now_s: float
+) -> list[effects.Effect]:
+    """Give duties to hosts that rank first, when leaving or holding many."""
+    duties = state.duties
+    live = _live_hosts(state)
+    if now_s < duties.next_rebalance_s or not live:
+        return []
+    duties.next_rebalance_s = now_s + REBALANCE_S
+    leaving = state.host in state.hosts_by_name and not duties.rank_by_name
+    surplus = sorted(duties.held_by_name)
+    if not leaving:
+        surplus = _surplus(state, len(live), now_s)
+    for name in surplus:
+        duties.paused_until_by_name[name] = now_s + HANDED_OVER_PAUSE_S
+    return handover.give_up(
+        state, tuple(surplus), "another host ranks first for it"
+    )
+
+
+def _surplus(
+    state: ControllerState, live_count: int, now_s: float
+) -> list[str]:
+    duties = state.duties
+    fair_share = math.ceil(len(state.duty_names()) / live_count)
+    if len(duties.held_by_name) <= fair_share + 1:
+        return []
+    return [
+        name
+        for name, held in sorted(duties.held_by_name.items())
+        if duties.rank_by_name.get(name) != 0
+        and held.acquired_s < now_s - REBALANCE_S
+    ][:1]
+
+
+def _live_hosts(state: ControllerState) -> list[str]:
+    return [
+        host.name
+        for host in state.hosts_by_name.values()
+        if host.role is HostRole.ENTRY and host.state is HostState.LIVE
+    ]
--- /dev/null
+++ b/src/shallotfold/_controller/reducer.py
@@ -0,0 +1,42 @@
+"""Route every event of a controller to the parts that handle it."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Any
+
+from shallotfold._controller import duties
+from shallotfold._controller import events
+from shallotfold._controller import handover
+from shallotfold._controller import knowledge
+from shallotfold._controller import lease
+from shallotfold._controller import placement
+from shallotfold._controller.effects import Effect
+from shallotfold._controller.state import ControllerState
+
+# Handlers take the event type that they are registered for.
+Handler = Callable[[ControllerState, Any], list[Effect]]
+
+
+def reduce(state: ControllerState, event: events.Event) -> list[Effect]:
+    """Apply an event to `state` in place and return the effects to run."""
+    effects: list[Effect] = []
+    for handler in _HANDLERS_BY_EVENT[type(event)]:
+        effects.extend(handler(state, event))
+    return effects
+
+
+_HANDLERS_BY_EVENT: dict[type[events.Event], Sequence[Handler]] = {
+    events.Tick: (duties.on_tick, knowledge.on_tick),
+    events.ConfigurationRead: (knowledge.on_configuration,),
+    events.HostsListed: (knowledge.on_hosts, placement.on_hosts),
+    events.DutiesListed: (duties.on_listed,),
+    events.DutiesListFailed: (duties.on_list_failed,),
+    events.LeaseGranted: (lease.on_lease_granted,),
+    events.LeaseRenewed: (lease.on_lease_renewed,),
+    events.LeaseCallFailed: (lease.on_lease_call_failed,),
+    events.LeaseLost: (lease.on_lease_lost,),
+    events.DutyAcquired: (duties.on_acquired,),
+    events.DutyNotAcquired: (duties.on_not_acquired,),
+    events.SendsAborted: (handover.on_sends_aborted,),
+    events.ShutdownRequested: (handover.on_shutdown,),
+}
--- /dev/null
+++ b/src/shallotfold/_controller/state.py
@@ -0,0 +1,47 @@
+"""Hold the whole state of a controller's reducer, one part per job."""
+
+import attrs
+
+from shallotfold._controller.duty_state import DutiesState
+from shallotfold._fleet.duties import all_duties
+from shallotfold._model.configuration import Configuration
+from shallotfold._model.upstreams import HostRecord
+
+
+@attrs.define(kw_only=True)
+class ControllerState:
+    """State of one controller process.
+
+    Attributes:
+        host: Name of this host.
+        data_centre: Where it runs.
+        process_token: Unique token of this process.
+        lease_ttl_s: Time to live of the lease.
+        takeover_wait_s: Wait between acquiring a duty and its first send.
+        version: Version of the configuration; 0 before any was read.
+        configuration: Newest configuration.
+        hosts_by_name: The platform's lagging host list.
+        duties: Lease and duties.
+        next_hosts_s: When to read the host list again.
+        next_configuration_s: When to read the configuration again.
+        draining: Whether a shutdown was requested.
+    """
+
+    host: str
+    data_centre: str
+    process_token: str
+    lease_ttl_s: float = 6.0
+    takeover_wait_s: float = 3.0
+    version: int = 0
+    configuration: Configuration = attrs.field(factory=Configuration)
+    hosts_by_name: dict[str, HostRecord] = attrs.field(factory=dict)
+    duties: DutiesState = attrs.field(factory=DutiesState)
+    next_hosts_s: float = 0.0
+    next_configuration_s: float = 0.0
+    draining: bool = False
+
+    def duty_names(self) -> tuple[str, ...]:
+        """Return the names of all duties of the fleet, sorted."""
+        if not self.version:
+            return ()
+        return all_duties(self.configuration.data_centres)
--- /dev/null
+++ b/src/shallotfold/_fleet/audit.py
@@ -0,0 +1,179 @@
+"""Keep the audit trail in the store within a bounded size.
+
+Records go to segments `audit/SEGMENT`, chosen by the digest of their id, so
+that writers rarely meet. A segment keeps its newest records. Appending is a
+compare-and-swap that skips ids already present, so that a lost answer doubles
+no record.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import hashlib
+
+import attrs
+from cattrs.preconf.json import make_converter
+
+from shallotfold._errors import StoreConflictError
+from shallotfold._errors import StoreUnavailableError
+from shallotfold._platform.ports import Store
+
+AUDIT_PREFIX = "audit/"
+SEGMENTS = 32
+MAX_RECORDS_PER_SEGMENT = 1000
+MAX_SEGMENT_BYTES = 400_000
+MAX_TEXT_CHARS = 400
+MAX_TRIES = 8
+
+_CONVERTER = make_converter()
+
+
+@attrs.frozen(kw_only=True)
+class AuditChange:
+    """One change, as the code that makes it describes it.
+
+    Attributes:
+        kind: `configuration`, `key`, `lease`, `order` or `usage`.
+        who: Person or process that made the change.
+        why: Reason.
+        what: Name of the changed thing, for example `orders/west`.
+        before: State before, as short text; holds no key.
+        after: State after, as short text; holds no key.
+    """
+
+    kind: str
+    who: str
+    why: str
+    what: str
+    before: str = ""
+    after: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class AuditRecord:
+    """A change in the trail.
+
+    Attributes:
+        record_id: Unique id; a repeat with the same id is not added again.
+        at_s: Seconds since the epoch at which the change was made.
+        change: The change.
+    """
+
+    record_id: str
+    at_s: float
+    change: AuditChange
+
+
+@attrs.frozen(kw_only=True)
+class AuditFilter:
+    """Which records to read; an empty field matches everything.
+
+    Attributes:
+        kind: Kind of the change.
+        who: Exact name.
+        what: First characters of the changed thing's name.
+        since_s: Oldest time, in seconds since the epoch.
+        until_s: Newest time, in seconds since the epoch.
+        limit: Most records to return; the newest are kept.
+    """
+
+    kind: str = ""
+    who: str = ""
+    what: str = ""
+    since_s: float = 0.0
+    until_s: float = float("inf")
+    limit: int = 1000
+
+    def matches(self, record: AuditRecord) -> bool:
+        """Tell whether a record passes."""
+        change = record.change
+        return (
+            self.kind in ("", change.kind)
+            and self.who in ("", change.who)
+            and change.what.startswith(self.what)
+            and self.since_s <= record.at_s <= self.until_s
+        )
+
+
+async def append_records(store: Store, records: Iterable[AuditRecord]) -> None:
+    """Append records; those already there are not added again.
+
+    Raises:
+        StoreUnavailableError: Some may be missing; repeat the same records.
+    """
+    records_by_key: dict[str, list[AuditRecord]] = {}
+    for record in records:
+        key = _segment_key(record.record_id)
+        records_by_key.setdefault(key, []).append(_shortened(record))
+    for key, added in records_by_key.items():
+        await _append(store, key, added)
+
+
+async def read_records(
+    store: Store, wanted: AuditFilter | None = None
+) -> Sequence[AuditRecord]:
+    """Return the matching records, oldest first.
+
+    Raises:
+        StoreUnavailableError: No answer in time.
+    """
+    wanted = wanted or AuditFilter()
+    found = [
+        record
+        for segment in await store.list(AUDIT_PREFIX)
+        for record in _decode(segment.value)
+        if wanted.matches(record)
+    ]
+    found.sort(key=lambda record: (record.at_s, record.record_id))
+    return found[max(0, len(found) - wanted.limit) :]
+
+
+async def _append(store: Store, key: str, added: list[AuditRecord]) -> None:
+    for _ in range(MAX_TRIES):
+        stored = await store.get(key)
+        records = _decode(stored.value) if stored else []
+        known = {record.record_id for record in records}
+        missing = [r for r in added if r.record_id not in known]
+        if not missing:
+            return
+        revision = stored.revision if stored else 0
+        try:
+            await store.compare_and_swap(
+                key, revision, _encode([*records, *missing])
+            )
+        except StoreConflictError:
+            continue
+        return
+    raise StoreUnavailableError(
+        f"{key} was changed by others {MAX_TRIES} times; repeat the append"
+    )
+
+
+def _encode(records: list[AuditRecord]) -> bytes:
+    kept = records[-MAX_RECORDS_PER_SEGMENT:]
+    while True:
+        value = _CONVERTER.dumps(kept).encode()
+        if len(value) <= MAX_SEGMENT_BYTES or len(kept) <= 1:
+            return value
+        kept = kept[len(kept) // 4 + 1 :]
+
+
+def _decode(value: bytes) -> list[AuditRecord]:
+    return _CONVERTER.loads(value, list[AuditRecord])
+
+
+def _segment_key(record_id: str) -> str:
+    digest = hashlib.sha256(record_id.encode()).digest()
+    return f"{AUDIT_PREFIX}{digest[0] % SEGMENTS:02d}"
+
+
+def _shortened(record: AuditRecord) -> AuditRecord:
+    change = record.change
+    return attrs.evolve(
+        record,
+        change=attrs.evolve(
+            change,
+            why=change.why[:MAX_TEXT_CHARS],
+            before=change.before[:MAX_TEXT_CHARS],
+            after=change.after[:MAX_TEXT_CHARS],
+        ),
+    )
--- /dev/null
+++ b/src/shallotfold/_fleet/duties.py
@@ -0,0 +1,77 @@
+"""Define the duties of controllers and their records in the store.
+
+The record of a duty is written under its holder's lease, so the store deletes
+it when the lease lapses. Its fencing number is the store revision of its
+creation: revisions only rise, so a later holder always has a higher one, and
+a holder whose answer was lost reads it back.
+"""
+
+from collections.abc import Iterable
+import hashlib
+
+import attrs
+from cattrs.preconf.json import make_converter
+
+from shallotfold._platform.ports import StoredValue
+
+DUTIES_PREFIX = "duties/"
+ORDERS_PREFIX = "orders/"
+USAGE_PREFIX = "usage/"
+USAGE_SHARDS = 4
+
+_CONVERTER = make_converter()
+
+
+@attrs.frozen(kw_only=True)
+class DutyRecord:
+    """Who holds a duty.
+
+    Attributes:
+        name: Name of the duty, for example `orders/DATA_CENTRE`.
+        holder: Name of the holder's host.
+        token: Unique token of the holder's process and lease.
+        fencing: Fencing number; higher is newer.
+    """
+
+    name: str
+    holder: str
+    token: str
+    fencing: int = 0
+
+
+def all_duties(data_centres: Iterable[str]) -> tuple[str, ...]:
+    """Return the names of all duties, sorted."""
+    orders = [f"{ORDERS_PREFIX}{name}" for name in data_centres]
+    usage = [f"{USAGE_PREFIX}{shard}" for shard in range(USAGE_SHARDS)]
+    return tuple(sorted([*orders, *usage]))
+
+
+def key_of(duty: str) -> str:
+    """Return the store key of a duty."""
+    return DUTIES_PREFIX + duty
+
+
+def encode_duty(record: DutyRecord) -> bytes:
+    """Return the stored form of a record; the fencing number is left out."""
+    return _CONVERTER.dumps(attrs.evolve(record, fencing=0)).encode()
+
+
+def decode_duty(stored: StoredValue) -> DutyRecord:
+    """Read a stored record; its revision is the fencing number."""
+    record = _CONVERTER.loads(stored.value, DutyRecord)
+    return attrs.evolve(record, fencing=stored.revision)
+
+
+def ranked_hosts(duty: str, hosts: Iterable[str]) -> tuple[str, ...]:
+    """Order hosts by preference for a duty, by rendezvous hashing."""
+    return tuple(sorted(hosts, key=lambda host: _weight(duty, host)))
+
+
+def shard_of(workspace: str) -> int:
+    """Return the usage shard of a workspace."""
+    digest = hashlib.sha256(workspace.encode()).digest()
+    return int.from_bytes(digest[:4], "big") % USAGE_SHARDS
+
+
+def _weight(duty: str, host: str) -> bytes:
+    return hashlib.sha256(f"{duty}\0{host}".encode()).digest()
