--- a/src/shallotfold/_errors.py
+++ b/src/shallotfold/_errors.py
@@ -79,6 +79,10 @@
         )
 
 
+class ValueTooLargeError(PlatformError):
+    """A value is over one megabyte and was not written; split it."""
+
+
 class LeaseLostError(PlatformError):
     """The lease has lapsed or was never granted; acquire it again."""
 
--- /dev/null
+++ b/src/shallotfold/_platform/http_loads.py
@@ -0,0 +1,47 @@
+"""Read the load reports of upstreams over HTTP."""
+
+import attrs
+import cattrs
+
+from shallotfold._errors import PlatformError
+from shallotfold._model.upstreams import UpstreamLoad
+from shallotfold._platform.http_json import JsonClient
+
+CALL_TIMEOUT_S = 1.0
+
+
+@attrs.define
+class HttpLoadReports:
+    """The `LoadReports` port over HTTP, one connection pool for all.
+
+    Attributes:
+        timeout_s: Longest wait for an answer.
+    """
+
+    timeout_s: float = CALL_TIMEOUT_S
+    _client: JsonClient = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the client; it connects on the first call."""
+        self._client = JsonClient("")
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        await self._client.start()
+
+    async def close(self) -> None:
+        """Close the connection pool."""
+        await self._client.close()
+
+    async def fetch(self, url: str) -> UpstreamLoad:
+        """Read one load report; see `LoadReports`."""
+        answer = await self._client.call(
+            "GET", f"{url}/load", None, self.timeout_s
+        )
+        try:
+            return cattrs.structure(answer.content, UpstreamLoad)
+        except (cattrs.BaseValidationError, ValueError, TypeError) as error:
+            raise PlatformError(
+                f"{url}: the load report has another shape (status "
+                f"{answer.status}); check the upstream's url"
+            ) from error
--- /dev/null
+++ b/src/shallotfold/_platform/http_store.py
@@ -0,0 +1,155 @@
+"""Reach the platform's key-value service over HTTP."""
+
+from collections.abc import Sequence
+from http import HTTPStatus
+from typing import Any
+from typing import TypeVar
+
+import attrs
+import cattrs
+
+from shallotfold._errors import LeaseLostError
+from shallotfold._errors import PlatformError
+from shallotfold._errors import StoreConflictError
+from shallotfold._errors import StoreUnavailableError
+from shallotfold._errors import ValueTooLargeError
+from shallotfold._platform import store_messages
+from shallotfold._platform.http_json import JsonAnswer
+from shallotfold._platform.http_json import JsonClient
+from shallotfold._platform.ports import Lease
+from shallotfold._platform.ports import StoreChanges
+from shallotfold._platform.ports import StoredValue
+
+CALL_TIMEOUT_S = 2.0
+
+T = TypeVar("T")
+
+
+@attrs.define
+class HttpStore:
+    """The `Store` port over HTTP; calls are never repeated here.
+
+    Attributes:
+        url: Base URL of the service, `http://IP:PORT`.
+        timeout_s: Longest wait for an answer; a watch adds its own timeout.
+    """
+
+    url: str
+    timeout_s: float = CALL_TIMEOUT_S
+    _client: JsonClient = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the client; it connects on the first call."""
+        self._client = JsonClient(self.url, StoreUnavailableError)
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        await self._client.start()
+
+    async def close(self) -> None:
+        """Close the connection pool."""
+        await self._client.close()
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Read one key; see `Store`."""
+        answer = await self._call(store_messages.Get(key))
+        if answer.status == HTTPStatus.NOT_FOUND:
+            return None
+        return _parse(answer, StoredValue, key)
+
+    async def list(self, prefix: str) -> Sequence[StoredValue]:
+        """Read all keys under a prefix; see `Store`."""
+        answer = await self._call(store_messages.List(prefix))
+        return _parse(answer, store_messages.Listing, prefix).items
+
+    async def compare_and_swap(
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes,
+        lease_id: str = "",
+    ) -> int:
+        """Write a key at an expected revision; see `Store`.
+
+        Raises:
+            ValueTooLargeError: The value is over one megabyte.
+        """
+        answer = await self._call(
+            store_messages.CompareAndSwap(
+                key, expected_revision, value, lease_id
+            )
+        )
+        return _parse(answer, store_messages.Written, key).revision
+
+    async def delete(self, key: str, expected_revision: int) -> None:
+        """Delete a key at an expected revision; see `Store`."""
+        answer = await self._call(store_messages.Delete(key, expected_revision))
+        _check(answer, key)
+
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        """Grant a new lease; see `Store`."""
+        answer = await self._call(store_messages.GrantLease(ttl_s))
+        return _parse(answer, Lease, "lease")
+
+    async def renew_lease(self, lease_id: str) -> None:
+        """Renew a lease; see `Store`."""
+        answer = await self._call(store_messages.RenewLease(lease_id))
+        _check(answer, lease_id)
+
+    async def revoke_lease(self, lease_id: str) -> None:
+        """End a lease; see `Store`."""
+        answer = await self._call(store_messages.RevokeLease(lease_id))
+        _check(answer, lease_id)
+
+    async def watch(
+        self, prefix: str, after_revision: int, timeout_s: float
+    ) -> StoreChanges:
+        """Wait for changes under a prefix; see `Store`."""
+        request = store_messages.Watch(prefix, after_revision, timeout_s)
+        answer = await self._call(request, extra_wait_s=timeout_s)
+        return _parse(answer, StoreChanges, prefix)
+
+    async def _call(
+        self, request: store_messages.StoreRequest, extra_wait_s: float = 0.0
+    ) -> JsonAnswer:
+        return await self._client.call(
+            "POST",
+            store_messages.PATHS_BY_REQUEST[type(request)],
+            store_messages.CONVERTER.unstructure(request),
+            self.timeout_s + extra_wait_s,
+        )
+
+
+def _parse(answer: JsonAnswer, wanted: type[T], key: str) -> T:
+    _check(answer, key)
+    try:
+        return store_messages.CONVERTER.structure(answer.content, wanted)
+    except (cattrs.BaseValidationError, ValueError, TypeError) as error:
+        raise StoreUnavailableError(
+            f"{key}: the key-value service gave an answer of another shape; "
+            "check that store_url points to it"
+        ) from error
+
+
+def _check(answer: JsonAnswer, key: str) -> None:
+    if answer.status == HTTPStatus.OK:
+        return
+    raise _error(answer, key)
+
+
+def _error(answer: JsonAnswer, key: str) -> PlatformError:
+    fields: dict[str, Any] = (
+        answer.content if isinstance(answer.content, dict) else {}
+    )
+    if answer.status == HTTPStatus.CONFLICT:
+        return StoreConflictError(key, int(fields.get("actual_revision", 0)))
+    if answer.status == HTTPStatus.GONE:
+        return LeaseLostError(f"{key}: the lease is gone; acquire it again")
+    if answer.status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+        return ValueTooLargeError(
+            f"{key}: the value is over one megabyte; split it into chunks"
+        )
+    return StoreUnavailableError(
+        f"{key}: the key-value service answered with status {answer.status}; "
+        "check that store_url points to it"
+    )
