Stand in for model engines and plain services

The entries need upstreams whose answers can be checked. Answers are a function of the prompt, each token holding a digest of its prompt and its index, so that crossed, doubled and lost tokens are seen.

--- /dev/null
+++ b/src/shallotfold/_standin/answers.py
@@ -0,0 +1,58 @@
+"""Make answers that are a function of the prompt, so that tests check them."""
+
+import hashlib
+import re
+
+import attrs
+
+MIN_TOKENS = 8
+MAX_TOKENS = 72
+CHARACTERS_PER_TOKEN = 4
+
+_LENGTH_MARK = re.compile(r"\[tokens=(\d+)\]")
+
+
+@attrs.frozen
+class Answer:
+    """The answer that every engine stand-in gives to one prompt.
+
+    Attributes:
+        digest: Part of every token, so that crossed answers are seen.
+        token_count: Number of tokens of the whole answer.
+    """
+
+    digest: str
+    token_count: int
+
+    def token(self, index: int) -> str:
+        """Return the text of the token at `index`, from 0."""
+        return f"{self.digest}.{index} "
+
+    def text(self, start: int = 0, end: int | None = None) -> str:
+        """Return the text from token `start` up to before token `end`."""
+        last = self.token_count if end is None else end
+        return "".join(self.token(index) for index in range(start, last))
+
+
+def answer_to(prompt: str, max_tokens: int = 0) -> Answer:
+    """Return the answer to a prompt.
+
+    A mark `[tokens=N]` in the prompt sets the length; else its digest does.
+
+    Args:
+        prompt: Text of the prompt.
+        max_tokens: Limit asked for by the caller; 0 for none.
+    """
+    digest = hashlib.sha256(prompt.encode()).hexdigest()
+    mark = _LENGTH_MARK.search(prompt)
+    if mark:
+        count = int(mark.group(1))
+    else:
+        spread = MAX_TOKENS - MIN_TOKENS
+        count = MIN_TOKENS + int(digest[-6:], 16) % spread
+    return Answer(digest[:6], min(count, max_tokens) if max_tokens else count)
+
+
+def count_prompt_tokens(prompt: str) -> int:
+    """Return the number of input tokens that the stand-in engines bill."""
+    return max(1, len(prompt) // CHARACTERS_PER_TOKEN)
--- a/src/shallotfold/_standin/store_http.py
+++ b/src/shallotfold/_standin/store_http.py
@@ -13,6 +13,7 @@
 from shallotfold._errors import StoreUnavailableError
 from shallotfold._errors import ValueTooLargeError
 from shallotfold._platform import store_messages
+from shallotfold._standin.http_common import drop_connection
 from shallotfold._standin.store import StoreStandin
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -24,13 +25,6 @@
         app.router.add_post(path, _make_handler(store, request_class))
 
 
-def drop_connection(request: web.Request) -> web.Response:
-    """Reset the caller's connection instead of answering."""
-    if request.transport is not None:
-        request.transport.abort()
-    return web.Response()
-
-
 def _make_handler(
     store: StoreStandin, request_class: type[store_messages.StoreRequest]
 ) -> Handler:
