--- a/src/shallotfold/_controller/duties.py
+++ b/src/shallotfold/_controller/duties.py
@@ -28,6 +28,7 @@
     """Stop in time, renew, look for free duties, spread the load."""
     now_s = event.now_s
     duties = state.duties
+    placement.rank_without_hosts(state, now_s)
     if duties.lease is not None and lease.send_time_left_s(state, now_s) <= 0:
         return handover.step_down(
             state, "the lease could not be renewed in time"
--- a/src/shallotfold/_controller/duty_state.py
+++ b/src/shallotfold/_controller/duty_state.py
@@ -52,7 +52,9 @@
         aborting: Duties given up whose sends are not yet aborted.
         free_since_by_name: Since when a duty is seen without a holder.
         paused_until_by_name: Until when not to acquire a duty.
-        rank_by_name: This host's rank for each duty; empty while leaving.
+        rank_by_name: This host's rank for each duty; empty while leaving or
+            without a host list.
+        started_s: Time of the first tick.
         releasing: Fencing numbers of duties to free once sends are aborted.
         revoking: Lease to end once sends are aborted; empty if none.
         listing: Whether a read of the duties is under way.
@@ -68,6 +70,7 @@
     free_since_by_name: dict[str, float] = attrs.field(factory=dict)
     paused_until_by_name: dict[str, float] = attrs.field(factory=dict)
     rank_by_name: dict[str, int] = attrs.field(factory=dict)
+    started_s: float | None = None
     releasing: dict[str, int] = attrs.field(factory=dict)
     revoking: str = ""
     listing: bool = False
--- a/src/shallotfold/_controller/placement.py
+++ b/src/shallotfold/_controller/placement.py
@@ -17,6 +17,8 @@
 
 
 REBALANCE_S = 30.0
+HOSTS_GRACE_S = 15.0
+LAST_RANK = 1_000_000
 HANDED_OVER_PAUSE_S = 60.0
 
 
@@ -24,7 +26,8 @@
     state: ControllerState, event: events.HostsListed
 ) -> list[effects.Effect]:
     """Rank this host among the live ones for each duty."""
-    del event
+    if not state.duties.rank_by_name:
+        state.duties.next_list_s = event.now_s
     rank_duties(state)
     return []
 
@@ -32,7 +35,8 @@
 def rank_duties(state: ControllerState) -> None:
     """Compute this host's rank for each duty from the host list."""
     record = state.hosts_by_name.get(state.host)
-    if record is not None and record.state is HostState.LEAVING:
+    leaving = record is not None and record.state is HostState.LEAVING
+    if leaving or not state.hosts_by_name:
         state.duties.rank_by_name = {}
         return
     live = {*_live_hosts(state), state.host}
@@ -42,6 +46,17 @@
     }
 
 
+def rank_without_hosts(state: ControllerState, now_s: float) -> None:
+    """Rank this host last for everything when no host list can be had."""
+    duties = state.duties
+    if state.hosts_by_name or duties.rank_by_name:
+        return
+    if duties.started_s is None:
+        duties.started_s = now_s
+    if now_s - duties.started_s >= HOSTS_GRACE_S:
+        duties.rank_by_name = dict.fromkeys(state.duty_names(), LAST_RANK)
+
+
 def hand_surplus_over(
     state: ControllerState, now_s: float
 ) -> list[effects.Effect]:
--- a/src/shallotfold/_fleet/audit.py
+++ b/src/shallotfold/_fleet/audit.py
@@ -6,6 +6,7 @@
 no record.
 """
 
+import asyncio
 from collections.abc import Iterable
 from collections.abc import Sequence
 import hashlib
@@ -23,6 +24,7 @@
 MAX_SEGMENT_BYTES = 400_000
 MAX_TEXT_CHARS = 400
 MAX_TRIES = 8
+MAX_RETRY_DELAY_S = 30.0
 
 _CONVERTER = make_converter()
 
@@ -108,6 +110,24 @@
         await _append(store, key, added)
 
 
+async def append_patiently(
+    store: Store, record: AuditRecord, tries: int
+) -> bool:
+    """Append a record, trying again later while the store is unavailable.
+
+    Returns:
+        Whether the record is in the trail; `False` after `tries` tries.
+    """
+    for number in range(tries):
+        try:
+            await append_records(store, [record])
+        except StoreUnavailableError:
+            await asyncio.sleep(min(2.0**number, MAX_RETRY_DELAY_S))
+            continue
+        return True
+    return False
+
+
 async def read_records(
     store: Store, wanted: AuditFilter | None = None
 ) -> Sequence[AuditRecord]:
--- /dev/null
+++ b/tests/controller/conftest.py
@@ -0,0 +1,15 @@
+import asyncio
+import inspect
+
+import pytest
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_pyfunc_call(pyfuncitem: pytest.Function) -> bool | None:
+    """Run a test written as a coroutine on a fresh event loop."""
+    if not inspect.iscoroutinefunction(pyfuncitem.obj):
+        return None
+    names = inspect.signature(pyfuncitem.obj).parameters
+    given = {name: pyfuncitem.funcargs[name] for name in names}
+    asyncio.run(pyfuncitem.obj(**given))
+    return True
--- /dev/null
+++ b/tests/controller/test_duties.py
@@ -0,0 +1,198 @@
+import asyncio
+
+from hypothesis import HealthCheck
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from shallotfold._controller import duties
+from shallotfold._controller import effects
+from shallotfold._fleet.duties import all_duties
+from shallotfold._standin.store import StoreFault
+from tests.controller.simulation import CONFIGURATION
+from tests.controller.simulation import Simulation
+from tests.controller.simulation import VirtualFence
+
+DUTIES = all_duties(CONFIGURATION.data_centres)
+HOSTS = ("host0", "host1", "host2")
+
+
+def fencing_by_duty(simulation: Simulation) -> dict[str, int]:
+    return {
+        duty: controller.shell.state.duties.held_by_name[duty].fencing
+        for controller in simulation.controllers.values()
+        for duty in DUTIES
+        if duty in controller.shell.state.duties.held_by_name
+    }
+
+
+async def test_every_duty_gets_one_holder_and_they_are_spread() -> None:
+    simulation = Simulation()
+    await simulation.run(15)
+    held = {duty: simulation.holders(duty) for duty in DUTIES}
+    assert all(len(holders) == 1 for holders in held.values())
+    assert len({holders[0] for holders in held.values()}) > 1
+
+
+async def test_killed_holder_is_replaced_with_a_higher_fencing_number() -> None:
+    simulation = Simulation()
+    await simulation.run(15)
+    before = fencing_by_duty(simulation)
+    victim = simulation.holders(DUTIES[0])[0]
+    simulation.controllers[victim].dead = True
+    await simulation.run(20)
+    after = fencing_by_duty(simulation)
+    assert simulation.holders(DUTIES[0])[0] != victim
+    assert after[DUTIES[0]] > before[DUTIES[0]]
+
+
+async def test_frozen_holder_dies_before_a_successor_may_send() -> None:
+    simulation = Simulation()
+    await simulation.run(15)
+    victim = simulation.holders(DUTIES[0])[0]
+    simulation.controllers[victim].frozen = True
+    await simulation.run(20)
+    simulation.thaw(victim)
+    assert simulation.controllers[victim].dead
+    await simulation.run(1)
+    assert simulation.holders(DUTIES[0]) != [victim]
+
+
+async def test_without_the_fence_a_frozen_holder_doubles_the_duty(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(VirtualFence, "enabled", False)
+    simulation = Simulation()
+    await simulation.run(15)
+    victim = simulation.holders(DUTIES[0])[0]
+    simulation.controllers[victim].frozen = True
+    with pytest.raises(AssertionError):
+        await simulation.run(20)
+
+
+async def test_lost_answers_still_raise_the_fencing_number() -> None:
+    simulation = Simulation()
+    await simulation.run(15)
+    before = fencing_by_duty(simulation)
+    victim = simulation.holders(DUTIES[0])[0]
+    simulation.controllers[victim].dead = True
+    for _ in range(10):
+        simulation.store.set_fault(StoreFault.LOSE_ANSWERS, count=3)
+        await simulation.run(2)
+    simulation.store.set_fault(StoreFault.OK)
+    await simulation.run(20)
+    assert fencing_by_duty(simulation)[DUTIES[0]] > before[DUTIES[0]]
+
+
+async def test_store_outage_stops_sends_and_ends_with_holders() -> None:
+    simulation = Simulation()
+    await simulation.run(15)
+    simulation.store.set_fault(StoreFault.DOWN)
+    await simulation.run(10)
+    assert not any(simulation.holders(duty) for duty in DUTIES)
+    assert not any(c.dead for c in simulation.controllers.values())
+    simulation.store.set_fault(StoreFault.OK)
+    await simulation.run(20)
+    assert all(simulation.holders(duty) for duty in DUTIES)
+
+
+async def test_shutdown_hands_over_without_waiting_for_the_lease() -> None:
+    simulation = Simulation()
+    await simulation.run(15)
+    victim = simulation.holders(DUTIES[0])[0]
+    shell = simulation.controllers[victim].shell
+    shell.request_shutdown()
+    await asyncio.wait_for(shell.stopped.wait(), 5)
+    simulation.controllers[victim].dead = True
+    takeover_s = shell.state.takeover_wait_s
+    longest_s = (
+        2 * duties.CANDIDATE_POLL_S
+        + duties.CANDIDATES * duties.RANK_DELAY_S
+        + takeover_s
+    )
+    await simulation.run(longest_s)
+    assert simulation.holders(DUTIES[0])
+
+
+async def test_only_candidates_read_the_duties_often() -> None:
+    simulation = Simulation(count=24)
+    await simulation.run(30)
+    simulation.store.calls_by_name.clear()
+    await simulation.run(30)
+    candidates = duties.CANDIDATES * len(DUTIES)
+    calls = simulation.store.calls_by_name
+    assert calls["list"] <= candidates * 40 + 24
+    assert calls["renew_lease"] <= len(DUTIES) * 30
+    assert calls["compare_and_swap"] == 0
+
+
+async def test_duty_is_freed_only_after_its_sends_are_aborted() -> None:
+    simulation = Simulation()
+    await simulation.run(15)
+    victim = simulation.holders(DUTIES[0])[0]
+    controller = simulation.controllers[victim]
+    aborts: list[object] = []
+    controller.shell.register(effects.AbortSends, aborts.append)
+    controller.shell.request_shutdown()
+    await simulation.run(2)
+    keys = [value.key for value in simulation.store.snapshot("duties/")]
+    assert aborts
+    assert f"duties/{DUTIES[0]}" in keys
+    assert controller.fence.deadline_s > 0
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("run"), st.sampled_from(["0.5", "3", "9"])),
+        st.tuples(st.just("freeze"), st.sampled_from(HOSTS)),
+        st.tuples(st.just("thaw"), st.sampled_from(HOSTS)),
+        st.tuples(st.just("kill"), st.sampled_from(HOSTS)),
+        st.tuples(st.just("restart"), st.sampled_from(HOSTS)),
+        st.tuples(st.just("stop"), st.sampled_from(HOSTS)),
+        st.tuples(
+            st.just("store"), st.sampled_from(["ok", "down", "lose_answers"])
+        ),
+    ),
+    max_size=25,
+)
+
+
+async def act(simulation: Simulation, verb: str, target: str) -> None:
+    if verb == "run":
+        await simulation.run(float(target))
+        return
+    if verb == "store":
+        simulation.store.set_fault(StoreFault(target))
+        return
+    controller = simulation.controllers[target]
+    if verb == "freeze":
+        controller.frozen = True
+    elif verb == "thaw":
+        simulation.thaw(target)
+    elif verb == "kill":
+        controller.dead = True
+    elif verb == "restart" and controller.dead:
+        simulation.restart(target)
+    elif verb == "stop" and not controller.frozen and not controller.dead:
+        controller.shell.request_shutdown()
+
+
+@settings(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(steps=STEPS)
+def test_no_sequence_of_faults_gives_a_duty_two_senders(
+    steps: list[tuple[str, str]],
+) -> None:
+    async def scenario() -> None:
+        simulation = Simulation()
+        await simulation.run(12)
+        for verb, target in steps:
+            await act(simulation, verb, target)
+        await simulation.run(12)
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/controller/test_lease_fence.py
@@ -0,0 +1,62 @@
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+
+PROGRAM = """
+import sys, time
+from shallotfold._controller.lease_fence import LeaseFence
+deadline_s = float(sys.argv[1])
+fence = LeaseFence()
+if sys.argv[2] == "fenced":
+    fence.arm(deadline_s)
+if sys.argv[2] == "disarmed":
+    fence.arm(deadline_s)
+    fence.disarm()
+while time.monotonic() < deadline_s + 1:
+    print(time.monotonic(), flush=True)
+    time.sleep(0.01)
+"""
+STATE_FIELD = 2
+
+
+def wait_until_stopped(pid: int) -> None:
+    while True:
+        with open(f"/proc/{pid}/stat") as stat:
+            if stat.read().split()[STATE_FIELD] == "T":
+                return
+
+
+def run_across_a_freeze(mode: str) -> tuple[int, bool]:
+    """Freeze a process past its deadline; return code and late writes."""
+    deadline_s = time.monotonic() + 1.5
+    process = subprocess.Popen(
+        [sys.executable, "-c", PROGRAM, str(deadline_s), mode],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    assert process.stdout is not None
+    process.stdout.readline()
+    os.kill(process.pid, signal.SIGSTOP)
+    wait_until_stopped(process.pid)
+    time.sleep(max(0.0, deadline_s - time.monotonic()))
+    os.kill(process.pid, signal.SIGCONT)
+    lines = process.stdout.read().splitlines()
+    late = any(float(line) > deadline_s for line in lines)
+    return process.wait(10), late
+
+
+def test_frozen_process_dies_at_its_deadline_before_it_runs_on() -> None:
+    code, late = run_across_a_freeze("fenced")
+    assert code == -signal.SIGALRM
+    assert not late
+
+
+@pytest.mark.parametrize("mode", ["unfenced", "disarmed"])
+def test_without_an_armed_fence_a_frozen_process_runs_on(mode: str) -> None:
+    code, late = run_across_a_freeze(mode)
+    assert code == 0
+    assert late
