Stand in for the host list, upstream orders and usage reports

Pure cores (hosts, orders, usage) hold the state, platform_http.py serves them together with the store on one address. An order starts no process: it brings a spare engine of the settings onto the lagging list. Fencing is checked per data centre; stale, repeated and conflicting calls are counted so that a demo or test can judge them.

--- a/src/shallotfold/_standin/platform_http.py
+++ b/src/shallotfold/_standin/platform_http.py
@@ -1,32 +1,214 @@
 """Serve the stand-in of the whole platform over HTTP."""
 
+from typing import Any
+
 from aiohttp import web
+import attrs
+import cattrs
 
+from shallotfold._errors import OrderRefusedError
+from shallotfold._errors import ReportConflictError
+from shallotfold._model.upstreams import HostRecord
+from shallotfold._model.upstreams import HostRole
+from shallotfold._model.upstreams import HostState
+from shallotfold._platform.ports import UpstreamOrder
+from shallotfold._platform.ports import UsageFigures
+from shallotfold._platform.ports import UsageReport
+from shallotfold._settings.standin import PlatformStandinSettings
+from shallotfold._standin.hosts import HostListStandin
+from shallotfold._standin.http_common import drop_connection
+from shallotfold._standin.http_common import monotonic_s
+from shallotfold._standin.orders import OrdersStandin
+from shallotfold._standin.orders import TakenOrder
 from shallotfold._standin.store import StoreFault
 from shallotfold._standin.store import StoreStandin
 from shallotfold._standin.store_http import add_store_routes
+from shallotfold._standin.usage import UsageStandin
 
 MAX_BODY_BYTES = 2 * 1024 * 1024
 
+_STATUS_BY_CODE = {"stale_fencing": 409, "no_capacity": 422}
+
+
+@attrs.define
+class PlatformServer:
+    """Answer for the store, the host list, orders and usage reports.
+
+    Attributes:
+        store: Key-value service.
+        hosts: Host list.
+        orders: Upstream orders.
+        usage: Usage reports.
+        lost_order_answers: Order answers still to be lost after the effect.
+        lost_usage_answers: Usage answers still to be lost after the effect.
+    """
+
+    store: StoreStandin
+    hosts: HostListStandin
+    orders: OrdersStandin
+    usage: UsageStandin = attrs.field(factory=UsageStandin)
+    lost_order_answers: int = 0
+    lost_usage_answers: int = 0
+
+    def make_app(self) -> web.Application:
+        """Return the web application of the platform."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        add_store_routes(app, self.store)
+        app.router.add_get("/v1/hosts", self._show_hosts)
+        app.router.add_post("/v1/orders/{data_centre}", self._place_order)
+        app.router.add_get("/v1/orders/{data_centre}", self._show_orders)
+        app.router.add_get(
+            "/v1/orders/{data_centre}/{order_id}", self._show_order
+        )
+        app.router.add_post("/v1/usage", self._take_usage)
+        app.router.add_get("/v1/usage", self._show_usage)
+        app.router.add_post("/faults", self._set_faults)
+        app.router.add_get("/stats", self._show_stats)
+        return app
 
-def make_platform_app(store: StoreStandin) -> web.Application:
-    """Return the web application of the platform stand-in."""
-    app = web.Application(client_max_size=MAX_BODY_BYTES)
-    add_store_routes(app, store)
+    async def _show_hosts(self, _: web.Request) -> web.Response:
+        now_s = monotonic_s()
+        self.orders.advance(now_s)
+        records = self.hosts.fetch(now_s)
+        return web.json_response({"hosts": cattrs.unstructure(records)})
 
-    async def set_faults(request: web.Request) -> web.Response:
+    async def _place_order(self, request: web.Request) -> web.Response:
+        data_centre = request.match_info["data_centre"]
+        try:
+            fields = {**await request.json(), "data_centre": data_centre}
+            order = cattrs.structure(fields, UpstreamOrder)
+        except (ValueError, TypeError, cattrs.BaseValidationError):
+            return _refuse(400, "bad_request")
+        try:
+            self.orders.place(order, monotonic_s())
+        except OrderRefusedError as error:
+            status = _STATUS_BY_CODE.get(error.code, 400)
+            return _refuse(status, error.code)
+        if self.lost_order_answers > 0:
+            self.lost_order_answers -= 1
+            return drop_connection(request)
+        return web.json_response({})
+
+    async def _show_order(self, request: web.Request) -> web.Response:
+        taken = self.orders.look_up(
+            request.match_info["data_centre"], request.match_info["order_id"]
+        )
+        if taken is None:
+            return _refuse(404, "not_found")
+        return web.json_response(_order_fields(taken))
+
+    async def _show_orders(self, request: web.Request) -> web.Response:
+        taken = self.orders.taken_in(request.match_info["data_centre"])
+        return web.json_response({"orders": [_order_fields(t) for t in taken]})
+
+    async def _take_usage(self, request: web.Request) -> web.Response:
+        try:
+            fields = await request.json()
+            figures = cattrs.structure(fields, UsageFigures)
+            report = cattrs.structure(
+                {**fields, "figures": figures}, UsageReport
+            )
+        except (ValueError, TypeError, cattrs.BaseValidationError):
+            return _refuse(400, "bad_request")
+        try:
+            self.usage.take(report)
+        except ReportConflictError:
+            return _refuse(409, "conflict")
+        if self.lost_usage_answers > 0:
+            self.lost_usage_answers -= 1
+            return drop_connection(request)
+        return web.json_response({})
+
+    async def _show_usage(self, _: web.Request) -> web.Response:
+        reports = [
+            {
+                "workspace": report.workspace,
+                "window": report.window,
+                **attrs.asdict(report.figures),
+                "fencing": report.fencing,
+                "repeats": self.usage.repeats_by_window.get(key, 0),
+            }
+            for key, report in self.usage.reports_by_window.items()
+        ]
+        return web.json_response(
+            {
+                "reports": reports,
+                "conflicts": self.usage.conflict_count,
+                "stale": self.usage.stale_count,
+            }
+        )
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
         faults = await request.json()
         if "store" in faults:
-            store.set_fault(
+            self.store.set_fault(
                 StoreFault(faults["store"]),
                 faults.get("delay_s", 0.0),
                 faults.get("count"),
             )
-        return web.json_response({})
+        for data_centre, switches in faults.get("orders", {}).items():
+            if switches.get("checks_fencing", True):
+                self.orders.unfenced.discard(data_centre)
+            else:
+                self.orders.unfenced.add(data_centre)
+        self.lost_order_answers += faults.get("lost_order_answers", 0)
+        self.lost_usage_answers += faults.get("lost_usage_answers", 0)
+        urls = self._change_hosts(faults, monotonic_s())
+        return web.json_response({"reclaimed_urls": urls})
+
+    def _change_hosts(self, faults: dict[str, Any], now_s: float) -> list[str]:
+        for name in faults.get("leaving_hosts", ()):
+            self.hosts.mark_leaving(name, now_s)
+        for name in faults.get("removed_hosts", ()):
+            self.hosts.remove(name, now_s)
+        for fields in faults.get("added_hosts", ()):
+            self.hosts.add(cattrs.structure(fields, HostRecord), now_s)
+        reclaim = faults.get("reclaim")
+        if not reclaim:
+            return []
+        return self.orders.reclaim(
+            reclaim["data_centre"], reclaim.get("offers", ()), now_s
+        )
+
+    async def _show_stats(self, _: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "store_calls": dict(self.store.calls_by_name),
+                "store_revision": self.store.revision,
+                "orders_stale": self.orders.stale_count,
+                "orders_repeated": self.orders.repeat_count,
+            }
+        )
+
+
+def make_platform_server(settings: PlatformStandinSettings) -> PlatformServer:
+    """Return the platform with the hosts of its settings on the list."""
+    hosts = HostListStandin(settings.host_list_lag_s)
+    for host in settings.hosts:
+        record = HostRecord(
+            name=host.name,
+            role=HostRole(host.role),
+            state=HostState.LIVE,
+            data_centre=host.data_centre,
+            address=host.address,
+        )
+        hosts.add(record, float("-inf"))
+    return PlatformServer(
+        store=StoreStandin(),
+        hosts=hosts,
+        orders=OrdersStandin(
+            data_centres=settings.data_centres,
+            unfenced=set(settings.unfenced_data_centres),
+            spares=settings.spare_engines,
+            hosts=hosts,
+            start_s=settings.start_s,
+        ),
+    )
+
+
+def _order_fields(taken: TakenOrder) -> dict[str, Any]:
+    return {**attrs.asdict(taken.order), "arrived_at_s": taken.arrived_at_s}
 
-    async def show_stats(_: web.Request) -> web.Response:
-        return web.json_response({"store_calls": dict(store.calls_by_name)})
 
-    app.router.add_post("/faults", set_faults)
-    app.router.add_get("/stats", show_stats)
-    return app
+def _refuse(status: int, code: str) -> web.Response:
+    return web.json_response({"error": code}, status=status)
--- a/src/shallotfold/_standin/process.py
+++ b/src/shallotfold/_standin/process.py
@@ -10,9 +10,11 @@
 
 from shallotfold._settings.addresses import Address
 from shallotfold._settings.standin import EngineStandinSettings
+from shallotfold._settings.standin import PlatformStandinSettings
 from shallotfold._settings.standin import ServiceStandinSettings
 from shallotfold._standin.engine import EngineStandin
 from shallotfold._standin.engine_http import EngineServer
+from shallotfold._standin.platform_http import make_platform_server
 from shallotfold._standin.service_http import ServiceServer
 
 SHUTDOWN_TIMEOUT_S = 0.5
@@ -81,6 +83,14 @@
         return 0
 
 
+def make_platform_process(settings: PlatformStandinSettings) -> StandinProcess:
+    """Return the process that stands in for the platform."""
+    server = make_platform_server(settings)
+    return StandinProcess(
+        [Site(settings.host, settings.address, server.make_app)]
+    )
+
+
 def make_engine_process(settings: EngineStandinSettings) -> StandinProcess:
     """Return the process that stands in for model engines."""
     return StandinProcess(
--- a/tests/platform/test_http_store.py
+++ b/tests/platform/test_http_store.py
@@ -11,15 +11,19 @@
 from shallotfold._errors import ValueTooLargeError
 from shallotfold._platform.http_store import HttpStore
 from shallotfold._platform.ports import Store
-from shallotfold._standin.platform_http import make_platform_app
+from shallotfold._settings.addresses import Address
+from shallotfold._settings.standin import PlatformStandinSettings
+from shallotfold._standin.platform_http import make_platform_server
 from shallotfold._standin.store import StoreFault
 from shallotfold._standin.store import StoreStandin
 
 
 def run(scenario: Callable[[Store, StoreStandin], Awaitable[None]]) -> None:
     async def main() -> None:
-        standin = StoreStandin()
-        server = TestServer(make_platform_app(standin), host="127.0.0.1")
+        settings = PlatformStandinSettings(address=Address("127.0.0.1", 0))
+        platform = make_platform_server(settings)
+        standin = platform.store
+        server = TestServer(platform.make_app(), host="127.0.0.1")
         await server.start_server()
         store = HttpStore(f"http://127.0.0.1:{server.port}")
         await store.start()
