Store configurations as versions by compare-and-swap

Cause: 8,700 workspaces with two keys each make a document of 3.47 MB, over the value limit of one megabyte; answers of the store get lost after their effect; operators race.

A manifest moves from version to version by compare-and-swap and names immutable chunks. Workspaces are spread over buckets by a hash of their name, so that a change of one workspace writes one chunk of at most 30 kB (129 chunks at 8,700 workspaces) and the manifest. Fixed-size slices were ruled out: an insertion shifts all later slices, so that every change would rewrite and every entry read megabytes.

An unanswered swap is repeated until it takes effect or conflicts, then the history of the manifest tells whose it was. Reading alone was ruled out: the first swap may still be under way. Chunks are collected only when older than the manifest and not needed by it; a writer writes its chunks anew after reading its base.

--- a/src/shallotfold/_errors.py
+++ b/src/shallotfold/_errors.py
@@ -83,6 +83,67 @@
     """A value is over one megabyte and was not written; split it."""
 
 
+class StoredValueError(PlatformError):
+    """A value in the store is missing or damaged.
+
+    Attributes:
+        key: Key of the value.
+    """
+
+    def __init__(self, key: str, found: str) -> None:
+        self.key = key
+        super().__init__(f"{key} holds {found}; submit the configuration again")
+
+
+class ConfigurationRaceError(ShallotfoldError):
+    """Another version was accepted first; the submitted one was not.
+
+    Attributes:
+        base_version: Version that the submission was derived from.
+        actual_version: Version in the store.
+        who: Who submitted the version in the store.
+        why: Their reason.
+        changed: Paths that changed since the base version.
+    """
+
+    def __init__(
+        self,
+        *,
+        base_version: int,
+        actual_version: int,
+        who: str,
+        why: str,
+        changed: Sequence[str],
+    ) -> None:
+        self.base_version = base_version
+        self.actual_version = actual_version
+        self.who = who
+        self.why = why
+        self.changed = tuple(changed)
+        names = ", ".join(self.changed) or "not remembered"
+        super().__init__(
+            f"not accepted: version {actual_version} by {who!r} ({why!r}) is "
+            f"in force, not the base version {base_version}; changed since: "
+            f"{names}. Read version {actual_version}, make your change on it "
+            f"and submit it with base version {actual_version}"
+        )
+
+
+class SubmissionUnknownError(PlatformError):
+    """A submission may have been accepted; the store gave no answer.
+
+    Attributes:
+        token: Writer token, to look the submission up.
+    """
+
+    def __init__(self, token: str) -> None:
+        self.token = token
+        super().__init__(
+            "the store stopped answering and the configuration may have been "
+            f"accepted; look up submission {token} when the store is back"
+        )
+
+
 class LeaseLostError(PlatformError):
     """The lease has lapsed or was never granted; acquire it again."""
 
--- /dev/null
+++ b/src/shallotfold/_fleet/configuration_reader.py
@@ -0,0 +1,132 @@
+"""Read versions of the configuration from the platform's store."""
+
+import asyncio
+from collections.abc import Sequence
+
+import attrs
+
+from shallotfold._errors import StoredValueError
+from shallotfold._fleet import chunking
+from shallotfold._fleet.manifest import CHUNK_PREFIX
+from shallotfold._fleet.manifest import MANIFEST_KEY
+from shallotfold._fleet.manifest import Manifest
+from shallotfold._fleet.manifest import Submission
+from shallotfold._fleet.manifest import load_manifest
+from shallotfold._model.configuration import Configuration
+from shallotfold._model.serialization import document_sha256
+from shallotfold._model.serialization import dump_configuration
+from shallotfold._model.serialization import load_configuration
+from shallotfold._platform.ports import Store
+
+_READ_ATTEMPTS = 3
+_PARALLEL_READS = 8
+
+
+@attrs.frozen(kw_only=True)
+class StoredConfiguration:
+    """One version as it stands in the store.
+
+    Attributes:
+        version: Its version; 0 when nothing was ever submitted.
+        configuration: Its content.
+        document: Canonical JSON.
+        sha256: Digest of the document.
+        history: Newest submissions, this version's last.
+    """
+
+    version: int
+    configuration: Configuration
+    document: bytes
+    sha256: str
+    history: tuple[Submission, ...] = ()
+
+
+class ConfigurationReader:
+    """Read access; keeps the chunks of the version that it read last."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._chunks_by_sha256: dict[str, bytes] = {}
+
+    async def read_manifest(self) -> tuple[Manifest, int]:
+        """Read the newest manifest and its revision; both 0 when absent.
+
+        Raises:
+            StoreUnavailableError: No answer in time.
+            StoredValueError: The manifest is malformed.
+        """
+        stored = await self._store.get(MANIFEST_KEY)
+        if stored is None:
+            return Manifest(), 0
+        return load_manifest(stored.value), stored.revision
+
+    async def read(self) -> StoredConfiguration:
+        """Read the newest version.
+
+        Raises:
+            StoreUnavailableError: No answer in time.
+            StoredValueError: A chunk is missing or damaged.
+        """
+        for _ in range(_READ_ATTEMPTS - 1):
+            manifest, _ = await self.read_manifest()
+            try:
+                return await self.read_version(manifest)
+            except StoredValueError:
+                # A slow reader may miss chunks of a version long replaced.
+                continue
+        manifest, _ = await self.read_manifest()
+        return await self.read_version(manifest)
+
+    async def read_version(self, manifest: Manifest) -> StoredConfiguration:
+        """Read the version that a manifest points to.
+
+        Raises:
+            StoreUnavailableError: No answer in time.
+            StoredValueError: A chunk is missing or damaged.
+        """
+        if manifest.version == 0:
+            configuration = Configuration()
+            document = dump_configuration(configuration)
+        else:
+            chunks = await self._read_chunks(manifest.chunks)
+            configuration, document = await asyncio.to_thread(
+                _assemble, chunks, manifest.sha256
+            )
+        return StoredConfiguration(
+            version=manifest.version,
+            configuration=configuration,
+            document=document,
+            sha256=document_sha256(document),
+            history=manifest.history,
+        )
+
+    async def _read_chunks(self, digests: Sequence[str]) -> list[bytes]:
+        limit = asyncio.Semaphore(_PARALLEL_READS)
+
+        async def read_one(sha256: str) -> bytes:
+            async with limit:
+                return await self._read_chunk(sha256)
+
+        chunks = await asyncio.gather(*map(read_one, digests))
+        self._chunks_by_sha256 = dict(zip(digests, chunks, strict=True))
+        return chunks
+
+    async def _read_chunk(self, sha256: str) -> bytes:
+        cached = self._chunks_by_sha256.get(sha256)
+        if cached is not None:
+            return cached
+        stored = await self._store.get(CHUNK_PREFIX + sha256)
+        if stored is None:
+            raise StoredValueError(CHUNK_PREFIX + sha256, "nothing")
+        if document_sha256(stored.value) != sha256:
+            raise StoredValueError(stored.key, "bytes of another digest")
+        return stored.value
+
+
+def _assemble(
+    chunks: Sequence[bytes], sha256: str
+) -> tuple[Configuration, bytes]:
+    document = chunking.join_chunks(chunks)
+    if document_sha256(document) != sha256:
+        raise StoredValueError(MANIFEST_KEY, "chunks of another document")
+    return load_configuration(document), document
--- /dev/null
+++ b/src/shallotfold/_fleet/configuration_store.py
@@ -0,0 +1,286 @@
+"""Read and submit versions of the configuration in the platform's store."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Set
+import secrets
+import time
+from typing import TypeVar
+
+from shallotfold._errors import ConfigurationRaceError
+from shallotfold._errors import Fault
+from shallotfold._errors import InvalidInputError
+from shallotfold._errors import PlatformError
+from shallotfold._errors import StoreConflictError
+from shallotfold._errors import StoreUnavailableError
+from shallotfold._errors import SubmissionUnknownError
+from shallotfold._fleet import chunking
+from shallotfold._fleet.configuration_reader import ConfigurationReader
+from shallotfold._fleet.configuration_reader import StoredConfiguration
+from shallotfold._fleet.manifest import CHUNK_PREFIX
+from shallotfold._fleet.manifest import MANIFEST_KEY
+from shallotfold._fleet.manifest import Manifest
+from shallotfold._fleet.manifest import Submission
+from shallotfold._fleet.manifest import dump_manifest
+from shallotfold._fleet.manifest import limit_changed
+from shallotfold._model.checking import check_configuration
+from shallotfold._model.configuration import Configuration
+from shallotfold._model.differences import changed_names
+from shallotfold._model.serialization import document_sha256
+from shallotfold._model.serialization import dump_configuration
+from shallotfold._model.serialization import load_configuration
+from shallotfold._platform.ports import Store
+
+MAX_VALUE_BYTES = 1_000_000
+VERSIONS_BETWEEN_SWEEPS = 64
+_WRITE_ATTEMPTS = 6
+_FIRST_BACKOFF_S = 0.1
+
+T = TypeVar("T")
+
+
+class ConfigurationStore:
+    """Access to the versions of the configuration.
+
+    Chunks are immutable and named by their digest; the manifest moves from
+    version to version by compare-and-swap.
+    """
+
+    def __init__(
+        self, store: Store, wall_clock: Callable[[], float] = time.time
+    ) -> None:
+        self._store = store
+        self._wall_clock = wall_clock
+        self._reader = ConfigurationReader(store)
+
+    async def read(self) -> StoredConfiguration:
+        """Read the newest version.
+
+        Raises:
+            StoreUnavailableError: No answer in time.
+            StoredValueError: A chunk is missing or damaged.
+        """
+        return await self._reader.read()
+
+    async def submit(
+        self, document: bytes, base_version: int, who: str, why: str
+    ) -> int:
+        """Make a document the next version.
+
+        Args:
+            document: Configuration as JSON.
+            base_version: Version that the document was derived from.
+            who: Operator who submits.
+            why: Reason, for the audit trail.
+
+        Returns:
+            The new version, which is in the store.
+
+        Raises:
+            InvalidInputError: The document is invalid; nothing was stored.
+            ConfigurationRaceError: Another version came first; not accepted.
+            StoreUnavailableError: Not accepted; the store can't be reached.
+            SubmissionUnknownError: The store stopped answering; the document
+                may have been accepted. Ask `find_submission` later.
+        """
+        configuration = _load_valid(document, who, why)
+        document = dump_configuration(configuration)
+        chunks_by_sha256 = _split_checked(document)
+        manifest, revision = await self._retry(self._reader.read_manifest)
+        _require_base(manifest, base_version)
+        base = await self._retry(lambda: self._reader.read_version(manifest))
+        submission = Submission(
+            version=base_version + 1,
+            token=secrets.token_hex(16),
+            who=who,
+            why=why,
+            submitted_s=self._wall_clock(),
+            changed=limit_changed(
+                changed_names(base.configuration, configuration)
+            ),
+        )
+        new_digests = chunks_by_sha256.keys() - set(manifest.chunks)
+        for sha256 in new_digests:
+            await self._write_chunk(sha256, chunks_by_sha256[sha256])
+        successor = manifest.succeed(
+            sha256=document_sha256(document),
+            chunks=tuple(chunks_by_sha256),
+            submission=submission,
+        )
+        try:
+            await self._swap_manifest(successor, revision, submission)
+        except ConfigurationRaceError:
+            await self._collect_garbage(new_digests)
+            raise
+        await self._collect_garbage(
+            manifest.needed_chunks() - successor.needed_chunks()
+        )
+        if successor.version % VERSIONS_BETWEEN_SWEEPS == 0:
+            await self._sweep()
+        return successor.version
+
+    async def find_submission(self, token: str) -> Submission | None:
+        """Return the accepted submission with a writer token, if remembered.
+
+        Raises:
+            StoreUnavailableError: No answer in time.
+        """
+        manifest, _ = await self._reader.read_manifest()
+        return manifest.submission_of(token)
+
+    async def _write_chunk(self, sha256: str, chunk: bytes) -> None:
+        """Write a chunk anew, even one that is there already.
+
+        The write gives the chunk a revision above the manifest that was read,
+        which keeps it from every collection of garbage that is under way.
+        """
+        key = CHUNK_PREFIX + sha256
+        expected_revision = 0
+
+        async def write() -> None:
+            nonlocal expected_revision
+            try:
+                await self._store.compare_and_swap(
+                    key, expected_revision, chunk
+                )
+            except StoreConflictError as error:
+                expected_revision = error.actual_revision
+                raise
+
+        await self._retry(write, on=(StoreUnavailableError, StoreConflictError))
+
+    async def _swap_manifest(
+        self, successor: Manifest, revision: int, submission: Submission
+    ) -> None:
+        """Write the manifest, repeating the swap until its outcome is known.
+
+        A lost answer can't be judged by reading alone: the write may still
+        be under way. A repeat of the same swap either takes effect itself or
+        meets a newer manifest, whose history tells who made it.
+        """
+        value = dump_manifest(successor)
+
+        async def swap() -> None:
+            await self._store.compare_and_swap(MANIFEST_KEY, revision, value)
+
+        try:
+            await self._retry(swap)
+        except StoreUnavailableError as error:
+            raise SubmissionUnknownError(submission.token) from error
+        except StoreConflictError as error:
+            await self._judge_conflict(submission, error)
+
+    async def _judge_conflict(
+        self, submission: Submission, error: StoreConflictError
+    ) -> None:
+        try:
+            manifest, _ = await self._retry(self._reader.read_manifest)
+        except StoreUnavailableError as unavailable:
+            raise SubmissionUnknownError(submission.token) from unavailable
+        if manifest.submission_of(submission.token) is not None:
+            return
+        if manifest.forgot(submission.version):
+            raise SubmissionUnknownError(submission.token) from error
+        raise _race_error(manifest, submission.version - 1) from error
+
+    async def _collect_garbage(self, digests: Set[str]) -> None:
+        """Delete those of the chunks that no manifest can name any more.
+
+        A writer names only chunks of the manifest that it read, or chunks
+        that it wrote after reading it. So a chunk that is older than the
+        newest manifest and not needed by it can't be named again.
+        """
+        if not digests:
+            return
+        try:
+            manifest, revision = await self._reader.read_manifest()
+            for sha256 in digests - manifest.needed_chunks():
+                chunk = await self._store.get(CHUNK_PREFIX + sha256)
+                if chunk is not None and chunk.revision < revision:
+                    await self._store.delete(chunk.key, chunk.revision)
+        except PlatformError:
+            # The next sweep collects what is left.
+            return
+
+    async def _sweep(self) -> None:
+        """Collect chunks left behind by writers that were killed."""
+        try:
+            stored = await self._store.list(CHUNK_PREFIX)
+        except PlatformError:
+            return
+        await self._collect_garbage(
+            {chunk.key.removeprefix(CHUNK_PREFIX) for chunk in stored}
+        )
+
+    async def _retry(
+        self,
+        call: Callable[[], Awaitable[T]],
+        on: tuple[type[Exception], ...] = (StoreUnavailableError,),
+    ) -> T:
+        backoff_s = _FIRST_BACKOFF_S
+        for _ in range(_WRITE_ATTEMPTS - 1):
+            try:
+                return await call()
+            except on:
+                await asyncio.sleep(backoff_s)
+                backoff_s *= 2
+        return await call()
+
+
+def _load_valid(document: bytes, who: str, why: str) -> Configuration:
+    configuration = load_configuration(document)
+    faults = list(check_configuration(configuration))
+    for name, text in (("who", who), ("why", why)):
+        if not text.strip():
+            faults.append(
+                Fault(
+                    source="submission",
+                    key=name,
+                    found="nothing",
+                    allowed="a text for the audit trail",
+                    remedy=f"Give {name} with the submission.",
+                )
+            )
+    if faults:
+        raise InvalidInputError(faults)
+    return configuration
+
+
+def _split_checked(document: bytes) -> dict[str, bytes]:
+    chunks = chunking.split_document(document)
+    for chunk in chunks:
+        if len(chunk) > MAX_VALUE_BYTES:
+            raise InvalidInputError(
+                [
+                    Fault(
+                        source="configuration",
+                        key="(one chunk)",
+                        found=f"{len(chunk)} bytes",
+                        allowed=f"at most {MAX_VALUE_BYTES} bytes",
+                        remedy="Declare fewer upstreams or shorter values.",
+                    )
+                ]
+            )
+    # Equal chunks are empty buckets; one of them is enough.
+    return {document_sha256(chunk): chunk for chunk in chunks}
+
+
+def _require_base(manifest: Manifest, base_version: int) -> None:
+    if manifest.version != base_version:
+        raise _race_error(manifest, base_version)
+
+
+def _race_error(
+    manifest: Manifest, base_version: int
+) -> ConfigurationRaceError:
+    newer = [s for s in manifest.history if s.version > base_version]
+    changed = sorted({name for s in newer for name in s.changed})
+    winner = manifest.history[-1] if manifest.history else None
+    return ConfigurationRaceError(
+        base_version=base_version,
+        actual_version=manifest.version,
+        who=winner.who if winner else "",
+        why=winner.why if winner else "",
+        changed=changed,
+    )
