--- /dev/null
+++ b/src/shallotfold/_entry/admission.py
@@ -0,0 +1,163 @@
+"""Decide whether a request may be served at all."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+import zlib
+
+import attrs
+
+from shallotfold._entry import keys
+from shallotfold._entry import limits
+from shallotfold._entry import pools
+from shallotfold._entry.catalog import service_of
+from shallotfold._model.configuration import Route
+from shallotfold._model.configuration import Workspace
+from shallotfold._model.requests import CallerRequest
+from shallotfold._model.requests import Refusal
+from shallotfold._model.requests import RefusalCode
+
+if TYPE_CHECKING:
+    from shallotfold._entry.state import EntryState
+
+SHUTDOWN_RETRY_AFTER_S = 1.0
+NO_UPSTREAM_RETRY_AFTER_S = 5.0
+
+
+@attrs.frozen(kw_only=True)
+class Admission:
+    """What an admitted request runs as.
+
+    Attributes:
+        workspace: Name of the workspace; empty on a route open to all.
+        class_name: Request class in force.
+        pool: Pool that serves it.
+        charged_tokens: Tokens charged to the workspace's limits.
+    """
+
+    workspace: str
+    class_name: str
+    pool: str
+    charged_tokens: float = 0.0
+
+
+def admit(
+    state: EntryState, request: CallerRequest, now_s: float
+) -> Admission | Refusal:
+    """Check the key, the class, the upstreams and the limits."""
+    if state.draining:
+        return Refusal(
+            code=RefusalCode.SHUTTING_DOWN,
+            message="This host is shutting down; repeat on another one.",
+            retry_after_s=SHUTDOWN_RETRY_AFTER_S,
+        )
+    if request.route_prefix:
+        return _admit_route(state, request, now_s)
+    workspace = keys.authenticate(state, request.key_sha256, now_s)
+    if isinstance(workspace, Refusal):
+        return workspace
+    return _admit_model(state, workspace, request, now_s)
+
+
+def _admit_route(
+    state: EntryState, request: CallerRequest, now_s: float
+) -> Admission | Refusal:
+    routes = state.configuration.current.routes_by_prefix
+    route = routes.get(request.route_prefix)
+    if route is None:
+        return Refusal(
+            code=RefusalCode.UNKNOWN_ROUTE,
+            message=f"No route {request.route_prefix!r}; ask your operator.",
+        )
+    pool = _pool(state, request, service_of("", route.service))
+    if route.open_to_all:
+        return _served(pool, "", route.request_class)
+    workspace = keys.authenticate(state, request.key_sha256, now_s)
+    if isinstance(workspace, Refusal):
+        return workspace
+    return _admit_to_route(state, workspace, route, pool, now_s)
+
+
+def _admit_to_route(
+    state: EntryState,
+    workspace: Workspace,
+    route: Route,
+    pool: str,
+    now_s: float,
+) -> Admission | Refusal:
+    if route.prefix not in workspace.routes:
+        return Refusal(
+            code=RefusalCode.FORBIDDEN,
+            message=f"The workspace may not use route {route.prefix!r}.",
+        )
+    served = _served(pool, workspace.name, route.request_class)
+    if isinstance(served, Refusal):
+        return served
+    return limits.admit(state, workspace, 0.0, now_s) or served
+
+
+def _admit_model(
+    state: EntryState,
+    workspace: Workspace,
+    request: CallerRequest,
+    now_s: float,
+) -> Admission | Refusal:
+    class_name = request.class_name or workspace.default_class
+    classes = state.configuration.current.classes_by_name
+    request_class = classes.get(class_name)
+    if request_class is None or class_name not in workspace.classes:
+        return Refusal(
+            code=RefusalCode.FORBIDDEN,
+            message=(
+                f"The workspace may not use class {class_name!r}; "
+                f"use one of {', '.join(workspace.classes)}."
+            ),
+        )
+    pool = _pool(state, request, service_of(request.model, ""))
+    if not pool:
+        return Refusal(
+            code=RefusalCode.UNKNOWN_MODEL,
+            message=f"No model {request.model!r}; see /v1/models.",
+        )
+    output = state.requests.estimates.output_tokens(
+        request_class, workspace.name, request.max_output_tokens
+    )
+    tokens = request.prompt_tokens + output
+    refusal = limits.admit(state, workspace, tokens, now_s)
+    return refusal or Admission(
+        workspace=workspace.name,
+        class_name=class_name,
+        pool=pool,
+        charged_tokens=tokens,
+    )
+
+
+def _served(pool: str, workspace: str, class_name: str) -> Admission | Refusal:
+    if pool:
+        return Admission(workspace=workspace, class_name=class_name, pool=pool)
+    return Refusal(
+        code=RefusalCode.NO_UPSTREAM,
+        message="No upstream serves this route now; repeat later.",
+        retry_after_s=NO_UPSTREAM_RETRY_AFTER_S,
+    )
+
+
+def _pool(state: EntryState, request: CallerRequest, service: str) -> str:
+    """Choose one of the pools of a service; empty when there is none.
+
+    Pools with upstreams in the entry's data centre go first.
+    """
+    catalog = pools.catalog_of(state)
+    names = catalog.pools_by_service.get(service, ())
+    if len(names) <= 1:
+        return names[0] if names else ""
+    near = [
+        name
+        for name in names
+        if any(
+            upstream.data_centre == state.data_centre
+            for upstream in catalog.upstreams_by_pool[name]
+        )
+    ]
+    chosen = near or names
+    return chosen[zlib.crc32(request.request_id.encode()) % len(chosen)]
--- /dev/null
+++ b/src/shallotfold/_entry/estimates.py
@@ -0,0 +1,69 @@
+"""Learn how long answers are and how fast they come."""
+
+import attrs
+
+from shallotfold._model.configuration import RequestClass
+
+LEARNING_RATE = 0.1
+DEFAULT_FIRST_TOKEN_S_PER_TOKEN = 0.0001
+DEFAULT_TOKEN_GAP_S = 0.02
+FIRST_TOKEN_OVERHEAD_TOKENS = 500
+PROMPT_TOKEN_COST = 0.1
+
+
+def cost_of(prompt_tokens: int, output_tokens: float) -> float:
+    """Return the cost of a request in units of one output token."""
+    return prompt_tokens * PROMPT_TOKEN_COST + output_tokens
+
+
+@attrs.define(kw_only=True)
+class Estimates:
+    """Moving averages over ended attempts.
+
+    Attributes:
+        output_by_key: Output tokens by (class, workspace) and by (class, "").
+        first_token_s_per_token: Time to the first token per prompt token.
+        gap_s: Time between tokens.
+    """
+
+    output_by_key: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    first_token_s_per_token: float = DEFAULT_FIRST_TOKEN_S_PER_TOKEN
+    gap_s: float = DEFAULT_TOKEN_GAP_S
+
+    def output_tokens(
+        self, request_class: RequestClass, workspace: str, limit: int
+    ) -> float:
+        """Estimate the output of a request; `limit` 0 means no limit."""
+        name = request_class.name
+        learned = self.output_by_key.get(
+            (name, workspace),
+            self.output_by_key.get(
+                (name, ""), float(request_class.expected_output_tokens)
+            ),
+        )
+        return min(learned, float(limit)) if limit else learned
+
+    def first_token_s(self, prompt_tokens: int) -> float:
+        """Estimate the time from dispatch to the first token."""
+        weight = prompt_tokens + FIRST_TOKEN_OVERHEAD_TOKENS
+        return self.first_token_s_per_token * weight
+
+    def learn_output(
+        self, class_name: str, workspace: str, tokens: float
+    ) -> None:
+        """Learn from a whole answer."""
+        for key in ((class_name, workspace), (class_name, "")):
+            old = self.output_by_key.get(key, tokens)
+            self.output_by_key[key] = old + LEARNING_RATE * (tokens - old)
+
+    def learn_first_token(self, prompt_tokens: int, seconds: float) -> None:
+        """Learn from the first token of an attempt."""
+        weight = prompt_tokens + FIRST_TOKEN_OVERHEAD_TOKENS
+        change = seconds / weight - self.first_token_s_per_token
+        self.first_token_s_per_token += LEARNING_RATE * change
+
+    def learn_gap(self, tokens: int, seconds: float) -> None:
+        """Learn from the later tokens of an attempt."""
+        if tokens > 0:
+            change = seconds / tokens - self.gap_s
+            self.gap_s += LEARNING_RATE * change
--- /dev/null
+++ b/src/shallotfold/_entry/open_requests.py
@@ -0,0 +1,170 @@
+"""Hold requests that have no final answer yet."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from shallotfold._entry.estimates import Estimates
+from shallotfold._entry.retry_budget import RetryBudget
+from shallotfold._model.requests import CallerRequest
+from shallotfold._model.requests import Outcome
+
+if TYPE_CHECKING:
+    from shallotfold._entry.state import EntryState
+    from shallotfold._model.configuration import RequestClass
+
+RESUME_PATIENCE_S = 10.0
+DEFAULT_PATIENCE_S = 60.0
+FIRST_TOKEN_MARGIN = 1.5
+MIN_WAIT_SHARE = 0.3
+
+
+class Phase(enum.Enum):
+    """Where an open request stands."""
+
+    CLAIMING = "claiming"
+    """Its idempotency key is being claimed."""
+    WAITING = "waiting"
+    """A pool's owner was asked for a grant."""
+    RUNNING = "running"
+    """An attempt runs on an upstream."""
+
+
+@attrs.define(kw_only=True)
+class OpenRequest:
+    """A request without its final answer.
+
+    Attributes:
+        request: What the caller asked for.
+        workspace: Name of the entitled workspace; empty if open to all.
+        class_name: Request class in force.
+        pool: Pool that serves it.
+        arrived_s: Monotonic time of arrival.
+        arrived_wall_s: Time of arrival in seconds since the epoch.
+        phase: Where it stands.
+        attempt: Number of the current attempt; 0 before the first.
+        owner: Entry that was asked for the current grant.
+        asked_s: When it was asked last.
+        upstream: Upstream of the last attempt; empty before the first.
+        started_s: When the current attempt started.
+        first_token_s: When the caller got its first token; -1 before that.
+        last_token_s: When the caller got its last token; -1 before that.
+        output_tokens: Tokens that the caller has.
+        kept_tokens: Tokens that the caller had before the current attempt.
+        failures: Attempts that failed.
+        avoid: Upstreams that failed this request.
+        maybe_ran: Whether an earlier attempt may have run.
+        redirects: How often the grant request was passed on.
+        charged_tokens: Tokens charged to the workspace's limits.
+    """
+
+    request: CallerRequest
+    workspace: str
+    class_name: str
+    pool: str
+    arrived_s: float
+    arrived_wall_s: float
+    phase: Phase = Phase.WAITING
+    attempt: int = 0
+    owner: str = ""
+    asked_s: float = 0.0
+    upstream: str = ""
+    started_s: float = 0.0
+    first_token_s: float = -1.0
+    last_token_s: float = -1.0
+    output_tokens: int = 0
+    kept_tokens: int = 0
+    failures: int = 0
+    avoid: tuple[str, ...] = ()
+    maybe_ran: bool = False
+    redirects: int = 0
+    charged_tokens: float = 0.0
+
+    @property
+    def claims_key(self) -> bool:
+        """Whether an idempotency key must be claimed before dispatch."""
+        request = self.request
+        return bool(request.idempotency_key) and not request.idempotent
+
+    @property
+    def outcome(self) -> Outcome:
+        """What is known about the request if it ends now without an answer."""
+        if self.maybe_ran or self.phase is Phase.RUNNING:
+            return Outcome.UNKNOWN
+        return Outcome.NOT_RUN
+
+    @property
+    def resumable(self) -> bool:
+        """Whether a cancelled attempt loses nothing that the caller has."""
+        request = self.request
+        return request.idempotent and bool(request.model)
+
+
+@attrs.define(kw_only=True)
+class RequestsState:
+    """Requests of the callers connected to this entry.
+
+    Attributes:
+        open_by_id: Requests without a final answer.
+        abandoned_claims: Requests that ended while their key was claimed.
+        retry_budget: What failures may cost.
+        estimates: What this entry learned about answers.
+        owners_by_pool: Owners to whom running attempts were announced.
+        announced_to: Pools and owners of the last announcement.
+        samples_by_upstream: Tokens and seconds since the last report.
+        reported_s: When progress was reported last.
+        announced_s: When running attempts were announced last.
+    """
+
+    open_by_id: dict[str, OpenRequest] = attrs.field(factory=dict)
+    abandoned_claims: set[str] = attrs.field(factory=set)
+    retry_budget: RetryBudget = attrs.field(factory=RetryBudget)
+    estimates: Estimates = attrs.field(factory=Estimates)
+    owners_by_pool: dict[str, str] = attrs.field(factory=dict)
+    samples_by_upstream: dict[tuple[str, str], tuple[int, float]] = attrs.field(
+        factory=dict
+    )
+    announced_to: set[tuple[str, str]] = attrs.field(factory=set)
+    reported_s: float = 0.0
+    announced_s: float = 0.0
+
+
+def remaining_output(
+    state: EntryState, opened: OpenRequest, request_class: RequestClass
+) -> float:
+    """Estimate the output tokens still to come."""
+    total = state.requests.estimates.output_tokens(
+        request_class, opened.workspace, opened.request.max_output_tokens
+    )
+    return max(1.0, total - opened.output_tokens)
+
+
+def latest_start_s(state: EntryState, opened: OpenRequest) -> float:
+    """Return until when a grant can still meet the targets of the class."""
+    request_class = state.configuration.current.classes_by_name.get(
+        opened.class_name
+    )
+    if request_class is None:
+        return opened.arrived_s + DEFAULT_PATIENCE_S
+    if opened.output_tokens:
+        return opened.last_token_s + RESUME_PATIENCE_S
+    targets = request_class.targets
+    estimates = state.requests.estimates
+    first_s = estimates.first_token_s(opened.request.prompt_tokens)
+    latest = opened.arrived_s + DEFAULT_PATIENCE_S
+    if opened.request.model and targets.first_token_s is not None:
+        wait_s = targets.first_token_s - first_s * FIRST_TOKEN_MARGIN
+        wait_s = max(wait_s, MIN_WAIT_SHARE * targets.first_token_s)
+        latest = min(latest, opened.arrived_s + wait_s)
+    if targets.whole_answer_s is not None:
+        run_s = 0.0
+        if opened.request.model:
+            output = remaining_output(state, opened, request_class)
+            run_s = first_s + output * estimates.gap_s
+        wait_s = targets.whole_answer_s - run_s
+        wait_s = max(wait_s, MIN_WAIT_SHARE * targets.whole_answer_s)
+        latest = min(latest, opened.arrived_s + wait_s)
+    return latest
--- /dev/null
+++ b/src/shallotfold/_entry/ownership.py
@@ -0,0 +1,51 @@
+"""Agree, without talking, on which entry owns a pool or a ledger."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import functools
+import hashlib
+from typing import TYPE_CHECKING
+
+from shallotfold._entry import membership
+
+if TYPE_CHECKING:
+    from shallotfold._entry.state import EntryState
+
+
+def candidates(state: EntryState) -> tuple[str, ...]:
+    """Return the entries that may own something, sorted."""
+    live = membership.live_entries(state)
+    if not state.draining:
+        return live
+    others = tuple(host for host in live if host != state.host)
+    return others or live
+
+
+def owner_of(state: EntryState, name: str) -> str:
+    """Return the entry that owns a pool or a workspace's ledger."""
+    return rendezvous(name, candidates(state))
+
+
+@functools.lru_cache(maxsize=65536)
+def rendezvous(name: str, hosts: Sequence[str]) -> str:
+    """Return the host with the highest hash of its name and `name`."""
+    return max(hosts, key=lambda host: _score(name, host))
+
+
+def _score(name: str, host: str) -> bytes:
+    text = f"{name}\0{host}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
+def share(state: EntryState) -> float:
+    """Return the share of the slots that this side of a cut may use, 0 to 1.
+
+    A side with most of the known entries uses everything, a smaller one its
+    proportion, so that both sides together over-admit by less than half.
+    """
+    known = state.pools.known_entries
+    live = len(membership.live_entries(state))
+    if live * 2 > known:
+        return 1.0
+    return live / known
--- /dev/null
+++ b/src/shallotfold/_entry/pool_state.py
@@ -0,0 +1,113 @@
+"""Hold the state of the pools that an entry owns."""
+
+from __future__ import annotations
+
+import attrs
+
+from shallotfold._entry.catalog import Catalog
+from shallotfold._entry.estimates import Estimates
+from shallotfold._entry.pool_queue import AttemptKey
+from shallotfold._entry.pool_queue import PoolQueue
+from shallotfold._entry.prefix_index import PrefixIndex
+from shallotfold._entry.upstream_health import UpstreamHealth
+from shallotfold._model.upstreams import HostRecord
+
+
+@attrs.define(kw_only=True)
+class RunningGrant:
+    """A granted attempt that has not ended.
+
+    Attributes:
+        host: Entry that runs it.
+        class_name: Its class.
+        tier: Tier of the class.
+        workspace: Its workspace.
+        weight: Weight of the workspace.
+        upstream: Where it runs.
+        prompt_tokens: Input tokens.
+        cost: Cost charged to the workspace.
+        granted_s: When it was granted or first announced.
+        seen_s: When its entry confirmed it last.
+        preemptible: Whether it may be cancelled and resumed.
+        floor: Whether it was granted to the floor share of its class.
+        preempted_s: When its preemption was asked for last; -1 if never.
+    """
+
+    host: str
+    class_name: str
+    tier: int
+    workspace: str
+    weight: float
+    upstream: str
+    prompt_tokens: int
+    cost: float
+    granted_s: float
+    seen_s: float
+    preemptible: bool
+    floor: bool = False
+    preempted_s: float = -1.0
+
+
+@attrs.define(kw_only=True)
+class Pool:
+    """A pool of upstreams with its queue.
+
+    Attributes:
+        name: Its name.
+        queue: Waiting requests.
+        running_by_attempt: Granted attempts.
+        keys_by_upstream: Granted attempts by upstream.
+        ended_by_attempt: When attempts ended that must not come back.
+        floor_credit_by_class: Cost that each class may be served ahead.
+        estimates: What was learned about its answers.
+    """
+
+    name: str
+    queue: PoolQueue = attrs.field(factory=PoolQueue)
+    running_by_attempt: dict[AttemptKey, RunningGrant] = attrs.field(
+        factory=dict
+    )
+    keys_by_upstream: dict[str, set[AttemptKey]] = attrs.field(factory=dict)
+    ended_by_attempt: dict[AttemptKey, float] = attrs.field(factory=dict)
+    floor_credit_by_class: dict[str, float] = attrs.field(factory=dict)
+    estimates: Estimates = attrs.field(factory=Estimates)
+
+    def start(self, key: AttemptKey, running: RunningGrant) -> None:
+        """Occupy a slot."""
+        self.running_by_attempt[key] = running
+        self.keys_by_upstream.setdefault(running.upstream, set()).add(key)
+
+    def end(self, key: AttemptKey, now_s: float) -> RunningGrant | None:
+        """Free a slot; the attempt can't come back."""
+        self.ended_by_attempt[key] = now_s
+        running = self.running_by_attempt.pop(key, None)
+        if running is not None:
+            self.keys_by_upstream[running.upstream].discard(key)
+        return running
+
+    def running_on(self, upstream: str) -> int:
+        """Return how many attempts run on an upstream."""
+        return len(self.keys_by_upstream.get(upstream, ()))
+
+
+@attrs.define(kw_only=True)
+class PoolsState:
+    """Pools and what is known about their upstreams.
+
+    Attributes:
+        catalog: Upstreams in force.
+        hosts: The platform's host list, as last read.
+        known_entries: Number of live entries in that list.
+        pools_by_name: Pools that this entry was asked about.
+        health_by_upstream: Judgement of each upstream.
+        prefixes: Prompt prefixes by upstream.
+        judged_s: When stragglers and batches were judged last.
+    """
+
+    catalog: Catalog = attrs.field(factory=Catalog)
+    hosts: tuple[HostRecord, ...] = ()
+    known_entries: int = 0
+    pools_by_name: dict[str, Pool] = attrs.field(factory=dict)
+    health_by_upstream: dict[str, UpstreamHealth] = attrs.field(factory=dict)
+    prefixes: PrefixIndex = attrs.field(factory=PrefixIndex)
+    judged_s: float = 0.0
--- a/src/shallotfold/_entry/pools.py
+++ b/src/shallotfold/_entry/pools.py
@@ -1,103 +1,114 @@
-"""Own pools of upstreams: queue grant requests and choose upstreams."""
+"""Own pools of upstreams: queue grant requests and grant them in order."""
 
 from __future__ import annotations
 
-import collections
 from typing import TYPE_CHECKING
 
-import attrs
-
 from shallotfold._entry import effects
+from shallotfold._entry import estimates
+from shallotfold._entry import granting
+from shallotfold._entry import membership
+from shallotfold._entry import ownership
+from shallotfold._entry import preemption
+from shallotfold._entry import routing
+from shallotfold._entry.catalog import Catalog
+from shallotfold._entry.catalog import build_catalog
+from shallotfold._entry.catalog import service_of
+from shallotfold._entry.pool_queue import QueuedGrant
+from shallotfold._entry.pool_state import Pool
+from shallotfold._entry.pool_state import RunningGrant
+from shallotfold._entry.upstream_health import eject_stragglers
 from shallotfold._model.configuration import Upstream
-from shallotfold._model.upstreams import UpstreamLoad
+from shallotfold._model.requests import Outcome
+from shallotfold._model.upstreams import HostRole
+from shallotfold._model.upstreams import HostState
 from shallotfold._wire import grant_messages
 
 if TYPE_CHECKING:
     from shallotfold._entry import events
     from shallotfold._entry.state import EntryState
 
-
-@attrs.frozen(kw_only=True)
-class QueuedGrant:
-    """A grant request waiting at its pool's owner."""
-
-    host: str
-    request: grant_messages.GrantRequest
+JUDGE_INTERVAL_S = 1.0
+ANNOUNCED_LATE_S = 1.0
+UNSEEN_S = 16.0
+ENDED_MEMORY_S = 20.0
+LOWEST_TIER = 5
 
 
-@attrs.define(kw_only=True)
-class PoolsState:
-    """Pools owned by this entry.
-
-    Attributes:
-        queues_by_pool: Waiting grant requests.
-        running_by_upstream: Granted attempts that have not ended.
-        load_by_upstream: Last load reports.
-    """
-
-    queues_by_pool: dict[str, collections.deque[QueuedGrant]] = attrs.field(
-        factory=dict
-    )
-    running_by_upstream: dict[str, set[tuple[str, int]]] = attrs.field(
-        factory=dict
-    )
-    load_by_upstream: dict[str, UpstreamLoad] = attrs.field(factory=dict)
-
-
-def pool_of(model: str, route_prefix: str) -> str:
-    """Return the name of the pool that serves a model or a plain route."""
-    return model or route_prefix
+def catalog_of(state: EntryState) -> Catalog:
+    """Return the upstreams in force, declared and ordered."""
+    configuration = state.configuration.current
+    if state.pools.catalog.configuration is not configuration:
+        state.pools.catalog = build_catalog(configuration, state.pools.hosts)
+    return state.pools.catalog
 
 
-def owner_of(state: EntryState, pool: str) -> str:
-    """Return the entry that owns a pool."""
-    del pool
-    return state.host
+def upstreams_of_model(state: EntryState, model: str) -> list[Upstream]:
+    """Return all upstreams that serve a model."""
+    catalog = catalog_of(state)
+    names = catalog.pools_by_service.get(service_of(model, ""), ())
+    return [u for name in names for u in catalog.upstreams_by_pool[name]]
 
 
-def upstreams_of(state: EntryState, pool: str) -> list[Upstream]:
-    """Return the upstreams of a pool, in the order of their names."""
-    configuration = state.configuration.current
-    route = configuration.routes_by_prefix.get(pool)
+def watched_upstreams(state: EntryState) -> list[Upstream]:
+    """Return the upstreams whose load reports this entry should read."""
+    catalog = catalog_of(state)
     return [
         upstream
-        for _, upstream in sorted(configuration.upstreams_by_name.items())
-        if (
-            upstream.service == route.service
-            if route
-            else upstream.model == pool
-        )
+        for pool, upstreams in catalog.upstreams_by_pool.items()
+        if ownership.owner_of(state, pool) == state.host
+        for upstream in upstreams
     ]
 
 
 def on_message(
     state: EntryState, event: events.PeerMessageReceived
 ) -> list[effects.Effect]:
-    """Queue, cancel or release a grant."""
+    """Queue, cancel or release a grant, or learn what runs."""
     message = event.message
+    catalog_of(state)
     if isinstance(message, grant_messages.GrantRequest):
-        queue = state.pools.queues_by_pool.setdefault(
-            message.pool, collections.deque()
-        )
-        queue.append(QueuedGrant(host=event.host, request=message))
+        return _on_request(state, event.host, message, event.now_s)
+    if isinstance(message, grant_messages.GrantCancelled):
+        return _on_cancelled(state, message, event.now_s)
     if isinstance(message, grant_messages.GrantReleased):
-        attempt = (message.request_id, message.attempt)
-        for running in state.pools.running_by_upstream.values():
-            running.discard(attempt)
-    return _grant_waiting(state)
+        return _on_released(state, message, event.now_s)
+    if isinstance(message, grant_messages.RunningAnnounced):
+        return _on_announced(state, event.host, message, event.now_s)
+    if isinstance(message, grant_messages.ProgressReported):
+        for sample in message.samples:
+            health = routing.health_of(state, sample.upstream)
+            health.add_sample(sample.tokens, sample.busy_s)
+    return []
 
 
 def on_tick(state: EntryState, event: events.Tick) -> list[effects.Effect]:
-    """Grant what has become possible."""
-    del event
-    return _grant_waiting(state)
+    """Grant, preempt and refuse what has become due."""
+    now_s = event.now_s
+    catalog_of(state)
+    judge = now_s - state.pools.judged_s >= JUDGE_INTERVAL_S
+    if judge:
+        state.pools.judged_s = now_s
+    done: list[effects.Effect] = []
+    for pool in state.pools.pools_by_name.values():
+        if ownership.owner_of(state, pool.name) != state.host:
+            done.extend(_hand_over(state, pool))
+        if judge:
+            _forget(state, pool, now_s)
+            _judge(state, pool, now_s)
+        done.extend(preemption.move_from_stragglers(state, pool, now_s))
+        done.extend(granting.grant_waiting(state, pool, now_s))
+        waiting = pool.queue.waiting_by_attempt.values()
+        done.extend(preemption.preempt_for(state, pool, waiting, now_s))
+        done.extend(granting.refuse_expired(state, pool, now_s))
+    return done
 
 
 def on_load(
     state: EntryState, event: events.LoadReported
 ) -> list[effects.Effect]:
     """Take over a load report."""
-    state.pools.load_by_upstream[event.upstream] = event.load
+    routing.health_of(state, event.upstream).on_load(event.load)
     return []
 
 
@@ -105,7 +116,7 @@
     state: EntryState, event: events.LoadFetchFailed
 ) -> list[effects.Effect]:
     """Note that an upstream gave no load report."""
-    state.pools.load_by_upstream.pop(event.upstream, None)
+    routing.health_of(state, event.upstream).on_load_failure(event.now_s)
     return []
 
 
@@ -113,7 +124,12 @@
     state: EntryState, event: events.PrefixesCached
 ) -> list[effects.Effect]:
     """Learn which prompt prefixes an upstream holds."""
-    del state, event
+    prefixes = state.pools.prefixes
+    if event.complete:
+        prefixes.replace(event.upstream, event.held)
+    else:
+        prefixes.hold(event.upstream, event.held)
+    prefixes.drop(event.upstream, event.dropped)
     return []
 
 
@@ -121,7 +137,14 @@
     state: EntryState, event: events.HostsListed
 ) -> list[effects.Effect]:
     """Learn which upstreams exist and which are leaving."""
-    del state, event
+    state.pools.hosts = tuple(event.hosts)
+    state.pools.known_entries = sum(
+        host.role is HostRole.ENTRY and host.state is HostState.LIVE
+        for host in event.hosts
+    )
+    state.pools.catalog = build_catalog(
+        state.configuration.current, state.pools.hosts
+    )
     return []
 
 
@@ -129,39 +152,248 @@
     state: EntryState, event: events.PeerConnected | events.PeerDisconnected
 ) -> list[effects.Effect]:
     """Hand pools over when the set of live entries changes."""
-    del state, event
+    done: list[effects.Effect] = []
+    for pool in state.pools.pools_by_name.values():
+        _forget(state, pool, event.now_s)
+        if ownership.owner_of(state, pool.name) != state.host:
+            done.extend(_hand_over(state, pool))
+        done.extend(granting.grant_waiting(state, pool, event.now_s))
+    return done
+
+
+def on_shutdown(
+    state: EntryState, event: events.ShutdownRequested
+) -> list[effects.Effect]:
+    """Hand all pools over."""
+    del event
+    done: list[effects.Effect] = []
+    for pool in state.pools.pools_by_name.values():
+        if ownership.owner_of(state, pool.name) != state.host:
+            done.extend(_hand_over(state, pool))
+    return done
+
+
+def _pool(state: EntryState, name: str) -> Pool:
+    pool = state.pools.pools_by_name.get(name)
+    if pool is None:
+        pool = state.pools.pools_by_name[name] = Pool(name=name)
+    return pool
+
+
+def _on_request(
+    state: EntryState,
+    host: str,
+    request: grant_messages.GrantRequest,
+    now_s: float,
+) -> list[effects.Effect]:
+    owner = ownership.owner_of(state, request.pool)
+    if owner != state.host and not request.redirects:
+        return [_redirect(host, request, owner)]
+    pool = _pool(state, request.pool)
+    key = (request.request_id, request.attempt)
+    running = pool.running_by_attempt.get(key)
+    if running is not None:
+        return [granting.grant_message(key, running)]
+    if key in pool.ended_by_attempt or key in pool.queue.waiting_by_attempt:
+        return []
+    waiting = _queued(state, pool, host, request, now_s)
+    pool.queue.add(waiting)
+    granted = granting.grant_waiting(state, pool, now_s)
+    if key not in pool.queue.waiting_by_attempt:
+        return granted
+    return [*granted, *preemption.preempt_for(state, pool, [waiting], now_s)]
+
+
+def _queued(
+    state: EntryState,
+    pool: Pool,
+    host: str,
+    request: grant_messages.GrantRequest,
+    now_s: float,
+) -> QueuedGrant:
+    configuration = state.configuration.current
+    request_class = configuration.classes_by_name.get(request.class_name)
+    workspace = configuration.workspaces_by_name.get(request.workspace)
+    output = 1.0
+    if request_class is not None and pool.name.startswith("model/"):
+        output = pool.estimates.output_tokens(
+            request_class, request.workspace, request.output_tokens
+        )
+    return QueuedGrant(
+        host=host,
+        request=request,
+        tier=request_class.tier if request_class else LOWEST_TIER,
+        cost=estimates.cost_of(request.prompt_tokens, output),
+        weight=workspace.weight if workspace else 1.0,
+        expires_s=now_s + request.slack_s,
+    )
+
+
+def _on_cancelled(
+    state: EntryState, message: grant_messages.GrantCancelled, now_s: float
+) -> list[effects.Effect]:
+    key = (message.request_id, message.attempt)
+    for pool in state.pools.pools_by_name.values():
+        pool.ended_by_attempt[key] = now_s
+        pool.queue.remove(key)
     return []
 
 
-def _grant_waiting(state: EntryState) -> list[effects.Effect]:
-    granted: list[effects.Effect] = []
-    for pool, queue in state.pools.queues_by_pool.items():
-        while queue:
-            upstream = _least_loaded(state, pool, queue[0].request.avoid)
-            if upstream is None:
-                break
-            waiting = queue.popleft()
-            attempt = (waiting.request.request_id, waiting.request.attempt)
-            running = state.pools.running_by_upstream
-            running.setdefault(upstream.name, set()).add(attempt)
-            grant = grant_messages.Grant(
-                request_id=waiting.request.request_id,
-                attempt=waiting.request.attempt,
-                upstream=upstream.name,
-                priority=1,
-            )
-            granted.append(effects.SendToPeer(host=waiting.host, message=grant))
-    return granted
-
-
-def _least_loaded(
-    state: EntryState, pool: str, avoid: tuple[str, ...]
-) -> Upstream | None:
-    running = state.pools.running_by_upstream
-    free = [
-        upstream
-        for upstream in upstreams_of(state, pool)
-        if upstream.name not in avoid
-        and len(running.get(upstream.name, ())) < upstream.slots
+def _on_released(
+    state: EntryState, message: grant_messages.GrantReleased, now_s: float
+) -> list[effects.Effect]:
+    key = (message.request_id, message.attempt)
+    done: list[effects.Effect] = []
+    for pool in state.pools.pools_by_name.values():
+        pool.queue.remove(key)
+        running = pool.end(key, now_s)
+        if running is not None:
+            _settle(state, pool, running, message, now_s)
+            done.extend(granting.grant_waiting(state, pool, now_s))
+    return done
+
+
+def _settle(
+    state: EntryState,
+    pool: Pool,
+    running: RunningGrant,
+    message: grant_messages.GrantReleased,
+    now_s: float,
+) -> None:
+    cost = 0.0
+    if message.outcome is not Outcome.NOT_RUN:
+        cost = estimates.cost_of(running.prompt_tokens, message.output_tokens)
+    pool.queue.settle(
+        running.class_name,
+        running.workspace,
+        cost - running.cost,
+        running.weight,
+    )
+    health = routing.health_of(state, running.upstream)
+    if not message.healthy:
+        ran = message.outcome is not Outcome.NOT_RUN
+        health.on_failure(now_s, ran=ran, retry_after_s=message.retry_after_s)
+    if message.outcome is not Outcome.RAN:
+        return
+    health.on_success()
+    if message.output_tokens:
+        pool.estimates.learn_output(
+            running.class_name, running.workspace, message.output_tokens
+        )
+    if message.first_token_s >= 0.0:
+        pool.estimates.learn_first_token(
+            running.prompt_tokens, message.first_token_s
+        )
+
+
+def _on_announced(
+    state: EntryState,
+    host: str,
+    message: grant_messages.RunningAnnounced,
+    now_s: float,
+) -> list[effects.Effect]:
+    """Make the picture of a pool agree with what an entry says it runs."""
+    pool = _pool(state, message.pool)
+    listed = set()
+    for attempt in message.attempts:
+        key = (attempt.request_id, attempt.attempt)
+        listed.add(key)
+        known = pool.running_by_attempt.get(key)
+        if known is not None:
+            known.seen_s = now_s
+        elif key not in pool.ended_by_attempt:
+            pool.queue.remove(key)
+            pool.start(key, _announced(state, host, attempt, now_s))
+    for key, running in list(pool.running_by_attempt.items()):
+        late = now_s - running.granted_s > ANNOUNCED_LATE_S
+        if running.host == host and late and key not in listed:
+            pool.end(key, now_s)
+    return granting.grant_waiting(state, pool, now_s)
+
+
+def _announced(
+    state: EntryState,
+    host: str,
+    attempt: grant_messages.RunningAttempt,
+    now_s: float,
+) -> RunningGrant:
+    classes = state.configuration.current.classes_by_name
+    request_class = classes.get(attempt.class_name)
+    return RunningGrant(
+        host=host,
+        class_name=attempt.class_name,
+        tier=request_class.tier if request_class else LOWEST_TIER,
+        workspace=attempt.workspace,
+        weight=1.0,
+        upstream=attempt.upstream,
+        prompt_tokens=0,
+        cost=0.0,
+        granted_s=now_s,
+        seen_s=now_s,
+        preemptible=attempt.preemptible,
+    )
+
+
+def _redirect(
+    host: str, request: grant_messages.GrantRequest, owner: str
+) -> effects.SendToPeer:
+    message = grant_messages.GrantRedirected(
+        request_id=request.request_id, attempt=request.attempt, owner=owner
+    )
+    return effects.SendToPeer(host=host, message=message)
+
+
+def _hand_over(state: EntryState, pool: Pool) -> list[effects.Effect]:
+    """Send waiting entries to the new owner; they announce what runs."""
+    owner = ownership.owner_of(state, pool.name)
+    sent: list[effects.Effect] = []
+    for key, waiting in list(pool.queue.waiting_by_attempt.items()):
+        if not waiting.request.redirects:
+            pool.queue.remove(key)
+            sent.append(_redirect(waiting.host, waiting.request, owner))
+    return sent
+
+
+def _forget(state: EntryState, pool: Pool, now_s: float) -> None:
+    """Drop what lost entries ran or waited for, and old memories."""
+    live = membership.live_entries(state)
+    for key, waiting in list(pool.queue.waiting_by_attempt.items()):
+        if waiting.host not in live:
+            pool.queue.remove(key)
+    for key, running in list(pool.running_by_attempt.items()):
+        if running.host not in live or now_s - running.seen_s > UNSEEN_S:
+            pool.end(key, now_s)
+    for key, ended_s in list(pool.ended_by_attempt.items()):
+        if now_s - ended_s > ENDED_MEMORY_S:
+            del pool.ended_by_attempt[key]
+
+
+def _judge(state: EntryState, pool: Pool, now_s: float) -> None:
+    """Judge the speed of the pool's upstreams by their latest progress."""
+    upstreams = state.pools.catalog.upstreams_by_pool.get(pool.name, ())
+    sampled = []
+    for upstream in upstreams:
+        health = routing.health_of(state, upstream.name)
+        if health.take_samples():
+            sampled.append(upstream)
+    healths = [routing.health_of(state, u.name) for u in upstreams]
+    eject_stragglers(healths, len(upstreams), now_s)
+    for upstream in sampled:
+        health = routing.health_of(state, upstream.name)
+        target_s = _gap_target_s(state, pool, upstream.name)
+        running = pool.running_on(upstream.name)
+        health.adapt_bound(target_s, running, upstream.slots)
+
+
+def _gap_target_s(state: EntryState, pool: Pool, upstream: str) -> float | None:
+    classes = state.configuration.current.classes_by_name
+    names = {
+        pool.running_by_attempt[key].class_name
+        for key in pool.keys_by_upstream.get(upstream, ())
+    }
+    targets = [
+        classes[name].targets.between_tokens_s
+        for name in names
+        if name in classes
     ]
-    return min(free, key=lambda u: len(running.get(u.name, ())), default=None)
+    return min((t for t in targets if t is not None), default=None)
--- a/src/shallotfold/_entry/reducer.py
+++ b/src/shallotfold/_entry/reducer.py
@@ -6,6 +6,7 @@
 
 from shallotfold._entry import configuration
 from shallotfold._entry import events
+from shallotfold._entry import limits
 from shallotfold._entry import membership
 from shallotfold._entry import pools
 from shallotfold._entry import requests
@@ -43,6 +44,9 @@
     grant_messages.GrantCancelled: pools.on_message,
     grant_messages.GrantReleased: pools.on_message,
     grant_messages.RunningAnnounced: pools.on_message,
+    grant_messages.ProgressReported: pools.on_message,
+    grant_messages.LimitUsed: limits.on_message,
+    grant_messages.LimitTotal: limits.on_message,
     grant_messages.Grant: requests.on_message,
     grant_messages.GrantRefused: requests.on_message,
     grant_messages.GrantRedirected: requests.on_message,
@@ -55,6 +59,7 @@
         membership.on_tick,
         configuration.on_tick,
         pools.on_tick,
+        limits.on_tick,
         requests.on_tick,
         usage.on_tick,
     ),
@@ -78,5 +83,5 @@
     events.ClaimSucceeded: (requests.on_claimed,),
     events.ClaimFailed: (requests.on_claim_failed,),
     events.UsageFlushed: (usage.on_flushed,),
-    events.ShutdownRequested: (requests.on_shutdown,),
+    events.ShutdownRequested: (requests.on_shutdown, pools.on_shutdown),
 }
--- a/src/shallotfold/_entry/requests.py
+++ b/src/shallotfold/_entry/requests.py
@@ -4,14 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
-
+from shallotfold._entry import admission
+from shallotfold._entry import asking
+from shallotfold._entry import attempts
 from shallotfold._entry import effects
-from shallotfold._entry import keys
+from shallotfold._entry import limits
+from shallotfold._entry import open_requests
 from shallotfold._entry import pools
 from shallotfold._entry import usage
-from shallotfold._model.configuration import Workspace
-from shallotfold._model.requests import CallerRequest
+from shallotfold._entry.open_requests import OpenRequest
+from shallotfold._entry.open_requests import Phase
 from shallotfold._model.requests import Outcome
 from shallotfold._model.requests import Refusal
 from shallotfold._model.requests import RefusalCode
@@ -22,42 +24,7 @@
     from shallotfold._entry.state import EntryState
 
 RETRY_AFTER_S = 1.0
-
-
-@attrs.define(kw_only=True)
-class OpenRequest:
-    """A request without its final answer.
-
-    Attributes:
-        request: What the caller asked for.
-        workspace: Name of the entitled workspace; empty if open to all.
-        class_name: Request class in force.
-        arrived_s: Monotonic time of arrival.
-        arrived_wall_s: Time of arrival in seconds since the epoch.
-        attempt: Number of the current attempt; 0 before the first.
-        upstream: Upstream of the running attempt; empty while waiting.
-        output_tokens: Tokens that the caller has.
-    """
-
-    request: CallerRequest
-    workspace: str
-    class_name: str
-    arrived_s: float
-    arrived_wall_s: float
-    attempt: int = 0
-    upstream: str = ""
-    output_tokens: int = 0
-
-
-@attrs.define(kw_only=True)
-class RequestsState:
-    """Requests of the callers connected to this entry.
-
-    Attributes:
-        open_by_id: Requests without a final answer.
-    """
-
-    open_by_id: dict[str, OpenRequest] = attrs.field(factory=dict)
+CLAIM_TIMEOUT_S = 5.0
 
 
 def on_arrival(
@@ -65,23 +32,28 @@
 ) -> list[effects.Effect]:
     """Admit a request and ask for a grant, or refuse it at once."""
     request = event.request
-    admitted = _admit(state, request, event.now_s)
+    if request.request_id in state.requests.open_by_id:
+        return []
+    admitted = admission.admit(state, request, event.now_s)
     if isinstance(admitted, Refusal):
-        return [
-            effects.RefuseRequest(
-                request_id=request.request_id, refusal=admitted
-            )
-        ]
-    workspace, class_name = admitted
+        return _refused(request.request_id, admitted)
     opened = OpenRequest(
         request=request,
-        workspace=workspace,
-        class_name=class_name,
+        workspace=admitted.workspace,
+        class_name=admitted.class_name,
+        pool=admitted.pool,
+        charged_tokens=admitted.charged_tokens,
         arrived_s=event.now_s,
         arrived_wall_s=event.wall_s,
     )
     state.requests.open_by_id[request.request_id] = opened
-    return _ask_for_grant(state, opened, event.now_s)
+    state.requests.retry_budget.on_request()
+    explained = effects.RecordExplanation(
+        request_id=request.request_id,
+        step="admitted",
+        detail=f"class {opened.class_name}, pool {opened.pool}",
+    )
+    return [explained, *_claim_or_ask(state, opened, event.now_s)]
 
 
 def on_message(
@@ -90,7 +62,13 @@
     """Act on the answer of a pool's owner."""
     message = event.message
     if isinstance(message, grant_messages.Grant):
-        return _start_attempt(state, message)
+        return _on_grant(state, event.host, message, event.now_s)
+    if isinstance(message, grant_messages.GrantRefused):
+        return _on_refused(state, event.host, message, event.now_s)
+    if isinstance(message, grant_messages.GrantRedirected):
+        return _on_redirected(state, event.host, message, event.now_s)
+    if isinstance(message, grant_messages.GrantPreempted):
+        return _on_preempted(state, message, event.now_s)
     return []
 
 
@@ -99,9 +77,9 @@
 ) -> list[effects.Effect]:
     """Count tokens that reached the caller."""
     opened = state.requests.open_by_id.get(event.request_id)
-    if opened is not None and opened.attempt == event.attempt:
-        opened.output_tokens += event.count
-    return []
+    if opened is None or not _runs(opened, event.attempt):
+        return []
+    return attempts.note_tokens(state, opened, event.count, event.now_s)
 
 
 def on_attempt_ended(
@@ -109,190 +87,408 @@
 ) -> list[effects.Effect]:
     """Finish the answer, try again, or give up."""
     opened = state.requests.open_by_id.get(event.request_id)
-    if opened is None or opened.attempt != event.attempt:
+    if opened is None or not _runs(opened, event.attempt):
         return []
-    released = _release(state, opened, event.outcome)
-    del state.requests.open_by_id[event.request_id]
     if event.outcome is Outcome.RAN:
-        return released + usage.count_answer(
-            state,
-            event.request_id,
-            opened.workspace,
-            event.prompt_tokens,
-            event.output_tokens,
-            now_s=event.now_s,
-            wall_s=opened.arrived_wall_s,
-        )
-    refusal = Refusal(
-        code=RefusalCode.UPSTREAM_FAILED,
-        message="The upstream failed; repeat the request later.",
-        outcome=event.outcome,
-        retry_after_s=RETRY_AFTER_S,
+        return _finish(state, opened, event)
+    released = asking.release(
+        opened,
+        event.now_s,
+        event.outcome,
+        output_tokens=event.output_tokens,
+        healthy=False,
+        retry_after_s=event.retry_after_s,
     )
-    return [
-        *released,
-        effects.RefuseRequest(request_id=event.request_id, refusal=refusal),
-    ]
+    attempts.note_failure(opened, event.outcome)
+    if attempts.may_retry(state, opened, event):
+        return [*released, *_retry(state, opened, event.now_s)]
+    retry_after_s = max(RETRY_AFTER_S, event.retry_after_s)
+    return [*released, *_give_up(state, opened, event.now_s, retry_after_s)]
 
 
 def on_caller_left(
     state: EntryState, event: events.CallerLeft
 ) -> list[effects.Effect]:
     """Cancel the work of a caller who left."""
-    opened = state.requests.open_by_id.pop(event.request_id, None)
+    opened = state.requests.open_by_id.get(event.request_id)
     if opened is None:
         return []
-    cancel = effects.CancelAttempt(
-        request_id=event.request_id, attempt=opened.attempt
+    left = effects.RecordExplanation(
+        request_id=event.request_id, step="caller left", detail=""
     )
-    return [cancel, *_release(state, opened, Outcome.UNKNOWN)]
+    return [left, *_close(state, opened, event.now_s)]
 
 
 def end_request(
     state: EntryState, request_id: str, refusal: Refusal
 ) -> list[effects.Effect]:
-    """End an open request with a refusal and cancel its work."""
-    opened = state.requests.open_by_id.pop(request_id, None)
+    """End an open request with a refusal and cancel its work.
+
+    The refusal's outcome is replaced by what is known about the request.
+    """
+    opened = state.requests.open_by_id.get(request_id)
     if opened is None:
         return []
-    return [
-        effects.CancelAttempt(request_id=request_id, attempt=opened.attempt),
-        effects.RefuseRequest(request_id=request_id, refusal=refusal),
-        *_release(state, opened, Outcome.UNKNOWN),
-    ]
+    now_s = max(opened.arrived_s, opened.asked_s, opened.last_token_s)
+    return _refuse(state, opened, refusal, now_s)
 
 
 def on_tick(state: EntryState, event: events.Tick) -> list[effects.Effect]:
-    """Give up on requests whose deadline has passed."""
-    del state, event
-    return []
+    """Give up on doomed requests and keep the owners informed."""
+    now_s = event.now_s
+    done = asking.follow_owners(state, now_s)
+    done.extend(asking.announce(state, now_s))
+    done.extend(asking.report_progress(state, now_s))
+    for opened in list(state.requests.open_by_id.values()):
+        done.extend(_check(state, opened, now_s))
+    if state.draining and _drained(state):
+        done.append(effects.ExitProcess())
+    return done
 
 
 def on_peer_change(
     state: EntryState, event: events.PeerDisconnected
 ) -> list[effects.Effect]:
     """Ask the next owner for the grants that a lost owner did not give."""
-    del state, event
-    return []
+    return asking.follow_owners(state, event.now_s)
 
 
 def on_claimed(
     state: EntryState, event: events.ClaimSucceeded
 ) -> list[effects.Effect]:
     """Dispatch a request whose idempotency key is now ours."""
-    del state, event
-    return []
+    if event.request_id in state.requests.abandoned_claims:
+        state.requests.abandoned_claims.discard(event.request_id)
+        return [
+            effects.SettleClaim(
+                request_id=event.request_id, outcome=Outcome.NOT_RUN
+            )
+        ]
+    opened = state.requests.open_by_id.get(event.request_id)
+    if opened is None or opened.phase is not Phase.CLAIMING:
+        return []
+    return asking.ask(state, opened, event.now_s)
 
 
 def on_claim_failed(
     state: EntryState, event: events.ClaimFailed
 ) -> list[effects.Effect]:
     """Answer a request whose idempotency key could not be claimed."""
-    del state, event
-    return []
+    state.requests.abandoned_claims.discard(event.request_id)
+    opened = state.requests.open_by_id.get(event.request_id)
+    if opened is None or opened.phase is not Phase.CLAIMING:
+        return []
+    del state.requests.open_by_id[event.request_id]
+    limits.settle(state, opened.workspace, 0.0, event.now_s)
+    if event.answer is not None:
+        return [
+            effects.ReplayAnswer(
+                request_id=event.request_id, answer=event.answer
+            )
+        ]
+    return _refused(event.request_id, _claim_refusal(event.reason))
 
 
 def on_shutdown(
     state: EntryState, event: events.ShutdownRequested
 ) -> list[effects.Effect]:
     """Refuse new requests and let the open ones finish."""
-    del event
     state.draining = True
-    return [effects.SetReady(ready=False)]
-
-
-def _admit(
-    state: EntryState, request: CallerRequest, now_s: float
-) -> tuple[str, str] | Refusal:
-    configuration = state.configuration.current
-    route = configuration.routes_by_prefix.get(request.route_prefix)
-    if route is not None and route.open_to_all:
-        return "", route.request_class
-    workspace = keys.authenticate(state, request.key_sha256, now_s)
-    if isinstance(workspace, Refusal):
-        return workspace
-    if route is not None:
-        return workspace.name, route.request_class
-    return _admit_model(state, workspace, request)
-
-
-def _admit_model(
-    state: EntryState, workspace: Workspace, request: CallerRequest
-) -> tuple[str, str] | Refusal:
-    class_name = request.class_name or workspace.default_class
-    if class_name not in workspace.classes:
-        return Refusal(
-            code=RefusalCode.FORBIDDEN,
-            message=(
-                f"The workspace may not use class {class_name!r}; "
-                f"use one of {', '.join(workspace.classes)}."
-            ),
-        )
-    if not pools.upstreams_of(state, request.model):
-        return Refusal(
-            code=RefusalCode.UNKNOWN_MODEL,
-            message=f"No model {request.model!r}; see /v1/models.",
-        )
-    return workspace.name, class_name
+    handed_over = asking.follow_owners(state, event.now_s)
+    return [effects.SetReady(ready=False), *handed_over]
+
+
+def _runs(opened: OpenRequest, attempt: int) -> bool:
+    return opened.phase is Phase.RUNNING and opened.attempt == attempt
 
 
-def _ask_for_grant(
+def _drained(state: EntryState) -> bool:
+    pending = usage.has_unflushed(state)
+    return not (state.requests.open_by_id or pending)
+
+
+def _claim_or_ask(
     state: EntryState, opened: OpenRequest, now_s: float
 ) -> list[effects.Effect]:
-    opened.attempt += 1
+    if not opened.claims_key:
+        return asking.ask(state, opened, now_s)
+    opened.phase = Phase.CLAIMING
     request = opened.request
-    pool = pools.pool_of(request.model, request.route_prefix)
-    message = grant_messages.GrantRequest(
-        pool=pool,
-        request_id=request.request_id,
-        attempt=opened.attempt,
-        class_name=opened.class_name,
-        workspace=opened.workspace,
-        prompt_tokens=request.prompt_tokens,
-        output_tokens=request.max_output_tokens,
-        waited_s=now_s - opened.arrived_s,
-        prefix_digests=request.prefix_digests,
-        repeatable=request.idempotent,
-    )
     return [
-        effects.SendToPeer(host=pools.owner_of(state, pool), message=message)
+        effects.ClaimIdempotencyKey(
+            request_id=request.request_id,
+            workspace=opened.workspace,
+            idempotency_key=request.idempotency_key,
+            body_sha256=request.body_sha256,
+        )
     ]
 
 
-def _start_attempt(
-    state: EntryState, grant: grant_messages.Grant
+def _claim_refusal(reason: str) -> Refusal:
+    code = RefusalCode[reason]
+    if code is RefusalCode.UPSTREAM_FAILED:
+        return Refusal(
+            code=code,
+            message="The first run has an unknown outcome; check it there.",
+            outcome=Outcome.UNKNOWN,
+        )
+    if code is RefusalCode.KEY_REUSED:
+        return Refusal(
+            code=code,
+            message="The idempotency key was used with another body.",
+        )
+    return Refusal(
+        code=code,
+        message="The idempotency key can't be claimed now; repeat later.",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _on_grant(
+    state: EntryState, host: str, grant: grant_messages.Grant, now_s: float
 ) -> list[effects.Effect]:
     opened = state.requests.open_by_id.get(grant.request_id)
-    if opened is None or opened.attempt != grant.attempt:
+    if opened is not None and _runs(opened, grant.attempt):
         return []
-    upstream = state.configuration.current.upstreams_by_name[grant.upstream]
-    opened.upstream = upstream.name
-    return [
-        effects.StartAttempt(
-            request_id=grant.request_id,
-            attempt=grant.attempt,
-            upstream=upstream.name,
-            url=upstream.url,
-            credential=upstream.credential,
-            priority=grant.priority,
-            resume=opened.output_tokens > 0,
+    catalog = pools.catalog_of(state)
+    upstream = catalog.upstreams_by_name.get(grant.upstream)
+    if (
+        opened is None
+        or opened.phase is not Phase.WAITING
+        or opened.attempt != grant.attempt
+        or opened.owner != host
+        or upstream is None
+    ):
+        return asking.return_grant(host, grant)
+    return attempts.start(opened, upstream, grant.priority, now_s)
+
+
+def _on_refused(
+    state: EntryState,
+    host: str,
+    message: grant_messages.GrantRefused,
+    now_s: float,
+) -> list[effects.Effect]:
+    opened = _waiting(state, host, message.request_id, message.attempt)
+    if opened is None:
+        return []
+    refusal = Refusal(
+        code=message.code,
+        message="There is no capacity to meet the target; repeat later.",
+        retry_after_s=message.retry_after_s,
+    )
+    return _refuse(state, opened, refusal, now_s, withdraw=False)
+
+
+def _on_redirected(
+    state: EntryState,
+    host: str,
+    message: grant_messages.GrantRedirected,
+    now_s: float,
+) -> list[effects.Effect]:
+    opened = _waiting(state, host, message.request_id, message.attempt)
+    if opened is None:
+        return []
+    opened.redirects += 1
+    return asking.ask(state, opened, now_s, owner=message.owner)
+
+
+def _waiting(
+    state: EntryState, host: str, request_id: str, attempt: int
+) -> OpenRequest | None:
+    opened = state.requests.open_by_id.get(request_id)
+    if (
+        opened is None
+        or opened.phase is not Phase.WAITING
+        or opened.attempt != attempt
+        or opened.owner != host
+    ):
+        return None
+    return opened
+
+
+def _on_preempted(
+    state: EntryState, message: grant_messages.GrantPreempted, now_s: float
+) -> list[effects.Effect]:
+    opened = state.requests.open_by_id.get(message.request_id)
+    if opened is None or not _runs(opened, message.attempt):
+        return []
+    if not opened.resumable:
+        return []
+    counted = effects.CountMetric(name="requests.preempted")
+    stopped = attempts.stop(opened, now_s, healthy=True)
+    return [counted, *stopped, *asking.ask(state, opened, now_s)]
+
+
+def _check(
+    state: EntryState, opened: OpenRequest, now_s: float
+) -> list[effects.Effect]:
+    if opened.phase is Phase.CLAIMING:
+        return _check_claiming(state, opened, now_s)
+    if opened.phase is Phase.WAITING:
+        return _check_waiting(state, opened, now_s)
+    if not attempts.has_stalled(state, opened, now_s):
+        return []
+    return _on_stall(state, opened, now_s)
+
+
+def _check_claiming(
+    state: EntryState, opened: OpenRequest, now_s: float
+) -> list[effects.Effect]:
+    if now_s - opened.arrived_s < CLAIM_TIMEOUT_S:
+        return []
+    refusal = _claim_refusal(RefusalCode.STORE_UNAVAILABLE.name)
+    return _refuse(state, opened, refusal, now_s)
+
+
+def _check_waiting(
+    state: EntryState, opened: OpenRequest, now_s: float
+) -> list[effects.Effect]:
+    if now_s > open_requests.latest_start_s(state, opened) + RETRY_AFTER_S:
+        refusal = Refusal(
+            code=RefusalCode.TARGET_MISSED,
+            message="The target can no longer be met; repeat later.",
+            retry_after_s=RETRY_AFTER_S,
         )
+        return _refuse(state, opened, refusal, now_s)
+    if now_s - opened.asked_s > asking.REPEAT_INTERVAL_S:
+        return asking.repeat(state, opened, now_s)
+    return []
+
+
+def _on_stall(
+    state: EntryState, opened: OpenRequest, now_s: float
+) -> list[effects.Effect]:
+    stopped = attempts.stop(opened, now_s, healthy=False)
+    attempts.note_failure(opened, Outcome.UNKNOWN)
+    if attempts.may_try_again(state, opened):
+        return [*stopped, *_retry(state, opened, now_s)]
+    return [*stopped, *_give_up(state, opened, now_s, RETRY_AFTER_S)]
+
+
+def _retry(
+    state: EntryState, opened: OpenRequest, now_s: float
+) -> list[effects.Effect]:
+    return [
+        effects.CountMetric(name="requests.retried"),
+        effects.RecordExplanation(
+            request_id=opened.request.request_id,
+            step="retried",
+            detail=f"upstream {opened.upstream} failed",
+        ),
+        *asking.ask(state, opened, now_s),
     ]
 
 
-def _release(
-    state: EntryState, opened: OpenRequest, outcome: Outcome
+def _give_up(
+    state: EntryState, opened: OpenRequest, now_s: float, retry_after_s: float
 ) -> list[effects.Effect]:
-    request = opened.request
-    pool = pools.pool_of(request.model, request.route_prefix)
-    message = grant_messages.GrantReleased(
-        request_id=request.request_id,
-        attempt=opened.attempt,
-        outcome=outcome,
-        output_tokens=opened.output_tokens,
-        first_token_s=-1.0,
-        duration_s=0.0,
+    refusal = Refusal(
+        code=RefusalCode.UPSTREAM_FAILED,
+        message="The upstream failed; repeat the request later.",
+        retry_after_s=retry_after_s,
+    )
+    opened.phase = Phase.WAITING
+    return _refuse(state, opened, refusal, now_s, withdraw=False)
+
+
+def _refuse(
+    state: EntryState,
+    opened: OpenRequest,
+    refusal: Refusal,
+    now_s: float,
+    *,
+    withdraw: bool = True,
+) -> list[effects.Effect]:
+    """End a request with a refusal that tells its true outcome."""
+    request_id = opened.request.request_id
+    truthful = Refusal(
+        code=refusal.code,
+        message=refusal.message,
+        outcome=opened.outcome,
+        retry_after_s=refusal.retry_after_s,
     )
+    closed = _close(state, opened, now_s, withdraw=withdraw)
+    return [*_refused(request_id, truthful), *closed]
+
+
+def _refused(request_id: str, refusal: Refusal) -> list[effects.Effect]:
+    code = refusal.code.value
     return [
-        effects.SendToPeer(host=pools.owner_of(state, pool), message=message)
+        effects.RecordExplanation(
+            request_id=request_id, step="refused", detail=code
+        ),
+        effects.CountMetric(name=f"requests.refused.{code}"),
+        effects.RefuseRequest(request_id=request_id, refusal=refusal),
     ]
+
+
+def _close(
+    state: EntryState,
+    opened: OpenRequest,
+    now_s: float,
+    *,
+    withdraw: bool = True,
+) -> list[effects.Effect]:
+    """Forget a request, stop its work and settle its claim."""
+    request_id = opened.request.request_id
+    outcome = opened.outcome
+    del state.requests.open_by_id[request_id]
+    surplus = opened.output_tokens - opened.charged_tokens
+    limits.settle(state, opened.workspace, surplus, now_s)
+    if opened.phase is Phase.CLAIMING:
+        state.requests.abandoned_claims.add(request_id)
+        return []
+    done: list[effects.Effect] = []
+    if opened.phase is Phase.RUNNING:
+        done.extend(attempts.stop(opened, now_s, healthy=True))
+    elif withdraw:
+        done.extend(asking.withdraw(opened))
+    if opened.claims_key:
+        done.append(effects.SettleClaim(request_id=request_id, outcome=outcome))
+    return done
+
+
+def _finish(
+    state: EntryState, opened: OpenRequest, event: events.AttemptEnded
+) -> list[effects.Effect]:
+    request = opened.request
+    del state.requests.open_by_id[event.request_id]
+    output = opened.kept_tokens + event.output_tokens
+    prompt = event.prompt_tokens or request.prompt_tokens
+    surplus = prompt + output - opened.charged_tokens
+    limits.settle(state, opened.workspace, surplus, event.now_s)
+    attempts.learn(state, opened, event)
+    done = asking.release(
+        opened, event.now_s, Outcome.RAN, output_tokens=event.output_tokens
+    )
+    if opened.claims_key:
+        done.append(
+            effects.SettleClaim(
+                request_id=event.request_id, outcome=Outcome.RAN
+            )
+        )
+    duration_s = event.now_s - opened.arrived_s
+    done.append(
+        effects.TimeMetric(
+            name=f"class.{opened.class_name}.whole_answer_s",
+            value_s=duration_s,
+        )
+    )
+    done.append(
+        effects.RecordExplanation(
+            request_id=event.request_id,
+            step="answered",
+            detail=f"by {opened.upstream}, {output} output tokens",
+        )
+    )
+    counted = usage.count_answer(
+        state,
+        event.request_id,
+        opened.workspace,
+        prompt,
+        output,
+        now_s=event.now_s,
+        wall_s=opened.arrived_wall_s,
+    )
+    return [*done, *counted]
--- a/src/shallotfold/_entry/state.py
+++ b/src/shallotfold/_entry/state.py
@@ -4,9 +4,10 @@
 
 from shallotfold._entry.claims import ClaimsState
 from shallotfold._entry.configuration import ConfigurationState
+from shallotfold._entry.limits import LimitsState
 from shallotfold._entry.membership import MembershipState
-from shallotfold._entry.pools import PoolsState
-from shallotfold._entry.requests import RequestsState
+from shallotfold._entry.open_requests import RequestsState
+from shallotfold._entry.pool_state import PoolsState
 from shallotfold._entry.usage import UsageState
 
 
@@ -23,6 +24,7 @@
         requests: Requests of callers connected here.
         pools: Pools of upstreams that this entry owns.
         claims: Requests waiting for their idempotency key.
+        limits: Use of the workspaces that have limits.
         usage: Counts of answered requests.
         draining: Whether a shutdown was requested.
     """
@@ -35,5 +37,6 @@
     requests: RequestsState = attrs.field(factory=RequestsState)
     pools: PoolsState = attrs.field(factory=PoolsState)
     claims: ClaimsState = attrs.field(factory=ClaimsState)
+    limits: LimitsState = attrs.field(factory=LimitsState)
     usage: UsageState = attrs.field(factory=UsageState)
     draining: bool = False
--- a/src/shallotfold/_entry/usage.py
+++ b/src/shallotfold/_entry/usage.py
@@ -53,6 +53,12 @@
     return [effects.FinishAnswer(request_id=request_id)]
 
 
+def has_unflushed(state: EntryState) -> bool:
+    """Whether counts are still missing in the store."""
+    del state
+    return False
+
+
 def on_tick(state: EntryState, event: events.Tick) -> list[effects.Effect]:
     """Flush what the store does not have yet."""
     del state, event
--- a/src/shallotfold/_wire/grant_messages.py
+++ b/src/shallotfold/_wire/grant_messages.py
@@ -22,6 +22,9 @@
         prefix_digests: Digests of growing prompt prefixes, longest last.
         repeatable: Whether the request may run more than once.
         avoid: Upstreams that failed this request before.
+        slack_s: Time from now until which a grant can still meet the targets.
+        preemptible: Whether the attempt may be cancelled for a higher tier.
+        redirects: How often another entry passed the request on.
     """
 
     pool: str
@@ -35,6 +38,9 @@
     prefix_digests: tuple[str, ...] = ()
     repeatable: bool = True
     avoid: tuple[str, ...] = ()
+    slack_s: float = 60.0
+    preemptible: bool = False
+    redirects: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -94,6 +100,8 @@
         first_token_s: From dispatch to the first token; -1 when none came.
         duration_s: From dispatch to the end.
         healthy: Whether the upstream itself is above suspicion.
+        retry_after_s: When the upstream that refused wants new work; -1 if it
+            did not say.
     """
 
     request_id: str
@@ -103,6 +111,7 @@
     first_token_s: float
     duration_s: float
     healthy: bool = True
+    retry_after_s: float = -1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -115,6 +124,7 @@
     workspace: str
     upstream: str
     output_tokens: int
+    preemptible: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -125,6 +135,65 @@
     attempts: tuple[RunningAttempt, ...]
 
 
+@attrs.frozen(kw_only=True)
+class UpstreamSample:
+    """Progress of one entry's streams on one upstream since the last sample.
+
+    Attributes:
+        upstream: Name of the upstream.
+        tokens: Tokens received.
+        busy_s: Seconds that streams spent between their tokens, summed.
+    """
+
+    upstream: str
+    tokens: int
+    busy_s: float
+
+
+@attrs.frozen(kw_only=True)
+class ProgressReported:
+    """Tell a pool's owner how fast its upstreams answer."""
+
+    pool: str
+    samples: tuple[UpstreamSample, ...]
+
+
+@attrs.frozen(kw_only=True)
+class LimitUsed:
+    """Tell a workspace's ledger what the sender admitted lately.
+
+    Attributes:
+        workspace: Name of the workspace.
+        requests: Requests admitted in the last minute.
+        tokens: Tokens charged in the last minute.
+        running: Requests open now.
+    """
+
+    workspace: str
+    requests: float
+    tokens: float
+    running: int
+
+
+@attrs.frozen(kw_only=True)
+class LimitTotal:
+    """Answer with what all other entries admitted for a workspace.
+
+    Attributes:
+        workspace: Name of the workspace.
+        requests: Requests admitted elsewhere in the last minute.
+        tokens: Tokens charged elsewhere in the last minute.
+        running: Requests open elsewhere.
+        reporters: Entries that admitted requests of the workspace lately.
+    """
+
+    workspace: str
+    requests: float
+    tokens: float
+    running: int
+    reporters: int
+
+
 GrantMessage = (
     GrantRequest
     | Grant
@@ -134,6 +203,9 @@
     | GrantPreempted
     | GrantReleased
     | RunningAnnounced
+    | ProgressReported
+    | LimitUsed
+    | LimitTotal
 )
 
 MESSAGES: tuple[type, ...] = (
@@ -145,4 +217,7 @@
     GrantPreempted,
     GrantReleased,
     RunningAnnounced,
+    ProgressReported,
+    LimitUsed,
+    LimitTotal,
 )
