--- a/src/shallotfold/_controller/effects.py
+++ b/src/shallotfold/_controller/effects.py
@@ -3,6 +3,8 @@
 import attrs
 
 from shallotfold._fleet.audit import AuditChange
+from shallotfold._fleet.order_journal import OrderJournal
+from shallotfold._platform.ports import UpstreamOrder
 
 
 @attrs.frozen(kw_only=True)
@@ -79,6 +81,54 @@
     duties: tuple[str, ...]
 
 
+@attrs.frozen(kw_only=True)
+class ReadJournal:
+    """Read the order journal of a data centre."""
+
+    data_centre: str
+    fencing: int
+
+
+@attrs.frozen(kw_only=True)
+class WriteJournal:
+    """Write the order journal of a data centre by compare-and-swap."""
+
+    data_centre: str
+    fencing: int
+    journal: OrderJournal
+    expected_revision: int
+
+
+@attrs.frozen(kw_only=True)
+class PlaceOrder:
+    """Send an order whose intent is in the journal.
+
+    Attributes:
+        order: The order.
+        timeout_s: Longest wait; ends before the lease does.
+    """
+
+    order: UpstreamOrder
+    timeout_s: float
+
+
+@attrs.frozen(kw_only=True)
+class LookUpOrder:
+    """Ask the platform whether it has an order."""
+
+    data_centre: str
+    fencing: int
+    order_id: str
+
+
+@attrs.frozen(kw_only=True)
+class ReadFleet:
+    """Read all journals and all flushes, to plan the orders."""
+
+    data_centre: str
+    fencing: int
+
+
 @attrs.frozen(kw_only=True)
 class RecordAudit:
     """Append a change to the audit trail."""
@@ -111,6 +161,11 @@
     | AcquireDuty
     | ReleaseDuty
     | AbortSends
+    | ReadJournal
+    | WriteJournal
+    | PlaceOrder
+    | LookUpOrder
+    | ReadFleet
     | RecordAudit
     | CountMetric
     | ExitProcess
--- a/src/shallotfold/_controller/events.py
+++ b/src/shallotfold/_controller/events.py
@@ -4,11 +4,14 @@
 epoch. `started_s` is the monotonic time before a call was sent.
 """
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 import attrs
 
 from shallotfold._fleet.duties import DutyRecord
+from shallotfold._fleet.order_journal import OrderJournal
+from shallotfold._fleet.usage_flush import UsageFlush
 from shallotfold._model.configuration import Configuration
 from shallotfold._model.upstreams import HostRecord
 
@@ -132,3 +135,90 @@
 @attrs.frozen(kw_only=True)
 class ShutdownRequested(Event):
     """The process was asked to stop; hand the duties over."""
+
+
+@attrs.frozen(kw_only=True)
+class OrderEvent(Event):
+    """Base of the events about the orders of one data centre.
+
+    Attributes:
+        data_centre: Its name.
+        fencing: Fencing number under which the call was made.
+    """
+
+    data_centre: str
+    fencing: int
+
+
+@attrs.frozen(kw_only=True)
+class JournalRead(OrderEvent):
+    """The journal was read; revision 0 means that there is none yet."""
+
+    journal: OrderJournal
+    revision: int
+
+
+@attrs.frozen(kw_only=True)
+class JournalWritten(OrderEvent):
+    """The journal is in the store as given."""
+
+    journal: OrderJournal
+    revision: int
+
+
+@attrs.frozen(kw_only=True)
+class JournalUnknown(OrderEvent):
+    """Reading failed, or the outcome of a write is unknown or a conflict."""
+
+
+@attrs.frozen(kw_only=True)
+class OrderTaken(OrderEvent):
+    """The platform carried an order out."""
+
+    order_id: str
+
+
+@attrs.frozen(kw_only=True)
+class OrderRefused(OrderEvent):
+    """The platform refused an order and did not carry it out."""
+
+    order_id: str
+    code: str
+
+
+@attrs.frozen(kw_only=True)
+class OrderUnanswered(OrderEvent):
+    """No answer to an order; it may be carried out."""
+
+    order_id: str
+
+
+@attrs.frozen(kw_only=True)
+class OrderLookedUp(OrderEvent):
+    """The platform said whether it has an order."""
+
+    order_id: str
+    found: bool
+
+
+@attrs.frozen(kw_only=True)
+class OrderLookUpFailed(OrderEvent):
+    """The platform gave no answer about an order."""
+
+
+@attrs.frozen(kw_only=True)
+class FleetRead(OrderEvent):
+    """What all data centres have ordered, and what all entries saw.
+
+    Attributes:
+        journals_by_data_centre: All journals.
+        flushes: What the entries flushed.
+    """
+
+    journals_by_data_centre: Mapping[str, OrderJournal]
+    flushes: Sequence[UsageFlush]
+
+
+@attrs.frozen(kw_only=True)
+class FleetReadFailed(OrderEvent):
+    """The store gave no answer about the fleet."""
--- a/src/shallotfold/_controller/knowledge.py
+++ b/src/shallotfold/_controller/knowledge.py
@@ -6,6 +6,7 @@
 
 from shallotfold._controller import effects
 from shallotfold._controller import placement
+from shallotfold._controller.duties import CANDIDATES
 
 if TYPE_CHECKING:
     from shallotfold._controller import events
@@ -13,7 +14,8 @@
 
 HOSTS_PERIOD_S = 5.0
 HOLDER_CONFIGURATION_PERIOD_S = 2.0
-IDLE_CONFIGURATION_PERIOD_S = 20.0
+CANDIDATE_CONFIGURATION_PERIOD_S = 20.0
+IDLE_CONFIGURATION_PERIOD_S = 300.0
 FIRST_CONFIGURATION_PERIOD_S = 0.5
 
 
@@ -56,4 +58,6 @@
         return FIRST_CONFIGURATION_PERIOD_S
     if state.duties.held_by_name:
         return HOLDER_CONFIGURATION_PERIOD_S
+    if any(r < CANDIDATES for r in state.duties.rank_by_name.values()):
+        return CANDIDATE_CONFIGURATION_PERIOD_S
     return IDLE_CONFIGURATION_PERIOD_S
--- a/src/shallotfold/_controller/reducer.py
+++ b/src/shallotfold/_controller/reducer.py
@@ -9,6 +9,7 @@
 from shallotfold._controller import handover
 from shallotfold._controller import knowledge
 from shallotfold._controller import lease
+from shallotfold._controller import orders
 from shallotfold._controller import placement
 from shallotfold._controller.effects import Effect
 from shallotfold._controller.state import ControllerState
@@ -26,7 +27,7 @@
 
 
 _HANDLERS_BY_EVENT: dict[type[events.Event], Sequence[Handler]] = {
-    events.Tick: (duties.on_tick, knowledge.on_tick),
+    events.Tick: (duties.on_tick, knowledge.on_tick, orders.on_tick),
     events.ConfigurationRead: (knowledge.on_configuration,),
     events.HostsListed: (knowledge.on_hosts, placement.on_hosts),
     events.DutiesListed: (duties.on_listed,),
@@ -38,5 +39,15 @@
     events.DutyAcquired: (duties.on_acquired,),
     events.DutyNotAcquired: (duties.on_not_acquired,),
     events.SendsAborted: (handover.on_sends_aborted,),
+    events.JournalRead: (orders.on_journal_read,),
+    events.JournalWritten: (orders.on_journal_written,),
+    events.JournalUnknown: (orders.on_journal_unknown,),
+    events.OrderTaken: (orders.on_taken,),
+    events.OrderRefused: (orders.on_refused,),
+    events.OrderUnanswered: (orders.on_unanswered,),
+    events.OrderLookedUp: (orders.on_looked_up,),
+    events.OrderLookUpFailed: (orders.on_look_up_failed,),
+    events.FleetRead: (orders.on_fleet_read,),
+    events.FleetReadFailed: (orders.on_fleet_read_failed,),
     events.ShutdownRequested: (handover.on_shutdown,),
 }
--- a/src/shallotfold/_controller/state.py
+++ b/src/shallotfold/_controller/state.py
@@ -3,6 +3,7 @@
 import attrs
 
 from shallotfold._controller.duty_state import DutiesState
+from shallotfold._controller.order_state import OrdersState
 from shallotfold._fleet.duties import all_duties
 from shallotfold._model.configuration import Configuration
 from shallotfold._model.upstreams import HostRecord
@@ -22,6 +23,7 @@
         configuration: Newest configuration.
         hosts_by_name: The platform's lagging host list.
         duties: Lease and duties.
+        orders: Orders of the held data centres.
         next_hosts_s: When to read the host list again.
         next_configuration_s: When to read the configuration again.
         draining: Whether a shutdown was requested.
@@ -36,6 +38,7 @@
     configuration: Configuration = attrs.field(factory=Configuration)
     hosts_by_name: dict[str, HostRecord] = attrs.field(factory=dict)
     duties: DutiesState = attrs.field(factory=DutiesState)
+    orders: OrdersState = attrs.field(factory=OrdersState)
     next_hosts_s: float = 0.0
     next_configuration_s: float = 0.0
     draining: bool = False
--- /dev/null
+++ b/src/shallotfold/_platform/http_orders.py
@@ -0,0 +1,79 @@
+"""Order upstreams over HTTP, on connections that end with the lease."""
+
+from http import HTTPStatus
+
+import attrs
+import cattrs
+
+from shallotfold._errors import OrderOutcomeUnknownError
+from shallotfold._errors import OrderRefusedError
+from shallotfold._errors import PlatformError
+from shallotfold._platform.fenced_http import FencedHttpClient
+from shallotfold._platform.http_json import JsonAnswer
+from shallotfold._platform.ports import UpstreamOrder
+
+LOOK_UP_TIMEOUT_S = 2.0
+
+
+@attrs.define
+class HttpUpstreamOrders:
+    """The `UpstreamOrders` port over HTTP.
+
+    Attributes:
+        url: Base URL of the service, `http://IP:PORT`.
+    """
+
+    url: str
+    _client: FencedHttpClient = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the client; each request connects by itself."""
+        self._client = FencedHttpClient(self.url)
+
+    async def place(self, order: UpstreamOrder, timeout_s: float) -> None:
+        """Place an order; see `UpstreamOrders`."""
+        try:
+            answer = await self._client.call(
+                "POST",
+                f"/v1/orders/{order.data_centre}",
+                attrs.asdict(order),
+                timeout_s,
+            )
+        except PlatformError as error:
+            raise OrderOutcomeUnknownError(str(error)) from error
+        if answer.status == HTTPStatus.OK:
+            return
+        raise OrderRefusedError(
+            _code(answer),
+            f"{order.order_id} was refused with status {answer.status}; "
+            "choose another offer or wait",
+        )
+
+    async def look_up(
+        self, data_centre: str, order_id: str
+    ) -> UpstreamOrder | None:
+        """Return the order if the platform has it; see `UpstreamOrders`."""
+        answer = await self._client.call(
+            "GET",
+            f"/v1/orders/{data_centre}/{order_id}",
+            None,
+            LOOK_UP_TIMEOUT_S,
+        )
+        if answer.status == HTTPStatus.NOT_FOUND:
+            return None
+        try:
+            return cattrs.structure(answer.content, UpstreamOrder)
+        except (cattrs.BaseValidationError, ValueError, TypeError) as error:
+            raise PlatformError(
+                f"{self.url}: an answer of another shape (status "
+                f"{answer.status}); check that orders_url points to it"
+            ) from error
+
+    async def abort(self) -> None:
+        """Drop the connection; see `UpstreamOrders`."""
+        await self._client.abort()
+
+
+def _code(answer: JsonAnswer) -> str:
+    fields = answer.content if isinstance(answer.content, dict) else {}
+    return str(fields.get("error", answer.status))
