--- a/src/shallotfold/_wire/control_messages.py
+++ b/src/shallotfold/_wire/control_messages.py
@@ -2,6 +2,9 @@
 
 import attrs
 
+REACH_AGE_UNIT_S = 0.1
+UNREACHED = 255
+
 
 @attrs.frozen(kw_only=True)
 class Heartbeat:
@@ -14,14 +17,27 @@
             configuration version from the store that the sender knows of;
             -1 when it knows of none.
         leaving: Whether the sender drains.
-        hears: Names of the peers that the sender heard from lately.
+        sent_s: Sender's monotonic time, opaque to the receiver.
+        echo_s: Newest `sent_s` that the sender has received from the
+            receiver; -1 when there is none. It proves both directions of the
+            link, and bounds how old the contents are.
+        known_entries: Number of entries in the host list of the sender; 0
+            when it has read none.
+        hosts_digest: Digest of the sorted names of these entries.
+        reach_ages: One byte an entry, in the order of these names: time since
+            it was alive in tenths of a second, `UNREACHED` when longer. Empty
+            towards peers that are no neighbours.
     """
 
     incarnation: int
     config_version: int
     store_confirmed_age_s: float
     leaving: bool = False
-    hears: tuple[str, ...] = ()
+    sent_s: float = 0.0
+    echo_s: float = -1.0
+    known_entries: int = 0
+    hosts_digest: int = 0
+    reach_ages: bytes = b""
 
 
 @attrs.frozen(kw_only=True)
@@ -40,7 +56,8 @@
         index: Index of the chunk, from 0.
         count: Number of chunks.
         sha256: Hexadecimal digest of the whole document.
-        data: Bytes of the chunk.
+        data: Bytes of the chunk; all chunks together are the document,
+            compressed by zlib.
     """
 
     version: int
