--- /dev/null
+++ b/benchmarks/callers.py
@@ -0,0 +1,347 @@
+"""Behave like real callers and check every answer token by token."""
+
+import asyncio
+import enum
+import hashlib
+import itertools
+import json
+from typing import Any
+
+import aiohttp
+import attrs
+
+from shallotfold._model.prompts import prompt_text
+from shallotfold._standin.answers import Answer
+from shallotfold._standin.answers import answer_to
+from shallotfold._standin.answers import count_prompt_tokens
+
+MAX_TRIES = 6
+REQUEST_TIMEOUT_S = 30.0
+RETRY_PAUSE_S = 0.2
+
+
+class Result(enum.Enum):
+    """How a request ended for its caller."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    """A refusal that says that the request may have run."""
+    WRONG = "wrong"
+    """An answer that is not this request's, or not whole."""
+    FAILED = "failed"
+    """No usable answer after all tries."""
+
+
+@attrs.frozen(kw_only=True)
+class Workload:
+    """One kind of request that the callers send.
+
+    Attributes:
+        class_name: Request class.
+        workspace: Workspace whose key is shown.
+        key: The caller's key.
+        interval_s: Time between two requests.
+        streaming: Whether answers are streamed; ignored for bookings.
+        min_tokens: Least tokens of an answer.
+        max_tokens: Most tokens of an answer.
+        prompt_characters: Length of the prompt.
+        booking: Whether requests go to the booking service.
+        first_token_s: Target for the first token.
+        whole_answer_s: Target for the whole answer.
+    """
+
+    class_name: str
+    workspace: str
+    key: str
+    interval_s: float
+    streaming: bool = False
+    min_tokens: int = 8
+    max_tokens: int = 16
+    prompt_characters: int = 200
+    booking: bool = False
+    first_token_s: float | None = None
+    whole_answer_s: float | None = None
+
+
+@attrs.define(kw_only=True)
+class Exchange:
+    """One request and what became of it.
+
+    Attributes:
+        workload: Kind of the request.
+        number: Number of the request in the run.
+        result: How it ended.
+        code: Error code of the last refusal.
+        not_run: Whether the last refusal said that it did not run.
+        tries: How often it was sent.
+        first_token_s: From the last sending to the first token.
+        whole_s: From the first sending to the end.
+        prompt_tokens: Input tokens of the answer.
+        output_tokens: Output tokens of the answer.
+        cut_at: Entries at which a try died with its connection.
+        body_sha256: Digest of the body.
+        detail: What was wrong, for people.
+    """
+
+    workload: Workload
+    number: int
+    result: Result = Result.FAILED
+    code: str = ""
+    not_run: bool = False
+    tries: int = 0
+    first_token_s: float = 0.0
+    whole_s: float = 0.0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    cut_at: list[str] = attrs.field(factory=list)
+    body_sha256: str = ""
+    detail: str = ""
+
+    @property
+    def within_target(self) -> bool:
+        """Whether it was answered within the targets of its class."""
+        first = self.workload.first_token_s
+        whole = self.workload.whole_answer_s
+        return (
+            self.result is Result.ANSWERED
+            and (first is None or self.first_token_s <= first)
+            and (whole is None or self.whole_s <= whole)
+        )
+
+
+class _CutError(Exception):
+    """The connection died before the answer was whole."""
+
+
+@attrs.define
+class Callers:
+    """Send workloads to the entries and record every exchange.
+
+    Attributes:
+        entry_urls: Base URLs of the entries, taken in turn.
+        class_header: Header that names the request class.
+        exchanges: All requests so far.
+    """
+
+    entry_urls: list[str]
+    class_header: str
+    exchanges: list[Exchange] = attrs.field(factory=list)
+    _turns: "itertools.count[int]" = attrs.field(factory=itertools.count)
+    _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    _session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S),
+        )
+
+    async def close(self) -> None:
+        """Wait for all requests and close the connection pool."""
+        await self.drain()
+        if self._session:
+            await self._session.close()
+
+    async def send_for(self, workload: Workload, duration_s: float) -> None:
+        """Send a workload at its rate for a time, whatever comes back."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + duration_s
+        next_s = loop.time()
+        while next_s < end_s:
+            task = asyncio.create_task(self._send(workload))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            next_s += workload.interval_s
+            await asyncio.sleep(max(0.0, next_s - loop.time()))
+
+    async def drain(self) -> None:
+        """Wait until every request has ended."""
+        await asyncio.gather(*self._tasks)
+
+    async def send_one(self, workload: Workload) -> Exchange:
+        """Send one request and return what became of it."""
+        exchange = Exchange(workload=workload, number=len(self.exchanges))
+        self.exchanges.append(exchange)
+        body = _make_body(workload, exchange.number)
+        exchange.body_sha256 = hashlib.sha256(body).hexdigest()
+        started_s = asyncio.get_running_loop().time()
+        while exchange.tries < MAX_TRIES:
+            exchange.tries += 1
+            if not await self._try_at(self._next_entry(), exchange, body):
+                break
+            await asyncio.sleep(RETRY_PAUSE_S)
+        exchange.whole_s = asyncio.get_running_loop().time() - started_s
+        return exchange
+
+    async def _send(self, workload: Workload) -> None:
+        await self.send_one(workload)
+
+    def _next_entry(self) -> str:
+        return self.entry_urls[next(self._turns) % len(self.entry_urls)]
+
+    async def _try_at(
+        self, entry_url: str, exchange: Exchange, body: bytes
+    ) -> bool:
+        """Send once and return whether to send again."""
+        try:
+            return await self._exchange(entry_url, exchange, body)
+        except aiohttp.ClientConnectorError as error:
+            exchange.detail = str(error)
+        except (_CutError, aiohttp.ClientError, TimeoutError, OSError) as e:
+            exchange.detail = f"{type(e).__name__}: {e}"
+            exchange.cut_at.append(entry_url)
+        return True
+
+    async def _exchange(
+        self, entry_url: str, exchange: Exchange, body: bytes
+    ) -> bool:
+        assert self._session is not None
+        sent_s = asyncio.get_running_loop().time()
+        async with self._session.post(
+            entry_url + _path(exchange.workload),
+            data=body,
+            headers=self._headers(exchange),
+        ) as response:
+            if response.status != 200:
+                return await _read_refusal(exchange, response)
+            if exchange.workload.booking:
+                _check_booking(exchange, await response.json())
+            elif exchange.workload.streaming:
+                await _check_stream(exchange, body, response, sent_s)
+            else:
+                _check_whole(exchange, body, await response.json())
+        return False
+
+    def _headers(self, exchange: Exchange) -> dict[str, str]:
+        headers = {
+            "Authorization": f"Bearer {exchange.workload.key}",
+            "Content-Type": "application/json",
+        }
+        if exchange.workload.booking:
+            headers["Idempotency-Key"] = f"booking-{exchange.number}"
+        else:
+            headers[self.class_header] = exchange.workload.class_name
+        return headers
+
+
+def _path(workload: Workload) -> str:
+    return "/booking/slots" if workload.booking else "/v1/chat/completions"
+
+
+def _make_body(workload: Workload, number: int) -> bytes:
+    if workload.booking:
+        return json.dumps({"booking": number}).encode()
+    spread = workload.max_tokens - workload.min_tokens + 1
+    tokens = workload.min_tokens + number * 7919 % spread
+    prompt = f"{workload.class_name} {number} [tokens={tokens}] "
+    shared = "site history " * (workload.prompt_characters // 13)
+    return json.dumps(
+        {
+            "model": "general",
+            "messages": [
+                {"role": "system", "content": shared},
+                {"role": "user", "content": prompt},
+            ],
+            "stream": workload.streaming,
+            "max_tokens": workload.max_tokens,
+        }
+    ).encode()
+
+
+async def _read_refusal(
+    exchange: Exchange, response: aiohttp.ClientResponse
+) -> bool:
+    text = await response.text()
+    exchange.detail = f"{response.status} {text[:300]}"
+    try:
+        content = json.loads(text)
+    except ValueError:
+        content = {}
+    error = content.get("error", {})
+    if not isinstance(error, dict):
+        error = {"code": str(error)}
+    exchange.code = str(error.get("code", response.status))
+    exchange.not_run = _says_not_run(content, error)
+    exchange.result = Result.REFUSED if exchange.not_run else Result.UNKNOWN
+    # A booking whose first try is still under way is asked for again with
+    # its idempotency key; every other refusal is final for these callers.
+    return exchange.workload.booking and exchange.code == "in_progress"
+
+
+def _says_not_run(content: dict[str, Any], error: dict[str, Any]) -> bool:
+    for fields in (error, content):
+        if fields.get("not_run") is True or fields.get("outcome") == "not_run":
+            return True
+    return False
+
+
+def _check_booking(exchange: Exchange, content: dict[str, Any]) -> None:
+    own = content.get("digest") == exchange.body_sha256
+    exchange.result = Result.ANSWERED if own else Result.WRONG
+    exchange.detail = "" if own else f"another booking's answer: {content}"
+
+
+def _expected(body: bytes) -> tuple[Answer, int]:
+    fields = json.loads(body)
+    prompt = prompt_text(fields)
+    answer = answer_to(prompt, fields["max_tokens"])
+    return answer, count_prompt_tokens(prompt)
+
+
+def _check_whole(
+    exchange: Exchange, body: bytes, content: dict[str, Any]
+) -> None:
+    text = content["choices"][0]["message"]["content"]
+    _judge(exchange, body, text)
+
+
+async def _check_stream(
+    exchange: Exchange,
+    body: bytes,
+    response: aiohttp.ClientResponse,
+    sent_s: float,
+) -> None:
+    text = ""
+    async for line in response.content:
+        if not line.startswith(b"data: "):
+            continue
+        if line.startswith(b"data: [DONE]"):
+            _judge(exchange, body, text)
+            return
+        chunk = json.loads(line[len(b"data: ") :])
+        if "error" in chunk:
+            _end_with_error(exchange, chunk)
+            return
+        token = _chunk_text(chunk)
+        if token and not text:
+            now_s = asyncio.get_running_loop().time()
+            exchange.first_token_s = now_s - sent_s
+        text += token
+    raise _CutError("the stream ended without its end marker")
+
+
+def _chunk_text(chunk: dict[str, Any]) -> str:
+    choices = chunk.get("choices") or [{}]
+    return str(choices[0].get("delta", {}).get("content") or "")
+
+
+def _end_with_error(exchange: Exchange, chunk: dict[str, Any]) -> None:
+    error = chunk["error"]
+    exchange.code = str(error.get("code", ""))
+    exchange.not_run = _says_not_run(chunk, error)
+    exchange.result = Result.REFUSED if exchange.not_run else Result.UNKNOWN
+    exchange.detail = str(chunk)
+
+
+def _judge(exchange: Exchange, body: bytes, text: str) -> None:
+    answer, prompt_tokens = _expected(body)
+    if text != answer.text():
+        exchange.result = Result.WRONG
+        exchange.detail = f"got {text[-60:]!r} after {len(text)} characters"
+        return
+    exchange.result = Result.ANSWERED
+    exchange.detail = ""
+    exchange.prompt_tokens = prompt_tokens
+    exchange.output_tokens = answer.token_count
--- /dev/null
+++ b/benchmarks/topology.py
@@ -0,0 +1,305 @@
+"""Lay out the demo: addresses, settings and the configuration."""
+
+import os
+import secrets
+
+import attrs
+
+from benchmarks.callers import Workload
+from benchmarks.processes import Command
+from shallotfold._model.configuration import Budget
+from shallotfold._model.configuration import Configuration
+from shallotfold._model.configuration import KeyDigest
+from shallotfold._model.configuration import RequestClass
+from shallotfold._model.configuration import Route
+from shallotfold._model.configuration import Targets
+from shallotfold._model.configuration import Upstream
+from shallotfold._model.configuration import Workspace
+from shallotfold._model.serialization import document_sha256
+
+DATA_CENTRES = ("westlands", "industrial-area", "upper-hill", "embakasi")
+ENTRY_COUNT = 3
+ENGINE_COUNT = 6
+SERVICE_COUNT = 4
+USAGE_WINDOW_S = 10
+CALLER_PORT = 8080
+PEER_PORT = 8081
+UPSTREAM_PORT = 8000
+PLATFORM_PORT = 8500
+CREDENTIAL = "upstream-credential"
+KEY_MARKER = "sk-demo-"
+
+CLASSES = (
+    RequestClass(
+        name="chat",
+        tier=1,
+        targets=Targets(first_token_s=0.5, between_tokens_s=0.1),
+        floor_share=0.05,
+        expected_output_tokens=40,
+    ),
+    RequestClass(
+        name="booking",
+        tier=1,
+        targets=Targets(whole_answer_s=1.0),
+        floor_share=0.05,
+    ),
+    RequestClass(
+        name="drafting",
+        tier=2,
+        targets=Targets(first_token_s=2.0),
+        floor_share=0.05,
+        expected_output_tokens=150,
+    ),
+    RequestClass(
+        name="tagging",
+        tier=3,
+        targets=Targets(whole_answer_s=3.0),
+        floor_share=0.05,
+        expected_output_tokens=12,
+    ),
+)
+
+
+@attrs.frozen
+class Key:
+    """A caller's key of the demo.
+
+    Attributes:
+        key_id: Public name.
+        secret: What the caller shows.
+    """
+
+    key_id: str
+    secret: str
+
+    def digest(self) -> KeyDigest:
+        """Return what the configuration holds."""
+        return KeyDigest(
+            key_id=self.key_id,
+            sha256=document_sha256(self.secret.encode()),
+        )
+
+
+def make_key(key_id: str) -> Key:
+    """Make a key that the stand-ins recognise as a secret."""
+    return Key(key_id, KEY_MARKER + secrets.token_hex(16))
+
+
+@attrs.define
+class Topology:
+    """Where everything of one run is.
+
+    Addresses depend on the process id, so that runs side by side don't meet.
+
+    Attributes:
+        network: First two numbers of the loopback network.
+        fleet_secret: Secret shared by the entries.
+        keys_by_workspace: The callers' keys.
+        spare_key: A further key of the first workspace, withdrawn later.
+    """
+
+    network: str = attrs.field(
+        factory=lambda: f"127.{64 + os.getpid() % 128}"
+    )
+    fleet_secret: str = attrs.field(factory=lambda: secrets.token_hex(16))
+    keys_by_workspace: dict[str, Key] = attrs.field(
+        factory=lambda: {
+            name: make_key(f"{name}-1")
+            for name in ("agency", "field-crew", "reports")
+        }
+    )
+    spare_key: Key = attrs.field(factory=lambda: make_key("agency-2"))
+
+    @property
+    def platform_url(self) -> str:
+        """Base URL of the platform stand-in."""
+        return f"http://{self.network}.0.1:{PLATFORM_PORT}"
+
+    @property
+    def entry_names(self) -> list[str]:
+        """Names of the entry hosts."""
+        return [f"entry-{index + 1}" for index in range(ENTRY_COUNT)]
+
+    def entry_ip(self, name: str) -> str:
+        """Return the address of an entry host."""
+        return f"{self.network}.1.{self.entry_names.index(name) + 1}"
+
+    def entry_url(self, name: str) -> str:
+        """Return where callers reach an entry."""
+        return f"http://{self.entry_ip(name)}:{CALLER_PORT}"
+
+    def upstreams(self) -> tuple[Upstream, ...]:
+        """Return the model upstreams, then the plain ones."""
+        engines = [
+            Upstream(
+                name=f"engine-{index + 1}",
+                url=f"http://{self.network}.2.{index + 1}:{UPSTREAM_PORT}",
+                data_centre=_data_centre(index),
+                model="general",
+                credential="upstream",
+                reclaimable=index >= len(DATA_CENTRES),
+            )
+            for index in range(ENGINE_COUNT)
+        ]
+        services = [
+            Upstream(
+                name=f"booking-{index + 1}",
+                url=f"http://{self.network}.3.{index + 1}:{UPSTREAM_PORT}",
+                data_centre=_data_centre(index),
+                service="booking",
+                credential="upstream",
+            )
+            for index in range(SERVICE_COUNT)
+        ]
+        return (*engines, *services)
+
+    def configuration(self, *, with_spare_key: bool) -> Configuration:
+        """Return what the operators of the demo declare."""
+        workspaces = []
+        for name, key in self.keys_by_workspace.items():
+            spare = with_spare_key and name == "agency"
+            keys = (key, self.spare_key) if spare else (key,)
+            workspaces.append(
+                Workspace(
+                    name=name,
+                    keys=tuple(k.digest() for k in keys),
+                    classes=tuple(c.name for c in CLASSES),
+                    default_class="chat",
+                    routes=("/booking/",),
+                )
+            )
+        route = Route(
+            prefix="/booking/", service="booking", request_class="booking"
+        )
+        return Configuration(
+            classes_by_name={c.name: c for c in CLASSES},
+            workspaces_by_name={w.name: w for w in workspaces},
+            routes_by_prefix={route.prefix: route},
+            upstreams_by_name={u.name: u for u in self.upstreams()},
+            data_centres=DATA_CENTRES,
+            budget=Budget(),
+            usage_window_s=USAGE_WINDOW_S,
+        )
+
+    def workloads(self) -> list[Workload]:
+        """Return the mix of traffic."""
+        key = {name: k.secret for name, k in self.keys_by_workspace.items()}
+        targets = {c.name: c.targets for c in CLASSES}
+
+        def make(class_name: str, workspace: str, **fields: float) -> Workload:
+            return Workload(
+                class_name=class_name,
+                workspace=workspace,
+                key=key[workspace],
+                streaming=class_name in ("chat", "drafting"),
+                booking=class_name == "booking",
+                first_token_s=targets[class_name].first_token_s,
+                whole_answer_s=targets[class_name].whole_answer_s,
+                **fields,  # type: ignore[arg-type]
+            )
+
+        return [
+            make("chat", "agency", interval_s=0.2, min_tokens=20, max_tokens=60),
+            make("chat", "field-crew", interval_s=0.3, max_tokens=60),
+            make(
+                "drafting",
+                "agency",
+                interval_s=1.0,
+                min_tokens=100,
+                max_tokens=200,
+                prompt_characters=6000,
+            ),
+            make("tagging", "reports", interval_s=0.15),
+            make("booking", "agency", interval_s=0.25),
+            make("booking", "field-crew", interval_s=0.4),
+        ]
+
+    def platform_command(self) -> Command:
+        """Return how to start the platform stand-in."""
+        hosts = [
+            f'{{name = "{name}", role = "entry", data_centre = '
+            f'"{_data_centre(index)}", address = '
+            f'"{self.entry_ip(name)}:{PEER_PORT}"}}'
+            for index, name in enumerate(self.entry_names)
+        ]
+        return Command(
+            name="platform",
+            binary=("shallotfold-standin", "platform"),
+            settings=(
+                f'address = "{self.network}.0.1:{PLATFORM_PORT}"\n'
+                f"data_centres = {_list(DATA_CENTRES)}\n"
+                f'unfenced_data_centres = ["{DATA_CENTRES[-1]}"]\n'
+                f"hosts = [{', '.join(hosts)}]\n"
+            ),
+            ready_url=f"{self.platform_url}/stats",
+        )
+
+    def upstream_commands(self) -> list[Command]:
+        """Return how to start the upstreams, one process each."""
+        commands = []
+        for upstream in self.upstreams():
+            kind = "engine" if upstream.model else "service"
+            commands.append(
+                Command(
+                    name=upstream.name,
+                    binary=("shallotfold-standin", kind),
+                    settings=(
+                        f'host = "{upstream.name}"\n'
+                        f'data_centre = "{upstream.data_centre}"\n'
+                        f"[[{kind}s]]\n"
+                        f'name = "{upstream.name}"\n'
+                        f'address = "{upstream.url.removeprefix("http://")}"\n'
+                        f"slots = {upstream.slots}\n"
+                        f'credential = "{CREDENTIAL}"\n'
+                        f'secret_marker = "{KEY_MARKER}"\n'
+                    ),
+                    ready_url=f"{upstream.url}/stats",
+                )
+            )
+        return commands
+
+    def entry_command(self, name: str) -> Command:
+        """Return how to start an entry."""
+        ip = self.entry_ip(name)
+        index = self.entry_names.index(name)
+        return Command(
+            name=name,
+            binary=("shallotfold-entry",),
+            settings=(
+                f'host = "{name}"\n'
+                f'data_centre = "{_data_centre(index)}"\n'
+                f'caller_address = "{ip}:{CALLER_PORT}"\n'
+                f'peer_address = "{ip}:{PEER_PORT}"\n'
+                f'fleet_secret = "{self.fleet_secret}"\n'
+                f"[credentials]\n"
+                f'upstream = "{CREDENTIAL}"\n'
+                f"{self._platform_table()}"
+            ),
+            ready_url=f"{self.entry_url(name)}/healthz",
+        )
+
+    def controller_command(self, entry_name: str) -> Command:
+        """Return how to start the controller of an entry host."""
+        index = self.entry_names.index(entry_name)
+        return Command(
+            name=f"controller-{index + 1}",
+            binary=("shallotfold-controller",),
+            settings=(
+                f'host = "{entry_name}"\n'
+                f'data_centre = "{_data_centre(index)}"\n'
+                f"{self._platform_table()}"
+            ),
+        )
+
+    def _platform_table(self) -> str:
+        names = ("store_url", "hosts_url", "orders_url", "usage_url")
+        lines = [f'{name} = "{self.platform_url}"' for name in names]
+        return "\n".join(["[platform]", *lines, ""])
+
+
+def _data_centre(index: int) -> str:
+    return DATA_CENTRES[index % len(DATA_CENTRES)]
+
+
+def _list(names: tuple[str, ...]) -> str:
+    return "[" + ", ".join(f'"{name}"' for name in names) + "]"
