--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -136,9 +136,7 @@
         return process.wait()
 
 
-async def wait_until(
-    condition: Callable[[], bool], timeout_s: float
-) -> bool:
+async def wait_until(condition: Callable[[], bool], timeout_s: float) -> bool:
     """Poll a condition; return whether it held in time."""
     deadline_s = asyncio.get_running_loop().time() + timeout_s
     while not condition():
--- a/benchmarks/topology.py
+++ b/benchmarks/topology.py
@@ -98,9 +98,7 @@
         spare_key: A further key of the first workspace, withdrawn later.
     """
 
-    network: str = attrs.field(
-        factory=lambda: f"127.{64 + os.getpid() % 128}"
-    )
+    network: str = attrs.field(factory=lambda: f"127.{64 + os.getpid() % 128}")
     fleet_secret: str = attrs.field(factory=lambda: secrets.token_hex(16))
     keys_by_workspace: dict[str, Key] = attrs.field(
         factory=lambda: {
@@ -199,7 +197,9 @@
             )
 
         return [
-            make("chat", "agency", interval_s=0.2, min_tokens=20, max_tokens=60),
+            make(
+                "chat", "agency", interval_s=0.2, min_tokens=20, max_tokens=60
+            ),
             make("chat", "field-crew", interval_s=0.3, max_tokens=60),
             make(
                 "drafting",
--- /dev/null
+++ b/tests/platform/test_http_reads.py
@@ -0,0 +1,94 @@
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+import pytest
+
+from shallotfold._errors import PlatformError
+from shallotfold._model.upstreams import HostState
+from shallotfold._model.upstreams import UpstreamLoad
+from shallotfold._platform.http_hosts import HttpHostList
+from shallotfold._platform.http_loads import HttpLoadReports
+from shallotfold._settings.addresses import Address
+from shallotfold._settings.standin import EngineSettings
+from shallotfold._settings.standin import ListedHost
+from shallotfold._settings.standin import PlatformStandinSettings
+from shallotfold._standin.engine import EngineStandin
+from shallotfold._standin.engine_http import EngineServer
+from shallotfold._standin.platform_http import make_platform_server
+
+ANY_PORT = Address("127.0.0.1", 0)
+
+
+def serve(
+    app: web.Application, scenario: Callable[[str], Awaitable[None]]
+) -> None:
+    async def main() -> None:
+        server = TestServer(app, host="127.0.0.1")
+        await server.start_server()
+        try:
+            url = f"http://127.0.0.1:{server.port}"
+            await asyncio.wait_for(scenario(url), 20)
+        finally:
+            await server.close()
+
+    asyncio.run(main())
+
+
+def test_host_list_is_read() -> None:
+    host = ListedHost(
+        name="entry-1", role="entry", data_centre="a", address="127.0.0.1:9"
+    )
+    settings = PlatformStandinSettings(address=ANY_PORT, hosts=(host,))
+
+    async def scenario(url: str) -> None:
+        hosts = HttpHostList(url)
+        await hosts.start()
+        try:
+            (record,) = await hosts.fetch()
+        finally:
+            await hosts.close()
+        assert (record.name, record.state) == ("entry-1", HostState.LIVE)
+
+    serve(make_platform_server(settings).make_app(), scenario)
+
+
+def test_load_report_is_read() -> None:
+    settings = EngineSettings(name="engine", address=ANY_PORT, slots=3)
+
+    async def scenario(url: str) -> None:
+        loads = HttpLoadReports()
+        await loads.start()
+        try:
+            load = await loads.fetch(url)
+        finally:
+            await loads.close()
+        assert load == UpstreamLoad(running=0, queued=0, slots=3)
+
+    serve(EngineServer(EngineStandin(settings)).make_app(), scenario)
+
+
+@pytest.mark.parametrize("status", [200, 404, 500])
+def test_answer_of_another_kind_is_a_platform_error(status: int) -> None:
+    async def answer(_: web.Request) -> web.Response:
+        return web.json_response({"running": "many"}, status=status)
+
+    app = web.Application()
+    app.router.add_get("/{path:.*}", answer)
+
+    async def scenario(url: str) -> None:
+        hosts, loads = HttpHostList(url), HttpLoadReports()
+        await hosts.start()
+        await loads.start()
+        try:
+            with pytest.raises(PlatformError):
+                await hosts.fetch()
+            with pytest.raises(PlatformError):
+                await loads.fetch(url)
+        finally:
+            await hosts.close()
+            await loads.close()
+
+    serve(app, scenario)
