--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -121,11 +121,13 @@
     Attributes:
         entry_urls: Base URLs of the entries, taken in turn.
         class_header: Header that names the request class.
+        max_tries: How often a request is sent at most.
         exchanges: All requests so far.
     """
 
     entry_urls: list[str]
     class_header: str
+    max_tries: int = MAX_TRIES
     exchanges: list[Exchange] = attrs.field(factory=list)
     _turns: "itertools.count[int]" = attrs.field(factory=itertools.count)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -167,7 +169,7 @@
         body = _make_body(workload, exchange.number)
         exchange.body_sha256 = hashlib.sha256(body).hexdigest()
         started_s = asyncio.get_running_loop().time()
-        while exchange.tries < MAX_TRIES:
+        while exchange.tries < self.max_tries:
             exchange.tries += 1
             if not await self._try_at(self._next_entry(), exchange, body):
                 break
--- /dev/null
+++ b/benchmarks/fleet_cost.py
@@ -0,0 +1,159 @@
+"""Measure what control costs per entry in calm, at several fleet sizes.
+
+Starts a fleet of entries, and controllers unless told otherwise, sends no
+traffic, and reads from /proc what each process uses, and from the platform
+stand-in how often the store is called. Prints one JSON object per size.
+"""
+
+import argparse
+import asyncio
+from collections.abc import Sequence
+import json
+import pathlib
+import statistics
+import sys
+import tempfile
+from typing import Any
+
+import aiohttp
+
+from benchmarks.proc_usage import ProcessUsage
+from benchmarks.proc_usage import read_usage
+from benchmarks.processes import Processes
+from benchmarks.topology import Topology
+from shallotfold._fleet.configuration_store import ConfigurationStore
+from shallotfold._model.serialization import dump_configuration
+from shallotfold._platform.http_store import HttpStore
+
+SETTLE_S = 4.0
+
+
+async def measure(
+    directory: pathlib.Path,
+    entry_count: int,
+    duration_s: float,
+    *,
+    with_controllers: bool,
+) -> dict[str, Any]:
+    """Run one fleet and return what it used."""
+    topology = Topology(entry_count=entry_count)
+    processes = Processes(directory)
+    try:
+        await _start(topology, processes, with_controllers=with_controllers)
+        await asyncio.sleep(SETTLE_S)
+        calls_before = await _count_store_calls(topology)
+        before = _read_all(processes)
+        await asyncio.sleep(duration_s)
+        after = _read_all(processes)
+        calls = await _count_store_calls(topology)
+    finally:
+        processes.stop_all()
+    rates = {
+        name: (calls[name] - calls_before.get(name, 0)) / duration_s
+        for name in calls
+    }
+    return {
+        "entries": entry_count,
+        "seconds": duration_s,
+        "store_calls_per_s": round(sum(rates.values()), 2),
+        "store_calls_per_s_by_name": {
+            name: round(rate, 2) for name, rate in sorted(rates.items())
+        },
+        "entry": _summarize("entry", before, after, duration_s),
+        "controller": _summarize("controller", before, after, duration_s),
+    }
+
+
+async def _start(
+    topology: Topology, processes: Processes, *, with_controllers: bool
+) -> None:
+    await processes.start_all(
+        [topology.platform_command(), *topology.joined_upstream_commands()]
+    )
+    store = HttpStore(topology.platform_url)
+    await store.start()
+    configuration = topology.configuration(with_spare_key=False)
+    await ConfigurationStore(store).submit(
+        dump_configuration(configuration), 0, "benchmark", "measure the cost"
+    )
+    await store.close()
+    names = topology.entry_names
+    await processes.start_all([topology.entry_command(n) for n in names])
+    for name in names if with_controllers else ():
+        processes.start(topology.controller_command(name))
+
+
+def _read_all(processes: Processes) -> dict[str, ProcessUsage]:
+    return {
+        name: read_usage(process.pid)
+        for name, process in processes.running_by_name.items()
+    }
+
+
+def _summarize(
+    role: str,
+    before: dict[str, ProcessUsage],
+    after: dict[str, ProcessUsage],
+    duration_s: float,
+) -> dict[str, dict[str, float]]:
+    names = [name for name in after if name.startswith(f"{role}-")]
+    if not names:
+        return {}
+    return {
+        "core_percent": _spread(
+            [
+                100 * (after[n].cpu_s - before[n].cpu_s) / duration_s
+                for n in names
+            ]
+        ),
+        "resident_mb": _spread([after[n].resident_bytes / 1e6 for n in names]),
+        "control_bytes_per_s": _spread(
+            [
+                (after[n].io_bytes - before[n].io_bytes) / duration_s
+                for n in names
+            ]
+        ),
+    }
+
+
+def _spread(values: Sequence[float]) -> dict[str, float]:
+    return {
+        "median": round(statistics.median(values), 2),
+        "max": round(max(values), 2),
+    }
+
+
+async def _count_store_calls(topology: Topology) -> dict[str, int]:
+    url = f"{topology.platform_url}/stats"
+    async with aiohttp.ClientSession() as session, session.get(url) as response:
+        content = await response.json()
+    return {name: int(n) for name, n in content["store_calls"].items()}
+
+
+def main() -> int:
+    """Read the command line, measure, and return the exit code."""
+    parser = argparse.ArgumentParser(
+        prog="benchmarks.fleet_cost",
+        description=__doc__,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--entries", type=int, nargs="+", default=[3, 9])
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--without-controllers", action="store_true")
+    options = parser.parse_args()
+    for entry_count in options.entries:
+        with tempfile.TemporaryDirectory() as directory:
+            result = asyncio.run(
+                measure(
+                    pathlib.Path(directory),
+                    entry_count,
+                    options.seconds,
+                    with_controllers=not options.without_controllers,
+                )
+            )
+        print(json.dumps(result), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/topology.py
+++ b/benchmarks/topology.py
@@ -92,12 +92,14 @@
     Addresses depend on the process id, so that runs side by side don't meet.
 
     Attributes:
+        entry_count: Number of entry hosts.
         network: First two numbers of the loopback network.
         fleet_secret: Secret shared by the entries.
         keys_by_workspace: The callers' keys.
         spare_key: A further key of the first workspace, withdrawn later.
     """
 
+    entry_count: int = ENTRY_COUNT
     network: str = attrs.field(factory=lambda: f"127.{64 + os.getpid() % 128}")
     fleet_secret: str = attrs.field(factory=lambda: secrets.token_hex(16))
     keys_by_workspace: dict[str, Key] = attrs.field(
@@ -116,7 +118,7 @@
     @property
     def entry_names(self) -> list[str]:
         """Names of the entry hosts."""
-        return [f"entry-{index + 1}" for index in range(ENTRY_COUNT)]
+        return [f"entry-{index + 1}" for index in range(self.entry_count)]
 
     def entry_ip(self, name: str) -> str:
         """Return the address of an entry host."""
@@ -236,24 +238,31 @@
 
     def upstream_commands(self) -> list[Command]:
         """Return how to start the upstreams, one process each."""
+        return [
+            Command(
+                name=upstream.name,
+                binary=("shallotfold-standin", _kind(upstream)),
+                settings=(
+                    f'host = "{upstream.name}"\n'
+                    f'data_centre = "{upstream.data_centre}"\n'
+                    f"{_upstream_table(upstream)}"
+                ),
+                ready_url=f"{upstream.url}/stats",
+            )
+            for upstream in self.upstreams()
+        ]
+
+    def joined_upstream_commands(self) -> list[Command]:
+        """Return how to start the upstreams, one process for each kind."""
         commands = []
-        for upstream in self.upstreams():
-            kind = "engine" if upstream.model else "service"
+        for kind in ("engine", "service"):
+            group = [u for u in self.upstreams() if _kind(u) == kind]
             commands.append(
                 Command(
-                    name=upstream.name,
+                    name=f"{kind}s",
                     binary=("shallotfold-standin", kind),
-                    settings=(
-                        f'host = "{upstream.name}"\n'
-                        f'data_centre = "{upstream.data_centre}"\n'
-                        f"[[{kind}s]]\n"
-                        f'name = "{upstream.name}"\n'
-                        f'address = "{upstream.url.removeprefix("http://")}"\n'
-                        f"slots = {upstream.slots}\n"
-                        f'credential = "{CREDENTIAL}"\n'
-                        f'secret_marker = "{KEY_MARKER}"\n'
-                    ),
-                    ready_url=f"{upstream.url}/stats",
+                    settings="".join(_upstream_table(u) for u in group),
+                    ready_url=f"{group[-1].url}/stats",
                 )
             )
         return commands
@@ -303,3 +312,18 @@
 
 def _list(names: tuple[str, ...]) -> str:
     return "[" + ", ".join(f'"{name}"' for name in names) + "]"
+
+
+def _kind(upstream: Upstream) -> str:
+    return "engine" if upstream.model else "service"
+
+
+def _upstream_table(upstream: Upstream) -> str:
+    return (
+        f"[[{_kind(upstream)}s]]\n"
+        f'name = "{upstream.name}"\n'
+        f'address = "{upstream.url.removeprefix("http://")}"\n'
+        f"slots = {upstream.slots}\n"
+        f'credential = "{CREDENTIAL}"\n'
+        f'secret_marker = "{KEY_MARKER}"\n'
+    )
--- /dev/null
+++ b/tests/benchmarks/test_verdict.py
@@ -0,0 +1,62 @@
+import attrs
+
+from benchmarks.callers import Exchange
+from benchmarks.callers import Result
+from benchmarks.callers import Workload
+from benchmarks.verdict import Verdict
+from benchmarks.verdict import check_bookings
+from benchmarks.verdict import total_usage
+
+BOOKING = Workload(
+    class_name="booking", workspace="w", key="k", interval_s=1.0, booking=True
+)
+
+
+def make_exchange(result: Result, *, not_run: bool = False) -> Exchange:
+    return Exchange(
+        workload=BOOKING,
+        number=1,
+        result=result,
+        not_run=not_run,
+        prompt_tokens=3,
+        output_tokens=5,
+        body_sha256="digest",
+    )
+
+
+def broken(exchange: Exchange, runs: int) -> list[str]:
+    verdict = Verdict()
+    check_bookings(verdict, [exchange], {"digest": runs})
+    return [name for name, kept in verdict.kept_by_promise.items() if not kept]
+
+
+def test_bookings_are_judged_by_their_runs() -> None:
+    answered = make_exchange(Result.ANSWERED)
+    assert broken(answered, runs=1) == []
+    assert broken(answered, runs=2) == ["a booking runs at most once"]
+    assert broken(answered, runs=0) == ["an answered booking ran"]
+
+
+def test_refusal_must_tell_the_truth() -> None:
+    refused = make_exchange(Result.REFUSED, not_run=True)
+    assert broken(refused, runs=0) == []
+    assert broken(refused, runs=1) == [
+        "a booking refused as not run did not run"
+    ]
+    assert broken(make_exchange(Result.UNKNOWN), runs=1) == []
+
+
+def test_usage_must_match_up_to_what_was_cut() -> None:
+    report = {
+        "workspace": "w",
+        "requests": 1,
+        "prompt_tokens": 3,
+        "output_tokens": 5,
+    }
+    answered = make_exchange(Result.ANSWERED)
+    assert not total_usage([answered], [report])["w"].faults("w")
+    assert total_usage([answered], [])["w"].faults("w")
+    twice = total_usage([answered], [report, report])["w"]
+    assert len(twice.faults("w")) == 3
+    cut = attrs.evolve(answered, cut_at=["url"])
+    assert not total_usage([cut], [report, report])["w"].faults("w")
