--- /dev/null
+++ b/benchmarks/declaration.py
@@ -0,0 +1,84 @@
+"""Declare the demo's configuration through the operator library."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from shallotfold import operator
+
+MODEL = "general"
+BOOKING_SERVICE = "booking"
+BOOKING_PREFIX = "/booking/"
+USAGE_WINDOW_S = 10
+
+TARGETS_BY_CLASS = {
+    "chat": operator.Targets(first_token_s=0.5, between_tokens_s=0.1),
+    "booking": operator.Targets(whole_answer_s=1.0),
+    "drafting": operator.Targets(first_token_s=2.0),
+    "tagging": operator.Targets(whole_answer_s=3.0),
+}
+TIERS_BY_CLASS = {"chat": 1, "booking": 1, "drafting": 2, "tagging": 3}
+EXPECTED_TOKENS_BY_CLASS = {"chat": 40, "drafting": 150, "tagging": 12}
+
+
+def declare(
+    upstreams: Iterable[operator.Upstream],
+    keys_by_workspace: Mapping[str, Iterable[operator.KeyDigest]],
+) -> operator.Configuration:
+    """Return the checked configuration of the demo.
+
+    Args:
+        upstreams: Model and plain upstreams.
+        keys_by_workspace: Keys in force.
+    """
+    builder = operator.ConfigurationBuilder(usage_window_s=USAGE_WINDOW_S)
+    classes = [_add_class(builder, name) for name in TIERS_BY_CLASS]
+    bookings = builder.add_route(
+        BOOKING_PREFIX, service=BOOKING_SERVICE, request_class=classes[1]
+    )
+    _add_upstreams(builder, list(upstreams))
+    for name, keys in keys_by_workspace.items():
+        builder.add_workspace(
+            name, keys=keys, classes=classes, routes=[bookings]
+        )
+    return builder.build()
+
+
+def _add_class(
+    builder: operator.ConfigurationBuilder, name: str
+) -> operator.RequestClass:
+    return builder.add_class(
+        name,
+        tier=TIERS_BY_CLASS[name],
+        targets=TARGETS_BY_CLASS[name],
+        floor_share=0.05,
+        expected_output_tokens=EXPECTED_TOKENS_BY_CLASS.get(name, 1),
+    )
+
+
+def _add_upstreams(
+    builder: operator.ConfigurationBuilder, upstreams: list[operator.Upstream]
+) -> None:
+    centres_by_name = {
+        name: builder.add_data_centre(name)
+        for name in dict.fromkeys(u.data_centre for u in upstreams)
+    }
+    for upstream in upstreams:
+        common = {"url": upstream.url, "credential": upstream.credential}
+        centre = centres_by_name[upstream.data_centre]
+        if upstream.model:
+            builder.add_model_upstream(
+                upstream.name,
+                data_centre=centre,
+                model=upstream.model,
+                slots=upstream.slots,
+                tokens_per_s=upstream.tokens_per_s,
+                reclaimable=upstream.reclaimable,
+                **common,
+            )
+        else:
+            builder.add_plain_upstream(
+                upstream.name,
+                data_centre=centre,
+                service=upstream.service,
+                **common,
+            )
--- a/benchmarks/topology.py
+++ b/benchmarks/topology.py
@@ -5,23 +5,15 @@
 
 import attrs
 
+from benchmarks import declaration
 from benchmarks.callers import Workload
 from benchmarks.processes import Command
-from shallotfold._model.configuration import Budget
-from shallotfold._model.configuration import Configuration
-from shallotfold._model.configuration import KeyDigest
-from shallotfold._model.configuration import RequestClass
-from shallotfold._model.configuration import Route
-from shallotfold._model.configuration import Targets
-from shallotfold._model.configuration import Upstream
-from shallotfold._model.configuration import Workspace
-from shallotfold._model.serialization import document_sha256
+from shallotfold import operator
 
 DATA_CENTRES = ("westlands", "industrial-area", "upper-hill", "embakasi")
 ENTRY_COUNT = 3
 ENGINE_COUNT = 6
 SERVICE_COUNT = 4
-USAGE_WINDOW_S = 10
 CALLER_PORT = 8080
 PEER_PORT = 8081
 UPSTREAM_PORT = 8000
@@ -29,36 +21,6 @@
 CREDENTIAL = "upstream-credential"
 KEY_MARKER = "sk-demo-"
 
-CLASSES = (
-    RequestClass(
-        name="chat",
-        tier=1,
-        targets=Targets(first_token_s=0.5, between_tokens_s=0.1),
-        floor_share=0.05,
-        expected_output_tokens=40,
-    ),
-    RequestClass(
-        name="booking",
-        tier=1,
-        targets=Targets(whole_answer_s=1.0),
-        floor_share=0.05,
-    ),
-    RequestClass(
-        name="drafting",
-        tier=2,
-        targets=Targets(first_token_s=2.0),
-        floor_share=0.05,
-        expected_output_tokens=150,
-    ),
-    RequestClass(
-        name="tagging",
-        tier=3,
-        targets=Targets(whole_answer_s=3.0),
-        floor_share=0.05,
-        expected_output_tokens=12,
-    ),
-)
-
 
 @attrs.frozen
 class Key:
@@ -72,12 +34,9 @@
     key_id: str
     secret: str
 
-    def digest(self) -> KeyDigest:
+    def digest(self) -> operator.KeyDigest:
         """Return what the configuration holds."""
-        return KeyDigest(
-            key_id=self.key_id,
-            sha256=document_sha256(self.secret.encode()),
-        )
+        return operator.digest_key(self.key_id, self.secret)
 
 
 def make_key(key_id: str) -> Key:
@@ -128,63 +87,44 @@
         """Return where callers reach an entry."""
         return f"http://{self.entry_ip(name)}:{CALLER_PORT}"
 
-    def upstreams(self) -> tuple[Upstream, ...]:
+    def upstreams(self) -> tuple[operator.Upstream, ...]:
         """Return the model upstreams, then the plain ones."""
         engines = [
-            Upstream(
+            operator.Upstream(
                 name=f"engine-{index + 1}",
                 url=f"http://{self.network}.2.{index + 1}:{UPSTREAM_PORT}",
                 data_centre=_data_centre(index),
-                model="general",
+                model=declaration.MODEL,
                 credential="upstream",
                 reclaimable=index >= len(DATA_CENTRES),
             )
             for index in range(ENGINE_COUNT)
         ]
         services = [
-            Upstream(
+            operator.Upstream(
                 name=f"booking-{index + 1}",
                 url=f"http://{self.network}.3.{index + 1}:{UPSTREAM_PORT}",
                 data_centre=_data_centre(index),
-                service="booking",
+                service=declaration.BOOKING_SERVICE,
                 credential="upstream",
             )
             for index in range(SERVICE_COUNT)
         ]
         return (*engines, *services)
 
-    def configuration(self, *, with_spare_key: bool) -> Configuration:
+    def configuration(self, *, with_spare_key: bool) -> operator.Configuration:
         """Return what the operators of the demo declare."""
-        workspaces = []
-        for name, key in self.keys_by_workspace.items():
-            spare = with_spare_key and name == "agency"
-            keys = (key, self.spare_key) if spare else (key,)
-            workspaces.append(
-                Workspace(
-                    name=name,
-                    keys=tuple(k.digest() for k in keys),
-                    classes=tuple(c.name for c in CLASSES),
-                    default_class="chat",
-                    routes=("/booking/",),
-                )
-            )
-        route = Route(
-            prefix="/booking/", service="booking", request_class="booking"
-        )
-        return Configuration(
-            classes_by_name={c.name: c for c in CLASSES},
-            workspaces_by_name={w.name: w for w in workspaces},
-            routes_by_prefix={route.prefix: route},
-            upstreams_by_name={u.name: u for u in self.upstreams()},
-            data_centres=DATA_CENTRES,
-            budget=Budget(),
-            usage_window_s=USAGE_WINDOW_S,
-        )
+        keys_by_workspace = {
+            name: [key.digest()] for name, key in self.keys_by_workspace.items()
+        }
+        if with_spare_key:
+            keys_by_workspace["agency"].append(self.spare_key.digest())
+        return declaration.declare(self.upstreams(), keys_by_workspace)
 
     def workloads(self) -> list[Workload]:
         """Return the mix of traffic."""
         key = {name: k.secret for name, k in self.keys_by_workspace.items()}
-        targets = {c.name: c.targets for c in CLASSES}
+        targets = declaration.TARGETS_BY_CLASS
 
         def make(class_name: str, workspace: str, **fields: float) -> Workload:
             return Workload(
@@ -314,11 +254,11 @@
     return "[" + ", ".join(f'"{name}"' for name in names) + "]"
 
 
-def _kind(upstream: Upstream) -> str:
+def _kind(upstream: operator.Upstream) -> str:
     return "engine" if upstream.model else "service"
 
 
-def _upstream_table(upstream: Upstream) -> str:
+def _upstream_table(upstream: operator.Upstream) -> str:
     return (
         f"[[{_kind(upstream)}s]]\n"
         f'name = "{upstream.name}"\n'
