--- a/src/shallotfold/_controller/effects.py
+++ b/src/shallotfold/_controller/effects.py
@@ -1,10 +1,15 @@
 """Declare the effects that the controller's reducer asks its shell to run."""
 
+from collections.abc import Mapping
+
 import attrs
 
 from shallotfold._fleet.audit import AuditChange
 from shallotfold._fleet.order_journal import OrderJournal
+from shallotfold._fleet.usage_ledger import FrozenWindow
+from shallotfold._fleet.usage_ledger import UsageHead
 from shallotfold._platform.ports import UpstreamOrder
+from shallotfold._platform.ports import UsageReport
 
 
 @attrs.frozen(kw_only=True)
@@ -129,6 +134,88 @@
     fencing: int
 
 
+@attrs.frozen(kw_only=True)
+class ReadUsageHead:
+    """Read the head of a usage shard."""
+
+    shard: int
+    fencing: int
+
+
+@attrs.frozen(kw_only=True)
+class WriteUsageHead:
+    """Write the head of a usage shard by compare-and-swap."""
+
+    shard: int
+    fencing: int
+    head: UsageHead
+    expected_revision: int
+
+
+@attrs.frozen(kw_only=True)
+class ReadFlushes:
+    """Read what all entries have flushed."""
+
+    shard: int
+    fencing: int
+
+
+@attrs.frozen(kw_only=True)
+class FreezeWindow:
+    """Store the figures of a window unless some are there already."""
+
+    fencing: int
+    frozen: FrozenWindow
+
+
+@attrs.frozen(kw_only=True)
+class ReadFrozen:
+    """Read the frozen figures of a window."""
+
+    shard: int
+    fencing: int
+    window: int
+
+
+@attrs.frozen(kw_only=True)
+class SendReports:
+    """Send reports of one window; a repeat has the same figures.
+
+    Attributes:
+        shard: Number of the shard.
+        fencing: Fencing number of the duty.
+        window: Window reported.
+        reports: What to send.
+        timeout_s: Longest wait for all; ends before the lease does.
+    """
+
+    shard: int
+    fencing: int
+    window: int
+    reports: tuple[UsageReport, ...]
+    timeout_s: float
+
+
+@attrs.frozen(kw_only=True)
+class DeleteFrozen:
+    """Delete the frozen figures of a window reported long ago."""
+
+    shard: int
+    fencing: int
+    window: int
+
+
+@attrs.frozen(kw_only=True)
+class RetireSources:
+    """Replace flushes that are silent and fully reported by a mark.
+
+    Attributes:
+        revisions_by_source: Revision at which each was seen silent.
+    """
+
+    revisions_by_source: Mapping[str, int]
+
+
 @attrs.frozen(kw_only=True)
 class RecordAudit:
     """Append a change to the audit trail."""
@@ -166,6 +253,14 @@
     | PlaceOrder
     | LookUpOrder
     | ReadFleet
+    | ReadUsageHead
+    | WriteUsageHead
+    | ReadFlushes
+    | FreezeWindow
+    | ReadFrozen
+    | SendReports
+    | DeleteFrozen
+    | RetireSources
     | RecordAudit
     | CountMetric
     | ExitProcess
--- a/src/shallotfold/_controller/events.py
+++ b/src/shallotfold/_controller/events.py
@@ -12,8 +12,11 @@
 from shallotfold._fleet.duties import DutyRecord
 from shallotfold._fleet.order_journal import OrderJournal
 from shallotfold._fleet.usage_flush import UsageFlush
+from shallotfold._fleet.usage_ledger import FrozenWindow
+from shallotfold._fleet.usage_ledger import UsageHead
 from shallotfold._model.configuration import Configuration
 from shallotfold._model.upstreams import HostRecord
+from shallotfold._platform.ports import UsageReport
 
 
 @attrs.frozen(kw_only=True)
@@ -222,3 +225,83 @@
 @attrs.frozen(kw_only=True)
 class FleetReadFailed(OrderEvent):
     """The store gave no answer about the fleet."""
+
+
+@attrs.frozen(kw_only=True)
+class UsageEvent(Event):
+    """Base of the events about one usage shard.
+
+    Attributes:
+        shard: Its number.
+        fencing: Fencing number under which the call was made.
+    """
+
+    shard: int
+    fencing: int
+
+
+@attrs.frozen(kw_only=True)
+class UsageHeadRead(UsageEvent):
+    """The head of a shard was read; `None` with revision 0 if absent."""
+
+    head: UsageHead | None
+    revision: int
+
+
+@attrs.frozen(kw_only=True)
+class UsageHeadWritten(UsageEvent):
+    """The head of a shard is in the store as given."""
+
+    head: UsageHead
+    revision: int
+
+
+@attrs.frozen(kw_only=True)
+class UsageCallFailed(UsageEvent):
+    """A call failed, or its outcome is unknown or a conflict."""
+
+
+@attrs.frozen(kw_only=True)
+class FlushesRead(UsageEvent):
+    """All flushes were read.
+
+    Attributes:
+        flushes: What the store holds of each source.
+        revisions_by_source: Store revision of each.
+    """
+
+    flushes: Sequence[UsageFlush]
+    revisions_by_source: Mapping[str, int]
+
+
+@attrs.frozen(kw_only=True)
+class WindowFrozen(UsageEvent):
+    """A window's figures are in the store.
+
+    Attributes:
+        frozen: The figures there; another holder may have frozen them.
+    """
+
+    frozen: FrozenWindow
+
+
+@attrs.frozen(kw_only=True)
+class ReportsSent(UsageEvent):
+    """The platform has some reports.
+
+    Attributes:
+        window: Window reported.
+        reports: Reports taken by the platform.
+        conflicts: Reports it refused because it has other figures.
+    """
+
+    window: int
+    reports: Sequence[UsageReport]
+    conflicts: Sequence[UsageReport] = ()
+
+
+@attrs.frozen(kw_only=True)
+class FrozenDeleted(UsageEvent):
+    """The frozen figures of an old window are gone."""
+
+    window: int
--- a/src/shallotfold/_controller/reducer.py
+++ b/src/shallotfold/_controller/reducer.py
@@ -11,6 +11,7 @@
 from shallotfold._controller import lease
 from shallotfold._controller import orders
 from shallotfold._controller import placement
+from shallotfold._controller import usage
 from shallotfold._controller.effects import Effect
 from shallotfold._controller.state import ControllerState
 
@@ -27,7 +28,12 @@
 
 
 _HANDLERS_BY_EVENT: dict[type[events.Event], Sequence[Handler]] = {
-    events.Tick: (duties.on_tick, knowledge.on_tick, orders.on_tick),
+    events.Tick: (
+        duties.on_tick,
+        knowledge.on_tick,
+        orders.on_tick,
+        usage.on_tick,
+    ),
     events.ConfigurationRead: (knowledge.on_configuration,),
     events.HostsListed: (knowledge.on_hosts, placement.on_hosts),
     events.DutiesListed: (duties.on_listed,),
@@ -49,5 +55,12 @@
     events.OrderLookUpFailed: (orders.on_look_up_failed,),
     events.FleetRead: (orders.on_fleet_read,),
     events.FleetReadFailed: (orders.on_fleet_read_failed,),
+    events.UsageHeadRead: (usage.on_head_read,),
+    events.UsageHeadWritten: (usage.on_head_written,),
+    events.UsageCallFailed: (usage.on_call_failed,),
+    events.FlushesRead: (usage.on_flushes_read,),
+    events.WindowFrozen: (usage.on_frozen,),
+    events.ReportsSent: (usage.on_sent,),
+    events.FrozenDeleted: (usage.on_frozen_deleted,),
     events.ShutdownRequested: (handover.on_shutdown,),
 }
--- a/src/shallotfold/_controller/state.py
+++ b/src/shallotfold/_controller/state.py
@@ -4,6 +4,7 @@
 
 from shallotfold._controller.duty_state import DutiesState
 from shallotfold._controller.order_state import OrdersState
+from shallotfold._controller.usage_state import UsageState
 from shallotfold._fleet.duties import all_duties
 from shallotfold._model.configuration import Configuration
 from shallotfold._model.upstreams import HostRecord
@@ -24,6 +25,7 @@
         hosts_by_name: The platform's lagging host list.
         duties: Lease and duties.
         orders: Orders of the held data centres.
+        usage: Usage shards that are held.
         next_hosts_s: When to read the host list again.
         next_configuration_s: When to read the configuration again.
         draining: Whether a shutdown was requested.
@@ -39,6 +41,7 @@
     hosts_by_name: dict[str, HostRecord] = attrs.field(factory=dict)
     duties: DutiesState = attrs.field(factory=DutiesState)
     orders: OrdersState = attrs.field(factory=OrdersState)
+    usage: UsageState = attrs.field(factory=UsageState)
     next_hosts_s: float = 0.0
     next_configuration_s: float = 0.0
     draining: bool = False
