--- /dev/null
+++ b/src/shallotfold/_entry/peer_stream.py
@@ -0,0 +1,139 @@
+"""Carry messages over one authenticated connection to a peer."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import socket
+import time
+
+import attrs
+
+from shallotfold._errors import FrameError
+from shallotfold._wire.codec import PEER_CODEC
+from shallotfold._wire.control_messages import Heartbeat
+from shallotfold._wire.framing import frame
+from shallotfold._wire.framing import read_frame
+from shallotfold._wire.messages import PeerMessage
+
+SILENCE_LIMIT_S = 4.0
+USER_TIMEOUT_MS = 4000
+MAX_QUEUED_BYTES = 4 * 1024 * 1024
+
+
+@attrs.frozen
+class _Queued:
+    data: bytes
+    is_heartbeat: bool
+
+
+class PeerStream:
+    """One connection to one peer, with a bounded queue of sends.
+
+    Attributes:
+        host: Authenticated name of the peer.
+        incarnation: Incarnation of the peer's process.
+        dialer: Name of the host that opened the connection.
+        used_s: Monotonic time of the last message but heartbeats, either way.
+        sent_bytes: Bytes handed to the connection so far.
+        received_bytes: Bytes of whole messages received so far.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        incarnation: int,
+        dialer: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        on_message: Callable[["PeerStream", PeerMessage], None],
+    ) -> None:
+        self.host = host
+        self.incarnation = incarnation
+        self.dialer = dialer
+        self.used_s = time.monotonic()
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._reader = reader
+        self._writer = writer
+        self._on_message = on_message
+        self._queue: collections.deque[_Queued] = collections.deque()
+        self._queued_bytes = 0
+        self._wake = asyncio.Event()
+        _bound_lifetime(writer)
+
+    def send(self, message: PeerMessage) -> None:
+        """Queue a message; abort the stream when its queue is full.
+
+        An unsent heartbeat is dropped for a newer one.
+        """
+        is_heartbeat = isinstance(message, Heartbeat)
+        if is_heartbeat:
+            self._drop_heartbeats()
+        else:
+            self.used_s = time.monotonic()
+        data = frame(PEER_CODEC.encode(message))
+        if self._queued_bytes + len(data) > MAX_QUEUED_BYTES:
+            self.abort()
+            return
+        self._queue.append(_Queued(data, is_heartbeat))
+        self._queued_bytes += len(data)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Send and receive until the stream ends.
+
+        Raises:
+            FrameError: The peer sent something malformed.
+            OSError: The connection broke or the peer was silent too long.
+            asyncio.IncompleteReadError: The peer closed the connection.
+        """
+        sending = asyncio.create_task(self._send_queued())
+        try:
+            await self._receive()
+        finally:
+            sending.cancel()
+            self.abort()
+            await asyncio.gather(sending, return_exceptions=True)
+
+    def abort(self) -> None:
+        """Drop the connection and what is queued at once."""
+        self._writer.transport.abort()
+
+    def _drop_heartbeats(self) -> None:
+        for queued in [item for item in self._queue if item.is_heartbeat]:
+            self._queue.remove(queued)
+            self._queued_bytes -= len(queued.data)
+
+    async def _send_queued(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._queue:
+                queued = self._queue.popleft()
+                self._queued_bytes -= len(queued.data)
+                self._writer.write(queued.data)
+                self.sent_bytes += len(queued.data)
+                await self._writer.drain()
+
+    async def _receive(self) -> None:
+        while True:
+            async with asyncio.timeout(SILENCE_LIMIT_S):
+                data = await read_frame(self._reader)
+            self.received_bytes += len(data)
+            message = PEER_CODEC.decode(data)
+            if not isinstance(message, Heartbeat):
+                self.used_s = time.monotonic()
+            self._on_message(self, message)
+
+
+def _bound_lifetime(writer: asyncio.StreamWriter) -> None:
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+    )
+
+
+# Reached when a peer breaks a stream on purpose or by accident.
+STREAM_ERRORS = (FrameError, OSError, asyncio.IncompleteReadError)
