--- /dev/null
+++ b/benchmarks/disruptions.py
@@ -0,0 +1,154 @@
+"""Break parts of the demo's fleet while traffic runs."""
+
+import asyncio
+import time
+
+import attrs
+
+from benchmarks.callers import Callers
+from benchmarks.exchanges import Result
+from benchmarks.exchanges import Workload
+from benchmarks.fleet import Fleet
+from benchmarks.fleet import say
+from benchmarks.verdict import Verdict
+
+KILL_ENGINE_AT_S = 3.0
+KILL_ENTRY_AT_S = 6.0
+RESTART_ENTRY_AT_S = 8.5
+LEAVE_AT_S = 10.0
+LOSE_ANSWERS_AT_S = 12.0
+WITHDRAW_KEY_AT_S = 15.0
+STOP_ENTRY_AT_S = 19.0
+WITHDRAWAL_LIMIT_S = 5.0
+LEAVING_LIMIT_S = 4.0
+LOST_ANSWERS = 8
+KILLED_ENGINE = "engine-1"
+LEAVING_ENGINE = "engine-5"
+KILLED_ENTRY = "entry-1"
+STOPPED_ENTRY = "entry-3"
+
+
+@attrs.define
+class Disruptions:
+    """Kill, stop and withdraw things at set times of the run.
+
+    Attributes:
+        fleet: What is broken.
+        callers: The traffic that runs meanwhile.
+        verdict: Where the outcome of each disruption is recorded.
+        refused_by_leaving: Requests that the leaving upstream refused within
+            the allowed time.
+    """
+
+    fleet: Fleet
+    callers: Callers
+    verdict: Verdict
+    refused_by_leaving: int = 0
+
+    async def run(self) -> None:
+        """Break everything in turn."""
+        started_s = time.monotonic()
+
+        async def wait_for(at_s: float) -> None:
+            await asyncio.sleep(max(0.0, started_s + at_s - time.monotonic()))
+
+        await wait_for(KILL_ENGINE_AT_S)
+        say(f"killing upstream {KILLED_ENGINE}")
+        self.fleet.processes.kill(KILLED_ENGINE)
+        await wait_for(KILL_ENTRY_AT_S)
+        say(f"killing entry {KILLED_ENTRY}")
+        self.fleet.kill_entry_host(KILLED_ENTRY)
+        await wait_for(RESTART_ENTRY_AT_S)
+        say(f"restarting entry {KILLED_ENTRY}")
+        await self.fleet.start_entry_hosts([KILLED_ENTRY])
+        await wait_for(LEAVE_AT_S)
+        leaving = asyncio.create_task(self._let_engine_leave())
+        await wait_for(LOSE_ANSWERS_AT_S)
+        say(f"the store loses {LOST_ANSWERS} answers after the effect")
+        await self.fleet.switch(
+            self.fleet.topology.platform_url,
+            store="lose_answers",
+            count=LOST_ANSWERS,
+        )
+        await wait_for(WITHDRAW_KEY_AT_S)
+        await leaving
+        await self._withdraw_key()
+        await wait_for(STOP_ENTRY_AT_S)
+        await self._stop_entry()
+
+    async def _let_engine_leave(self) -> None:
+        say(f"upstream {LEAVING_ENGINE} is leaving")
+        url = self.fleet.topology.upstream_url(LEAVING_ENGINE)
+        await self.fleet.switch(url, leaving=True)
+        await asyncio.sleep(LEAVING_LIMIT_S)
+        self.refused_by_leaving = (await self.fleet.fetch(url, "/stats"))[
+            "refused"
+        ]
+
+    async def judge_leaving(self) -> None:
+        """Judge, at the end, what the leaving upstream still got."""
+        url = self.fleet.topology.upstream_url(LEAVING_ENGINE)
+        refused = (await self.fleet.fetch(url, "/stats"))["refused"]
+        late = refused - self.refused_by_leaving
+        self.verdict.check(
+            f"a leaving upstream gets no work after {LEAVING_LIMIT_S:.0f} s",
+            [f"{late} requests came later"] if late else [],
+        )
+
+    async def _withdraw_key(self) -> None:
+        long_stream = self._spare_key_workload(tokens=2000)
+        connected = asyncio.create_task(self.callers.send_one(long_stream))
+        await asyncio.sleep(0.5)
+        say("withdrawing a key with a connected caller")
+        await self.fleet.submit(with_spare_key=False, base_version=1)
+        withdrawn_s = time.monotonic()
+        done, _ = await asyncio.wait([connected], timeout=WITHDRAWAL_LIMIT_S)
+        ended_s = time.monotonic() - withdrawn_s
+        faults = []
+        if not done:
+            faults.append("the stream went on")
+        elif connected.result().result is Result.ANSWERED:
+            faults.append("the stream was served to its end")
+        else:
+            say(f"its stream ended {ended_s:.1f} s later")
+        remaining_s = WITHDRAWAL_LIMIT_S - ended_s
+        await asyncio.sleep(max(0.0, min(2.0, remaining_s)))
+        for name in self.fleet.topology.entry_names:
+            faults += await self._try_withdrawn_key(name)
+        self.verdict.check(
+            f"a withdrawn key stops within {WITHDRAWAL_LIMIT_S:.0f} s", faults
+        )
+
+    async def _try_withdrawn_key(self, name: str) -> list[str]:
+        callers = Callers([self.fleet.topology.entry_url(name)])
+        await callers.start()
+        try:
+            exchange = await callers.send_one(self._spare_key_workload(8))
+        finally:
+            await callers.close()
+        if exchange.code == "unauthenticated":
+            return []
+        return [f"{name} gave {exchange.result.value} {exchange.detail}"]
+
+    def _spare_key_workload(self, tokens: int) -> Workload:
+        return Workload(
+            class_name="chat",
+            workspace="agency",
+            key=self.fleet.topology.spare_key.secret,
+            interval_s=1.0,
+            streaming=True,
+            min_tokens=tokens,
+            max_tokens=tokens,
+        )
+
+    async def _stop_entry(self) -> None:
+        say(f"stopping entry {STOPPED_ENTRY} gracefully")
+        code = await asyncio.to_thread(
+            self.fleet.processes.terminate, STOPPED_ENTRY
+        )
+        url = self.fleet.topology.entry_url(STOPPED_ENTRY)
+        cut = [e for e in self.callers.exchanges if url in e.cut_at]
+        faults = [f"{e.workload.class_name} {e.number} was cut" for e in cut]
+        if code:
+            faults.append(f"exit code {code}")
+        self.verdict.check("a graceful shutdown cuts off no request", faults)
--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -17,13 +17,11 @@
 
 import aiohttp
 
+from benchmarks.fleet import Fleet
 from benchmarks.proc_usage import ProcessUsage
 from benchmarks.proc_usage import read_usage
 from benchmarks.processes import Processes
 from benchmarks.topology import Topology
-from shallotfold._fleet.configuration_store import ConfigurationStore
-from shallotfold._model.serialization import dump_configuration
-from shallotfold._platform.http_store import HttpStore
 
 SETTLE_S = 4.0
 
@@ -39,13 +37,15 @@
     topology = Topology(entry_count=entry_count)
     processes = Processes(directory)
     try:
-        await _start(topology, processes, with_controllers=with_controllers)
-        await asyncio.sleep(SETTLE_S)
-        calls_before = await _count_store_calls(topology)
-        before = _read_all(processes)
-        await asyncio.sleep(duration_s)
-        after = _read_all(processes)
-        calls = await _count_store_calls(topology)
+        async with aiohttp.ClientSession() as session:
+            fleet = Fleet(topology, processes, session, with_controllers)
+            await fleet.start(joined_upstreams=True)
+            await asyncio.sleep(SETTLE_S)
+            calls_before = await _count_store_calls(fleet)
+            before = _read_all(processes)
+            await asyncio.sleep(duration_s)
+            after = _read_all(processes)
+            calls = await _count_store_calls(fleet)
     finally:
         processes.stop_all()
     rates = {
@@ -64,25 +64,6 @@
     }
 
 
-async def _start(
-    topology: Topology, processes: Processes, *, with_controllers: bool
-) -> None:
-    await processes.start_all(
-        [topology.platform_command(), *topology.joined_upstream_commands()]
-    )
-    store = HttpStore(topology.platform_url)
-    await store.start()
-    configuration = topology.configuration(with_spare_key=False)
-    await ConfigurationStore(store).submit(
-        dump_configuration(configuration), 0, "benchmark", "measure the cost"
-    )
-    await store.close()
-    names = topology.entry_names
-    await processes.start_all([topology.entry_command(n) for n in names])
-    for name in names if with_controllers else ():
-        processes.start(topology.controller_command(name))
-
-
 def _read_all(processes: Processes) -> dict[str, ProcessUsage]:
     return {
         name: read_usage(process.pid)
@@ -123,11 +104,9 @@
     }
 
 
-async def _count_store_calls(topology: Topology) -> dict[str, int]:
-    url = f"{topology.platform_url}/stats"
-    async with aiohttp.ClientSession() as session, session.get(url) as response:
-        content = await response.json()
-    return {name: int(n) for name, n in content["store_calls"].items()}
+async def _count_store_calls(fleet: Fleet) -> dict[str, int]:
+    stats = await fleet.fetch(fleet.topology.platform_url, "/stats")
+    return {name: int(n) for name, n in stats["store_calls"].items()}
 
 
 def main() -> int:
--- a/benchmarks/topology.py
+++ b/benchmarks/topology.py
@@ -6,7 +6,7 @@
 import attrs
 
 from benchmarks import declaration
-from benchmarks.callers import Workload
+from benchmarks.exchanges import Workload
 from benchmarks.processes import Command
 from shallotfold import operator
 
@@ -112,6 +112,10 @@
         ]
         return (*engines, *services)
 
+    def upstream_url(self, name: str) -> str:
+        """Return the base URL of an upstream."""
+        return next(u.url for u in self.upstreams() if u.name == name)
+
     def configuration(self, *, with_spare_key: bool) -> operator.Configuration:
         """Return what the operators of the demo declare."""
         keys_by_workspace = {
@@ -224,7 +228,7 @@
                 f'upstream = "{CREDENTIAL}"\n'
                 f"{self._platform_table()}"
             ),
-            ready_url=f"{self.entry_url(name)}/healthz",
+            ready_url=f"{self.entry_url(name)}/readyz",
         )
 
     def controller_command(self, entry_name: str) -> Command:
--- a/benchmarks/verdict.py
+++ b/benchmarks/verdict.py
@@ -8,8 +8,8 @@
 
 import attrs
 
-from benchmarks.callers import Exchange
-from benchmarks.callers import Result
+from benchmarks.exchanges import Exchange
+from benchmarks.exchanges import Result
 
 _COUNTED = ("requests", "prompt_tokens", "output_tokens")
 
--- a/tests/benchmarks/test_callers.py
+++ b/tests/benchmarks/test_callers.py
@@ -5,9 +5,9 @@
 from aiohttp.test_utils import TestServer
 
 from benchmarks.callers import Callers
-from benchmarks.callers import Exchange
-from benchmarks.callers import Result
-from benchmarks.callers import Workload
+from benchmarks.exchanges import Exchange
+from benchmarks.exchanges import Result
+from benchmarks.exchanges import Workload
 from shallotfold._model.prompts import prompt_text
 from shallotfold._standin.answers import answer_to
 
@@ -40,7 +40,7 @@
         app.router.add_post("/v1/chat/completions", answer)
         server = TestServer(app, host="127.0.0.1")
         await server.start_server()
-        callers = Callers([f"http://127.0.0.1:{server.port}"], "X-Class", 2)
+        callers = Callers([f"http://127.0.0.1:{server.port}"], max_tries=2)
         await callers.start()
         try:
             return await callers.send_one(STREAM)
--- a/tests/benchmarks/test_verdict.py
+++ b/tests/benchmarks/test_verdict.py
@@ -1,8 +1,8 @@
 import attrs
 
-from benchmarks.callers import Exchange
-from benchmarks.callers import Result
-from benchmarks.callers import Workload
+from benchmarks.exchanges import Exchange
+from benchmarks.exchanges import Result
+from benchmarks.exchanges import Workload
 from benchmarks.verdict import Verdict
 from benchmarks.verdict import check_bookings
 from benchmarks.verdict import total_usage
