--- /dev/null
+++ b/benchmarks/policy_model/__init__.py
@@ -0,0 +1,1 @@
+"""Model upstreams, workloads and faults in virtual time."""
--- a/src/shallotfold/_entry/asking.py
+++ b/src/shallotfold/_entry/asking.py
@@ -16,18 +16,43 @@
     from shallotfold._entry.state import EntryState
 
 REPEAT_INTERVAL_S = 2.0
+OWNER_SILENCE_S = 0.1
+SUSPICION_S = 3.0
 PROGRESS_INTERVAL_S = 0.5
 ANNOUNCE_INTERVAL_S = 5.0
 MAX_SAMPLE_GAP_S = 5.0
 
 
+def owner_for(state: EntryState, pool: str) -> str:
+    """Return the owner to ask, which is none that lately gave no answer."""
+    suspected = state.requests.suspected_by_host
+    hosts = ownership.candidates(state)
+    trusted = tuple(host for host in hosts if host not in suspected)
+    return ownership.rendezvous(pool, trusted or hosts)
+
+
+def suspect(state: EntryState, host: str, now_s: float) -> None:
+    """Pass over an owner that gave no answer for a while."""
+    if host != state.host:
+        state.requests.suspected_by_host[host] = now_s + SUSPICION_S
+
+
+def trust_again(state: EntryState, now_s: float) -> None:
+    """End suspicions that are old enough."""
+    suspected = state.requests.suspected_by_host
+    for host, until_s in list(suspected.items()):
+        if now_s >= until_s:
+            del suspected[host]
+
+
 def ask(
     state: EntryState, opened: OpenRequest, now_s: float, owner: str = ""
 ) -> list[effects.Effect]:
     """Ask for a grant of a new attempt; `owner` overrides the choice."""
     opened.attempt += 1
     opened.phase = Phase.WAITING
-    opened.owner = owner or ownership.owner_of(state, opened.pool)
+    opened.owner = owner or owner_for(state, opened.pool)
+    opened.answered = False
     return repeat(state, opened, now_s)
 
 
@@ -37,6 +62,9 @@
     """Ask the same owner for the same attempt, also once more."""
     request = opened.request
     opened.asked_s = now_s
+    redirects = opened.redirects
+    if opened.owner != ownership.owner_of(state, opened.pool):
+        redirects = max(1, redirects)
     message = grant_messages.GrantRequest(
         pool=opened.pool,
         request_id=request.request_id,
@@ -51,7 +79,7 @@
         avoid=opened.avoid,
         slack_s=open_requests.latest_start_s(state, opened) - now_s,
         preemptible=opened.resumable,
-        redirects=opened.redirects,
+        redirects=redirects,
     )
     return [effects.SendToPeer(host=opened.owner, message=message)]
 
@@ -112,7 +140,7 @@
     requests = state.requests
     sent: list[effects.Effect] = []
     owners = {
-        pool: ownership.owner_of(state, pool)
+        pool: owner_for(state, pool)
         for pool in {opened.pool for opened in requests.open_by_id.values()}
     }
     for pool, owner in owners.items():
@@ -206,7 +234,7 @@
     requests.samples_by_upstream.clear()
     return [
         effects.SendToPeer(
-            host=ownership.owner_of(state, pool),
+            host=owner_for(state, pool),
             message=grant_messages.ProgressReported(
                 pool=pool, samples=tuple(samples)
             ),
--- a/src/shallotfold/_entry/open_requests.py
+++ b/src/shallotfold/_entry/open_requests.py
@@ -59,6 +59,7 @@
         maybe_ran: Whether an earlier attempt may have run.
         redirects: How often the grant request was passed on.
         charged_tokens: Tokens charged to the workspace's limits.
+        answered: Whether the owner has shown life since it was asked.
     """
 
     request: CallerRequest
@@ -82,6 +83,7 @@
     maybe_ran: bool = False
     redirects: int = 0
     charged_tokens: float = 0.0
+    answered: bool = False
 
     @property
     def claims_key(self) -> bool:
@@ -112,6 +114,8 @@
         abandoned_claims: Requests that ended while their key was claimed.
         retry_budget: What failures may cost.
         estimates: What this entry learned about answers.
+        suspected_by_host: Until when owners that gave no answer are passed
+            over.
         owners_by_pool: Owners to whom running attempts were announced.
         announced_to: Pools and owners of the last announcement.
         samples_by_upstream: Tokens and seconds since the last report.
@@ -123,6 +127,7 @@
     abandoned_claims: set[str] = attrs.field(factory=set)
     retry_budget: RetryBudget = attrs.field(factory=RetryBudget)
     estimates: Estimates = attrs.field(factory=Estimates)
+    suspected_by_host: dict[str, float] = attrs.field(factory=dict)
     owners_by_pool: dict[str, str] = attrs.field(factory=dict)
     samples_by_upstream: dict[tuple[str, str], tuple[int, float]] = attrs.field(
         factory=dict
--- a/src/shallotfold/_entry/pools.py
+++ b/src/shallotfold/_entry/pools.py
@@ -194,14 +194,23 @@
     running = pool.running_by_attempt.get(key)
     if running is not None:
         return [granting.grant_message(key, running)]
-    if key in pool.ended_by_attempt or key in pool.queue.waiting_by_attempt:
+    if key in pool.ended_by_attempt:
         return []
+    queued = effects.SendToPeer(
+        host=host,
+        message=grant_messages.GrantQueued(
+            request_id=request.request_id, attempt=request.attempt
+        ),
+    )
+    if key in pool.queue.waiting_by_attempt:
+        return [queued]
     waiting = _queued(state, pool, host, request, now_s)
     pool.queue.add(waiting)
     granted = granting.grant_waiting(state, pool, now_s)
     if key not in pool.queue.waiting_by_attempt:
         return granted
-    return [*granted, *preemption.preempt_for(state, pool, [waiting], now_s)]
+    preempted = preemption.preempt_for(state, pool, [waiting], now_s)
+    return [queued, *granted, *preempted]
 
 
 def _queued(
--- a/src/shallotfold/_entry/reducer.py
+++ b/src/shallotfold/_entry/reducer.py
@@ -48,6 +48,7 @@
     grant_messages.LimitUsed: limits.on_message,
     grant_messages.LimitTotal: limits.on_message,
     grant_messages.Grant: requests.on_message,
+    grant_messages.GrantQueued: requests.on_message,
     grant_messages.GrantRefused: requests.on_message,
     grant_messages.GrantRedirected: requests.on_message,
     grant_messages.GrantPreempted: requests.on_message,
--- a/src/shallotfold/_entry/requests.py
+++ b/src/shallotfold/_entry/requests.py
@@ -63,6 +63,13 @@
     message = event.message
     if isinstance(message, grant_messages.Grant):
         return _on_grant(state, event.host, message, event.now_s)
+    if isinstance(message, grant_messages.GrantQueued):
+        opened = _waiting(
+            state, event.host, message.request_id, message.attempt
+        )
+        if opened is not None:
+            opened.answered = True
+        return []
     if isinstance(message, grant_messages.GrantRefused):
         return _on_refused(state, event.host, message, event.now_s)
     if isinstance(message, grant_messages.GrantRedirected):
@@ -136,6 +143,7 @@
 def on_tick(state: EntryState, event: events.Tick) -> list[effects.Effect]:
     """Give up on doomed requests and keep the owners informed."""
     now_s = event.now_s
+    _suspect_silent_owners(state, now_s)
     done = asking.follow_owners(state, now_s)
     done.extend(asking.announce(state, now_s))
     done.extend(asking.report_progress(state, now_s))
@@ -198,6 +206,17 @@
     return [effects.SetReady(ready=False), *handed_over]
 
 
+def _suspect_silent_owners(state: EntryState, now_s: float) -> None:
+    asking.trust_again(state, now_s)
+    for opened in state.requests.open_by_id.values():
+        if (
+            opened.phase is Phase.WAITING
+            and not opened.answered
+            and now_s - opened.asked_s > asking.OWNER_SILENCE_S
+        ):
+            asking.suspect(state, opened.owner, now_s)
+
+
 def _runs(opened: OpenRequest, attempt: int) -> bool:
     return opened.phase is Phase.RUNNING and opened.attempt == attempt
 
--- a/src/shallotfold/_wire/grant_messages.py
+++ b/src/shallotfold/_wire/grant_messages.py
@@ -53,6 +53,14 @@
     priority: int
 
 
+@attrs.frozen(kw_only=True)
+class GrantQueued:
+    """Confirm that a grant request waits at its owner."""
+
+    request_id: str
+    attempt: int
+
+
 @attrs.frozen(kw_only=True)
 class GrantRefused:
     """Refuse an attempt for good; the caller gets the answer at once."""
@@ -197,6 +205,7 @@
 GrantMessage = (
     GrantRequest
     | Grant
+    | GrantQueued
     | GrantRefused
     | GrantRedirected
     | GrantCancelled
@@ -211,6 +220,7 @@
 MESSAGES: tuple[type, ...] = (
     GrantRequest,
     Grant,
+    GrantQueued,
     GrantRefused,
     GrantRedirected,
     GrantCancelled,
