--- a/src/shallotfold/_entry/estimates.py
+++ b/src/shallotfold/_entry/estimates.py
@@ -9,6 +9,8 @@
 DEFAULT_TOKEN_GAP_S = 0.02
 FIRST_TOKEN_OVERHEAD_TOKENS = 500
 PROMPT_TOKEN_COST = 0.1
+DEFAULT_SPREAD = 0.4
+LONG_SPREADS = 2.0
 
 
 def cost_of(prompt_tokens: int, output_tokens: float) -> float:
@@ -22,11 +24,13 @@
 
     Attributes:
         output_by_key: Output tokens by (class, workspace) and by (class, "").
+        spread_by_key: Mean deviation from `output_by_key`.
         first_token_s_per_token: Time to the first token per prompt token.
         gap_s: Time between tokens.
     """
 
     output_by_key: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    spread_by_key: dict[tuple[str, str], float] = attrs.field(factory=dict)
     first_token_s_per_token: float = DEFAULT_FIRST_TOKEN_S_PER_TOKEN
     gap_s: float = DEFAULT_TOKEN_GAP_S
 
@@ -43,6 +47,16 @@
         )
         return min(learned, float(limit)) if limit else learned
 
+    def long_output_tokens(
+        self, request_class: RequestClass, workspace: str, limit: int
+    ) -> float:
+        """Estimate the output that only few answers exceed."""
+        name = request_class.name
+        mean = self.output_tokens(request_class, workspace, limit)
+        spread = self.spread_by_key.get((name, ""), DEFAULT_SPREAD * mean)
+        long = mean + LONG_SPREADS * spread
+        return min(long, float(limit)) if limit else long
+
     def first_token_s(self, prompt_tokens: int) -> float:
         """Estimate the time from dispatch to the first token."""
         weight = prompt_tokens + FIRST_TOKEN_OVERHEAD_TOKENS
@@ -55,6 +69,9 @@
         for key in ((class_name, workspace), (class_name, "")):
             old = self.output_by_key.get(key, tokens)
             self.output_by_key[key] = old + LEARNING_RATE * (tokens - old)
+            spread = self.spread_by_key.get(key, DEFAULT_SPREAD * old)
+            change = abs(tokens - old) - spread
+            self.spread_by_key[key] = spread + LEARNING_RATE * change
 
     def learn_first_token(self, prompt_tokens: int, seconds: float) -> None:
         """Learn from the first token of an attempt."""
--- a/src/shallotfold/_entry/open_requests.py
+++ b/src/shallotfold/_entry/open_requests.py
@@ -18,7 +18,7 @@
 
 RESUME_PATIENCE_S = 10.0
 DEFAULT_PATIENCE_S = 60.0
-FIRST_TOKEN_MARGIN = 1.5
+FIRST_TOKEN_MARGIN = 2.0
 MIN_WAIT_SHARE = 0.3
 
 
@@ -137,11 +137,11 @@
     announced_s: float = 0.0
 
 
-def remaining_output(
+def _remaining_output(
     state: EntryState, opened: OpenRequest, request_class: RequestClass
 ) -> float:
-    """Estimate the output tokens still to come."""
-    total = state.requests.estimates.output_tokens(
+    """Return the output tokens still to come that few answers exceed."""
+    total = state.requests.estimates.long_output_tokens(
         request_class, opened.workspace, opened.request.max_output_tokens
     )
     return max(1.0, total - opened.output_tokens)
@@ -167,7 +167,7 @@
     if targets.whole_answer_s is not None:
         run_s = 0.0
         if opened.request.model:
-            output = remaining_output(state, opened, request_class)
+            output = _remaining_output(state, opened, request_class)
             run_s = first_s + output * estimates.gap_s
         wait_s = targets.whole_answer_s - run_s
         wait_s = max(wait_s, MIN_WAIT_SHARE * targets.whole_answer_s)
--- a/src/shallotfold/_entry/preemption.py
+++ b/src/shallotfold/_entry/preemption.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from shallotfold._entry.state import EntryState
 
-LEAD_S = 0.5
+LEAD_S = 0.2
 REPEAT_S = 1.0
 GRACE_S = 0.25
 
