--- /dev/null
+++ b/src/shallotfold/_controller/effects.py
@@ -0,0 +1,267 @@
+"""Declare the effects that the controller's reducer asks its shell to run."""
+
+from collections.abc import Mapping
+
+import attrs
+
+from shallotfold._fleet.audit import AuditChange
+from shallotfold._fleet.order_journal import OrderJournal
+from shallotfold._fleet.usage_ledger import FrozenWindow
+from shallotfold._fleet.usage_ledger import UsageHead
+from shallotfold._platform.ports import UpstreamOrder
+from shallotfold._platform.ports import UsageReport
+
+
+@attrs.frozen(kw_only=True)
+class FetchHosts:
+    """Read the platform's host list."""
+
+
+@attrs.frozen(kw_only=True)
+class FetchConfiguration:
+    """Read the newest configuration from the store."""
+
+    newer_than: int
+
+
+@attrs.frozen(kw_only=True)
+class ListDuties:
+    """Read the records of all held duties."""
+
+
+@attrs.frozen(kw_only=True)
+class GrantLease:
+    """Ask the store for a lease."""
+
+    ttl_s: float
+
+
+@attrs.frozen(kw_only=True)
+class RenewLease:
+    """Renew the lease."""
+
+    lease_id: str
+
+
+@attrs.frozen(kw_only=True)
+class RevokeLease:
+    """End the lease; its duties become free."""
+
+    lease_id: str
+
+
+@attrs.frozen(kw_only=True)
+class ArmFence:
+    """Let the kernel kill this process at `deadline_s`."""
+
+    deadline_s: float
+
+
+@attrs.frozen(kw_only=True)
+class DisarmFence:
+    """Stop the kernel timer; nothing is held any more."""
+
+
+@attrs.frozen(kw_only=True)
+class AcquireDuty:
+    """Record this process as the holder of a free duty."""
+
+    duty: str
+    lease_id: str
+    token: str
+
+
+@attrs.frozen(kw_only=True)
+class ReleaseDuty:
+    """Delete the record of a duty that this process has given up."""
+
+    duty: str
+    fencing: int
+
+
+@attrs.frozen(kw_only=True)
+class AbortSends:
+    """Abort all connections used for some duties; answer `SendsAborted`."""
+
+    duties: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class ReadJournal:
+    """Read the order journal of a data centre."""
+
+    data_centre: str
+    fencing: int
+
+
+@attrs.frozen(kw_only=True)
+class WriteJournal:
+    """Write the order journal of a data centre by compare-and-swap."""
+
+    data_centre: str
+    fencing: int
+    journal: OrderJournal
+    expected_revision: int
+
+
+@attrs.frozen(kw_only=True)
+class PlaceOrder:
+    """Send an order whose intent is in the journal.
+
+    Attributes:
+        order: The order.
+        timeout_s: Longest wait; ends before the lease does.
+    """
+
+    order: UpstreamOrder
+    timeout_s: float
+
+
+@attrs.frozen(kw_only=True)
+class LookUpOrder:
+    """Ask the platform whether it has an order."""
+
+    data_centre: str
+    fencing: int
+    order_id: str
+
+
+@attrs.frozen(kw_only=True)
+class ReadFleet:
+    """Read all journals and all flushes, to plan the orders."""
+
+    data_centre: str
+    fencing: int
+
+
+@attrs.frozen(kw_only=True)
+class ReadUsageHead:
+    """Read the head of a usage shard."""
+
+    shard: int
+    fencing: int
+
+
+@attrs.frozen(kw_only=True)
+class WriteUsageHead:
+    """Write the head of a usage shard by compare-and-swap."""
+
+    shard: int
+    fencing: int
+    head: UsageHead
+    expected_revision: int
+
+
+@attrs.frozen(kw_only=True)
+class ReadFlushes:
+    """Read what all entries have flushed."""
+
+    shard: int
+    fencing: int
+
+
+@attrs.frozen(kw_only=True)
+class FreezeWindow:
+    """Store the figures of a window unless some are there already."""
+
+    fencing: int
+    frozen: FrozenWindow
+
+
+@attrs.frozen(kw_only=True)
+class ReadFrozen:
+    """Read the frozen figures of a window."""
+
+    shard: int
+    fencing: int
+    window: int
+
+
+@attrs.frozen(kw_only=True)
+class SendReports:
+    """Send reports of one window; a repeat has the same figures.
+
+    Attributes:
+        shard: Number of the shard.
+        fencing: Fencing number of the duty.
+        window: Window reported.
+        reports: What to send.
+        timeout_s: Longest wait for all; ends before the lease does.
+    """
+
+    shard: int
+    fencing: int
+    window: int
+    reports: tuple[UsageReport, ...]
+    timeout_s: float
+
+
+@attrs.frozen(kw_only=True)
+class DeleteFrozen:
+    """Delete the frozen figures of a window reported long ago."""
+
+    shard: int
+    fencing: int
+    window: int
+
+
+@attrs.frozen(kw_only=True)
+class RetireSources:
+    """Replace flushes that are silent and fully reported by a mark.
+
+    Attributes:
+        revisions_by_source: Revision at which each was seen silent.
+    """
+
+    revisions_by_source: Mapping[str, int]
+
+
+@attrs.frozen(kw_only=True)
+class RecordAudit:
+    """Append a change to the audit trail."""
+
+    change: AuditChange
+
+
+@attrs.frozen(kw_only=True)
+class CountMetric:
+    """Add to a statsd counter."""
+
+    name: str
+    value: int = 1
+
+
+@attrs.frozen(kw_only=True)
+class ExitProcess:
+    """Stop the process; everything was handed over."""
+
+
+Effect = (
+    FetchHosts
+    | FetchConfiguration
+    | ListDuties
+    | GrantLease
+    | RenewLease
+    | RevokeLease
+    | ArmFence
+    | DisarmFence
+    | AcquireDuty
+    | ReleaseDuty
+    | AbortSends
+    | ReadJournal
+    | WriteJournal
+    | PlaceOrder
+    | LookUpOrder
+    | ReadFleet
+    | ReadUsageHead
+    | WriteUsageHead
+    | ReadFlushes
+    | FreezeWindow
+    | ReadFrozen
+    | SendReports
+    | DeleteFrozen
+    | RetireSources
+    | RecordAudit
+    | CountMetric
+    | ExitProcess
+)
