Serve callers and upstreams from shallotfold-entry

Cause: the thin whole path, in separate processes over TCP. Ruled out: running an attempt inside the caller's handler task; a cancel by the reducer would then have to interrupt the handler itself. An attempt is a task of its own and the handler waits for one ending. Ruled out: passing the caller's body on unread. Names that stand twice would be read differently by the engine, and the key can hide behind escapes, so the checked body is written anew.

--- a/src/shallotfold/_cli/entry_main.py
+++ b/src/shallotfold/_cli/entry_main.py
@@ -1,6 +1,41 @@
 """Start `shallotfold-entry`."""
 
+from collections.abc import Sequence
 
-def main() -> int:
+from shallotfold._cli.common import EXIT_CODES_HELP
+from shallotfold._cli.common import make_parser
+from shallotfold._cli.common import run_service
+from shallotfold._entry.process import EntryProcess
+from shallotfold._settings.entry import EntrySettings
+
+_DESCRIPTION = """\
+Accept callers of language models and plain services, decide by class,
+workspace and target, and stream the answers of upstreams.
+
+Callers use the paths of the OpenAI protocol (/v1/chat/completions,
+/v1/completions, /v1/models) or the prefix of a plain route, with their key
+as a bearer token. The header X-Request-Class names the class, and
+Idempotency-Key makes a repeat safe. /healthz and /readyz are for balancers.
+"""
+_EPILOG = f"""\
+settings (TOML):
+  host = "entry-1"
+  data_centre = "westlands"
+  caller_address = "10.0.0.1:8080"
+  peer_address = "10.0.0.1:8081"      # leave out for a single entry
+  fleet_secret = "..."
+  configuration_file = "config.json"  # only to start without a store
+  [credentials]
+  engines = "..."
+
+signals:
+  SIGTERM or SIGINT drains: /readyz fails, callers are served until all is
+  done or for shutdown_timeout_s; a second one ends the process at once.
+
+{EXIT_CODES_HELP}"""
+
+
+def main(argv: Sequence[str] | None = None) -> int:
     """Run the binary and return its exit code."""
-    raise NotImplementedError
+    parser = make_parser("shallotfold-entry", _DESCRIPTION, _EPILOG)
+    return run_service(parser, EntrySettings, EntryProcess, argv)
--- a/src/shallotfold/_entry/attempts.py
+++ b/src/shallotfold/_entry/attempts.py
@@ -100,7 +100,9 @@
 ) -> bool:
     """Whether an ended attempt may be followed by another one."""
     request = opened.request
-    if event.answer_started and not (opened.resumable and request.streaming):
+    if event.answer_started and not (
+        event.resumable and opened.resumable and request.streaming
+    ):
         return False
     return may_try_again(state, opened)
 
--- /dev/null
+++ b/src/shallotfold/_entry/callers.py
@@ -0,0 +1,256 @@
+"""Serve callers over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+from aiohttp import web
+
+from shallotfold._entry import effects
+from shallotfold._entry import events
+from shallotfold._entry import headers
+from shallotfold._entry import keys
+from shallotfold._entry import parsing
+from shallotfold._entry.exchange import CallerGoneError
+from shallotfold._entry.exchange import Ending
+from shallotfold._entry.exchange import Exchange
+from shallotfold._entry.exchange import Refused
+from shallotfold._entry.exchange import Replayed
+from shallotfold._entry.exchanges import Exchanges
+from shallotfold._entry.intake import CHAT_PATH
+from shallotfold._entry.intake import COMPLETION_PATH
+from shallotfold._entry.intake import Intake
+from shallotfold._entry.intake import digest_of_key
+from shallotfold._entry.intake import new_request_id
+from shallotfold._entry.refusals import error_event
+from shallotfold._entry.refusals import refusal_response
+from shallotfold._entry.shell import EntryShell
+from shallotfold._entry.sse import END_EVENT
+from shallotfold._model.requests import Refusal
+from shallotfold._model.requests import RefusalCode
+from shallotfold._settings.addresses import Address
+from shallotfold._settings.entry import EntrySettings
+
+KEEPALIVE_TIMEOUT_S = 75.0
+CLOSE_TIMEOUT_S = 1.0
+_HTTP_LOGGER = "shallotfold.callers"
+
+
+class CallerServer:
+    """The port that callers connect to.
+
+    Attributes:
+        ready: Whether the balancer may send callers.
+    """
+
+    def __init__(
+        self, settings: EntrySettings, shell: EntryShell, exchanges: Exchanges
+    ) -> None:
+        self.ready = False
+        self._settings = settings
+        self._shell = shell
+        self._exchanges = exchanges
+        self._intake = Intake(settings.callers, shell.state)
+        self._runner: web.AppRunner | None = None
+        self._handlers_by_path = {
+            CHAT_PATH: self._serve_model,
+            COMPLETION_PATH: self._serve_model,
+            "/v1/models": self._serve_models,
+            "/healthz": self._serve_health,
+            "/readyz": self._serve_readiness,
+        }
+        shell.register(effects.SetReady, self._set_ready)
+
+    @property
+    def address(self) -> Address:
+        """Address that callers connect to; valid after `start`."""
+        assert self._runner is not None
+        ip, port = self._runner.addresses[0][:2]
+        return Address(ip, port)
+
+    async def start(self) -> None:
+        """Listen.
+
+        Raises:
+            OSError: The address can't be used.
+        """
+        bounds = self._settings.callers
+        app = web.Application(client_max_size=bounds.max_body_bytes)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        # Messages about malformed requests quote them, keys included.
+        quiet = logging.getLogger(_HTTP_LOGGER)
+        quiet.setLevel(logging.ERROR)
+        self._runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+            logger=quiet,
+            max_line_size=bounds.max_header_bytes,
+            max_field_size=bounds.max_header_bytes,
+            shutdown_timeout=CLOSE_TIMEOUT_S,
+        )
+        await self._runner.setup()
+        listen = self._settings.caller_address
+        site = web.TCPSite(
+            self._runner, listen.ip, listen.port, reuse_address=True
+        )
+        await site.start()
+
+    async def close(self) -> None:
+        """Stop listening and end what is left."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def _set_ready(self, effect: effects.SetReady) -> None:
+        self.ready = effect.ready
+
+    async def _serve(self, web_request: web.Request) -> web.StreamResponse:
+        serve = self._handlers_by_path.get(web_request.path, self._serve_plain)
+        request_id = new_request_id()
+        try:
+            return await serve(web_request, request_id)
+        except parsing.RejectedRequestError as rejected:
+            return refusal_response(rejected.refusal, request_id)
+
+    async def _serve_health(
+        self, web_request: web.Request, request_id: str
+    ) -> web.Response:
+        del web_request, request_id
+        return web.json_response({"alive": True})
+
+    async def _serve_readiness(
+        self, web_request: web.Request, request_id: str
+    ) -> web.Response:
+        del web_request, request_id
+        state = self._shell.state
+        ready = self.ready and not state.draining
+        return web.json_response(
+            {
+                "ready": ready,
+                "configuration_version": state.configuration.version,
+            },
+            status=200 if ready else 503,
+        )
+
+    async def _serve_models(
+        self, web_request: web.Request, request_id: str
+    ) -> web.Response:
+        digest = digest_of_key(headers.bearer_key(web_request.headers))
+        state = self._shell.state
+        found = keys.authenticate(state, digest, time.monotonic())
+        if isinstance(found, Refusal):
+            return refusal_response(found, request_id)
+        configuration = state.configuration.current
+        names = {u.model for u in configuration.upstreams_by_name.values()}
+        names |= {
+            offer.model for offer in configuration.offers_by_name.values()
+        }
+        entitled = sorted(names - {""}) if found.classes else []
+        models = [
+            {"id": name, "object": "model", "created": 0, "owned_by": ""}
+            for name in entitled
+        ]
+        return web.json_response(
+            {"object": "list", "data": models},
+            headers={headers.REQUEST_ID: request_id},
+        )
+
+    async def _serve_model(
+        self, web_request: web.Request, request_id: str
+    ) -> web.StreamResponse:
+        if web_request.method != "POST":
+            parsing.reject("Use POST for this path.")
+        self._check_ready()
+        exchange = await self._intake.read_model_request(
+            web_request, request_id
+        )
+        return await self._serve_exchange(exchange)
+
+    async def _serve_plain(
+        self, web_request: web.Request, request_id: str
+    ) -> web.StreamResponse:
+        self._check_ready()
+        exchange = await self._intake.read_plain_request(
+            web_request, request_id
+        )
+        return await self._serve_exchange(exchange)
+
+    def _check_ready(self) -> None:
+        if self._shell.state.configuration.version:
+            return
+        raise parsing.RejectedRequestError(
+            Refusal(
+                code=RefusalCode.NOT_READY,
+                message="This entry has no configuration yet; repeat later.",
+                retry_after_s=1.0,
+            )
+        )
+
+    async def _serve_exchange(self, exchange: Exchange) -> web.StreamResponse:
+        self._exchanges.by_id[exchange.request_id] = exchange
+        try:
+            self._shell.deliver(
+                events.RequestArrived(
+                    now_s=time.monotonic(),
+                    request=exchange.request,
+                    wall_s=time.time(),
+                )
+            )
+            ending = await exchange.ended
+            return await self._answer(exchange, ending)
+        except (asyncio.CancelledError, CallerGoneError) as gone:
+            self._shell.deliver(
+                events.CallerLeft(
+                    now_s=time.monotonic(), request_id=exchange.request_id
+                )
+            )
+            if isinstance(gone, CallerGoneError) and exchange.response:
+                return exchange.response
+            raise
+        finally:
+            self._exchanges.remove(exchange)
+            self._intake.release(exchange)
+
+    async def _answer(
+        self, exchange: Exchange, ending: Ending
+    ) -> web.StreamResponse:
+        if isinstance(ending, Refused):
+            return await self._refuse(exchange, ending.refusal)
+        if isinstance(ending, Replayed):
+            return _replay(exchange, ending)
+        if exchange.answer is not None:
+            return web.Response(
+                status=exchange.answer.status,
+                headers={
+                    **exchange.answer.headers,
+                    headers.REQUEST_ID: exchange.request_id,
+                },
+                body=exchange.answer.body,
+            )
+        await exchange.write(exchange.tail + END_EVENT)
+        assert exchange.response is not None
+        return exchange.response
+
+    async def _refuse(
+        self, exchange: Exchange, refusal: Refusal
+    ) -> web.StreamResponse:
+        attempt = exchange.attempt
+        if attempt is not None:
+            attempt.cancel()
+            await asyncio.gather(attempt, return_exceptions=True)
+        if exchange.response is None:
+            return refusal_response(refusal, exchange.request_id)
+        await exchange.write(error_event(refusal))
+        return exchange.response
+
+
+def _replay(exchange: Exchange, ending: Replayed) -> web.Response:
+    answer = ending.answer
+    chosen = {headers.REQUEST_ID: exchange.request_id}
+    if answer.content_type:
+        chosen["Content-Type"] = answer.content_type
+    return web.Response(status=answer.status, headers=chosen, body=answer.body)
--- a/src/shallotfold/_entry/events.py
+++ b/src/shallotfold/_entry/events.py
@@ -78,6 +78,8 @@
         output_tokens: Output tokens received in this attempt.
         retry_after_s: What the upstream's refusal asked for; -1 if nothing.
         answer_started: Whether bytes of the answer reached the caller.
+        resumable: Whether a further attempt can go on after what the caller
+            has.
     """
 
     request_id: str
@@ -88,6 +90,7 @@
     output_tokens: int = 0
     retry_after_s: float = -1.0
     answer_started: bool = False
+    resumable: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/src/shallotfold/_entry/exchange.py
@@ -0,0 +1,174 @@
+"""Hold what the shell keeps of one caller's request until its final answer."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+import attrs
+
+from shallotfold._entry import events
+from shallotfold._entry import headers
+from shallotfold._model.requests import CallerRequest
+from shallotfold._model.requests import RecordedAnswer
+from shallotfold._model.requests import Refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+TOKENS_REPORT_INTERVAL_S = 0.05
+MAX_RESUME_CHARACTERS = 1024 * 1024
+
+
+@attrs.frozen
+class Finished:
+    """The answer is whole and may end at the caller."""
+
+
+@attrs.frozen
+class Refused:
+    """The request got its final refusal."""
+
+    refusal: Refusal
+
+
+@attrs.frozen
+class Replayed:
+    """The recorded answer of an earlier run is the answer."""
+
+    answer: RecordedAnswer
+
+
+Ending = Finished | Refused | Replayed
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """A whole answer of an upstream, held back until the end."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection or stopped reading."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class Exchange:
+    """One request between its caller and its upstreams.
+
+    Attributes:
+        request: What the reducers know of it.
+        web_request: The caller's HTTP request.
+        path: Path and query for the upstream.
+        upstream_headers: Headers for the upstream.
+        body: Body for the upstream.
+        write_timeout_s: Longest wait for the caller to take bytes.
+        ended: Set once to the final ending.
+        attempt: Task of the running attempt.
+        response: The streamed answer; `None` before its first byte.
+        answer: The answer held back; `None` before it is whole.
+        tail: Last events of a stream, held back with the end marker.
+        tokens: Tokens that the caller has.
+        first_chunk: Fields that all chunks of the stream share.
+        resumable: Whether text alone tells what the caller has.
+    """
+
+    request: CallerRequest
+    web_request: web.Request
+    path: str
+    upstream_headers: dict[str, str]
+    body: bytes
+    write_timeout_s: float
+    ended: asyncio.Future[Ending]
+    attempt: asyncio.Task[None] | None = None
+    attempt_number: int = 0
+    response: web.StreamResponse | None = None
+    answer: Answer | None = None
+    tail: bytes = b""
+    tokens: int = 0
+    first_chunk: dict[str, object] = attrs.field(factory=dict)
+    resumable: bool = True
+    _text: list[str] = attrs.field(factory=list)
+    _text_characters: int = 0
+    _unreported_tokens: int = 0
+    _reported_s: float = 0.0
+
+    @property
+    def request_id(self) -> str:
+        """Id of the request."""
+        return self.request.request_id
+
+    @property
+    def text(self) -> str:
+        """Text that the caller has."""
+        return "".join(self._text)
+
+    def end(self, ending: Ending) -> None:
+        """Give the final ending; later ones are ignored."""
+        if not self.ended.done():
+            self.ended.set_result(ending)
+
+    def add_text(self, text: str) -> None:
+        """Remember text that is about to be written to the caller."""
+        self._text_characters += len(text)
+        if self._text_characters > MAX_RESUME_CHARACTERS:
+            self.resumable = False
+            self._text.clear()
+        elif self.resumable:
+            self._text.append(text)
+
+    async def write(self, data: bytes) -> None:
+        """Write bytes of the stream and wait while the caller is slow.
+
+        Raises:
+            CallerGoneError: The caller has left or takes nothing.
+        """
+        try:
+            async with asyncio.timeout(self.write_timeout_s):
+                if self.response is None:
+                    await self._begin()
+                assert self.response is not None
+                await self.response.write(data)
+        except (ConnectionError, TimeoutError) as error:
+            raise CallerGoneError from error
+
+    def count_tokens(
+        self, count: int, deliver: Callable[[events.Event], None]
+    ) -> None:
+        """Count tokens at the caller; tell the reducer now and then."""
+        self.tokens += count
+        self._unreported_tokens += count
+        if time.monotonic() - self._reported_s >= TOKENS_REPORT_INTERVAL_S:
+            self.report_tokens(deliver)
+
+    def report_tokens(self, deliver: Callable[[events.Event], None]) -> None:
+        """Tell the reducer about tokens that it does not know of yet."""
+        count = self._unreported_tokens
+        if not count:
+            return
+        self._unreported_tokens = 0
+        self._reported_s = time.monotonic()
+        deliver(
+            events.TokensForwarded(
+                now_s=self._reported_s,
+                request_id=self.request_id,
+                attempt=self.attempt_number,
+                count=count,
+            )
+        )
+
+    async def _begin(self) -> None:
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream; charset=utf-8",
+                "Cache-Control": "no-cache",
+                headers.REQUEST_ID: self.request_id,
+            }
+        )
+        self.response = response
+        await response.prepare(self.web_request)
--- /dev/null
+++ b/src/shallotfold/_entry/headers.py
@@ -0,0 +1,84 @@
+"""Choose which headers and query parameters pass between both sides."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import urllib.parse
+
+REQUEST_ID = "X-Request-Id"
+REQUEST_CLASS = "X-Request-Class"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+NOT_RUN = "X-Not-Run"
+PRIORITY = "X-Priority"
+
+_TO_UPSTREAM = (
+    "Accept",
+    "Accept-Language",
+    "Content-Language",
+    "Content-Type",
+    "If-Match",
+    "If-Modified-Since",
+    "If-None-Match",
+    "If-Unmodified-Since",
+)
+_TO_CALLER = (
+    "Cache-Control",
+    "Content-Disposition",
+    "Content-Encoding",
+    "Content-Language",
+    "Content-Type",
+    "ETag",
+    "Last-Modified",
+)
+_BEARER = "bearer "
+
+
+def bearer_key(headers: Mapping[str, str]) -> str:
+    """Return the caller's key; empty without one."""
+    value = headers.get("Authorization", "")
+    if value[: len(_BEARER)].lower() != _BEARER:
+        return ""
+    return value[len(_BEARER) :].strip()
+
+
+def for_upstream(headers: Mapping[str, str], key: str) -> dict[str, str]:
+    """Return the caller's headers that an upstream may see."""
+    return _choose(headers, _TO_UPSTREAM, key)
+
+
+def for_caller(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return the upstream's headers that a caller may see."""
+    return _choose(headers, _TO_CALLER, "")
+
+
+def strip_query(query: str, key: str) -> str:
+    """Return a raw query without the parameters that hold the key."""
+    if not key or not query:
+        return query
+    return "&".join(part for part in query.split("&") if not _holds(part, key))
+
+
+def holds_key(text: str, key: str) -> bool:
+    """Whether text holds the key, as it is or percent-encoded."""
+    return bool(key) and _holds(text, key)
+
+
+def _holds(text: str, key: str) -> bool:
+    if key in text:
+        return True
+    decoded = text
+    for _ in range(3):
+        decoded = urllib.parse.unquote_plus(decoded)
+        if key in decoded:
+            return True
+    return key in urllib.parse.unquote(text)
+
+
+def _choose(
+    headers: Mapping[str, str], names: Iterable[str], key: str
+) -> dict[str, str]:
+    chosen = {}
+    for name in names:
+        value = headers.get(name)
+        if value is not None and not (key and key in value):
+            chosen[name] = value
+    return chosen
--- /dev/null
+++ b/src/shallotfold/_entry/intake.py
@@ -0,0 +1,235 @@
+"""Turn a caller's HTTP request into an exchange, or reject it."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import secrets
+from typing import NoReturn
+import urllib.parse
+
+from aiohttp import web
+import attrs
+
+from shallotfold._entry import headers
+from shallotfold._entry import parsing
+from shallotfold._entry.exchange import Exchange
+from shallotfold._entry.state import EntryState
+from shallotfold._model.configuration import Route
+from shallotfold._model.requests import CallerRequest
+from shallotfold._model.requests import Refusal
+from shallotfold._model.requests import RefusalCode
+from shallotfold._settings.entry import CallerSettings
+
+BODY_TIMEOUT_S = 30.0
+HELD_RETRY_AFTER_S = 1.0
+REQUEST_ID_BYTES = 12
+CHAT_PATH = "/v1/chat/completions"
+COMPLETION_PATH = "/v1/completions"
+
+
+def new_request_id() -> str:
+    """Return a new unique request id."""
+    return secrets.token_hex(REQUEST_ID_BYTES)
+
+
+def digest_of_key(key: str) -> str:
+    """Return the hexadecimal digest of a key; empty without a key."""
+    if not key:
+        return ""
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+
+
+class Intake:
+    """Read and check requests in bounded memory.
+
+    The caller's key lives only in local variables here; what is handed on
+    holds its digest.
+    """
+
+    def __init__(self, settings: CallerSettings, state: EntryState) -> None:
+        self._settings = settings
+        self._state = state
+        self._held_bytes = 0
+
+    async def read_model_request(
+        self, web_request: web.Request, request_id: str
+    ) -> Exchange:
+        """Read a chat or plain completion.
+
+        Raises:
+            RejectedRequestError: The request is wrong.
+        """
+        key = headers.bearer_key(web_request.headers)
+        _check_content_type(web_request)
+        body = await self._read_body(web_request)
+        parsed = parsing.parse_model_body(
+            body,
+            chat=web_request.path == CHAT_PATH,
+            key=key,
+            max_nesting=self._settings.max_nesting,
+        )
+        request = self._describe(web_request, request_id, key, body)
+        request = attrs.evolve(
+            request,
+            model=parsed.model,
+            prompt_tokens=parsed.prompt_tokens,
+            max_output_tokens=parsed.max_output_tokens,
+            prefix_digests=parsed.prefix_digests,
+            streaming=parsed.streaming,
+        )
+        accept = "text/event-stream" if parsed.streaming else "application/json"
+        return self._open(
+            web_request,
+            request,
+            path=web_request.path,
+            upstream_headers={
+                "Accept": accept,
+                "Content-Type": "application/json",
+            },
+            body=parsed.normalized,
+        )
+
+    async def read_plain_request(
+        self, web_request: web.Request, request_id: str
+    ) -> Exchange:
+        """Read a request for a plain service.
+
+        Raises:
+            RejectedRequestError: The request is wrong, or no route fits.
+        """
+        key = headers.bearer_key(web_request.headers)
+        path, _, query = web_request.raw_path.partition("?")
+        _check_path(path, key)
+        route = self._route_of(path)
+        if "Content-Encoding" in web_request.headers:
+            parsing.reject("Send the body without Content-Encoding.")
+        body = await self._read_body(web_request)
+        if headers.holds_key(body.decode("latin-1"), key):
+            parsing.reject("The body holds the key of the request; remove it.")
+        request = self._describe(web_request, request_id, key, body)
+        request = attrs.evolve(
+            request,
+            route_prefix=route.prefix,
+            idempotent=web_request.method in route.idempotent_methods,
+        )
+        query = headers.strip_query(query, key)
+        return self._open(
+            web_request,
+            request,
+            path=f"{path}?{query}" if query else path,
+            upstream_headers=headers.for_upstream(web_request.headers, key),
+            body=body,
+        )
+
+    def release(self, exchange: Exchange) -> None:
+        """Give back the memory of an exchange's body."""
+        self._held_bytes -= len(exchange.body)
+
+    def _describe(
+        self, web_request: web.Request, request_id: str, key: str, body: bytes
+    ) -> CallerRequest:
+        return CallerRequest(
+            request_id=request_id,
+            key_sha256=digest_of_key(key),
+            method=web_request.method,
+            class_name=parsing.check_short_header(
+                headers.REQUEST_CLASS,
+                web_request.headers.get(headers.REQUEST_CLASS, ""),
+                parsing.MAX_CLASS_CHARACTERS,
+                key,
+            ),
+            idempotency_key=parsing.check_short_header(
+                headers.IDEMPOTENCY_KEY,
+                web_request.headers.get(headers.IDEMPOTENCY_KEY, ""),
+                parsing.MAX_IDEMPOTENCY_KEY_CHARACTERS,
+                key,
+            ),
+            body_sha256=hashlib.sha256(
+                f"{web_request.method} {web_request.raw_path}\n".encode(
+                    "utf-8", "surrogateescape"
+                )
+                + body
+            ).hexdigest(),
+        )
+
+    def _open(
+        self,
+        web_request: web.Request,
+        request: CallerRequest,
+        *,
+        path: str,
+        upstream_headers: dict[str, str],
+        body: bytes,
+    ) -> Exchange:
+        self._held_bytes += len(body)
+        return Exchange(
+            request=request,
+            web_request=web_request,
+            path=path,
+            upstream_headers=upstream_headers,
+            body=body,
+            write_timeout_s=self._settings.write_timeout_s,
+            ended=asyncio.get_running_loop().create_future(),
+        )
+
+    def _route_of(self, path: str) -> Route:
+        routes = self._state.configuration.current.routes_by_prefix
+        prefixes = [prefix for prefix in routes if path.startswith(prefix)]
+        if not prefixes:
+            parsing.reject(
+                "No route has this path; ask your operator for the routes.",
+                RefusalCode.UNKNOWN_ROUTE,
+            )
+        return routes[max(prefixes, key=len)]
+
+    async def _read_body(self, web_request: web.Request) -> bytes:
+        if not web_request.body_exists:
+            return b""
+        announced = web_request.content_length or 0
+        if announced > self._settings.max_body_bytes:
+            self._reject_size()
+        if self._held_bytes + announced > self._settings.max_held_bytes:
+            raise parsing.RejectedRequestError(
+                Refusal(
+                    code=RefusalCode.OVERLOADED,
+                    message="Too many bodies are held; repeat later.",
+                    retry_after_s=HELD_RETRY_AFTER_S,
+                )
+            )
+        # The announced size counts while the body is still on its way.
+        self._held_bytes += announced
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                return await web_request.read()
+        except web.HTTPRequestEntityTooLarge:
+            self._reject_size()
+        except TimeoutError:
+            parsing.reject("The body did not arrive in time; repeat.")
+        except web.RequestPayloadError:
+            parsing.reject("The body is broken; repeat.")
+        finally:
+            self._held_bytes -= announced
+
+    def _reject_size(self) -> NoReturn:
+        limit = self._settings.max_body_bytes
+        parsing.reject(
+            f"The body may have {limit} bytes at most.", RefusalCode.TOO_LARGE
+        )
+
+
+def _check_content_type(web_request: web.Request) -> None:
+    encoding = web_request.headers.get("Content-Encoding", "identity")
+    if encoding != "identity":
+        parsing.reject("Send the body without Content-Encoding.")
+    charset = web_request.charset
+    if charset is not None and charset.lower() not in ("utf-8", "utf8"):
+        parsing.reject("Send the body as JSON in UTF-8.")
+
+
+def _check_path(path: str, key: str) -> None:
+    decoded = urllib.parse.unquote(path)
+    if ".." in decoded.split("/") or "\\" in decoded:
+        parsing.reject("The path may not climb up; write it without '..'.")
+    if headers.holds_key(path, key):
+        parsing.reject("The path holds the key of the request; remove it.")
--- /dev/null
+++ b/src/shallotfold/_entry/process.py
@@ -0,0 +1,174 @@
+"""Put an entry together from its settings."""
+
+import asyncio
+import pathlib
+import time
+
+from loguru import logger
+
+from shallotfold._entry import effects
+from shallotfold._entry import events
+from shallotfold._entry.callers import CallerServer
+from shallotfold._entry.exchanges import Exchanges
+from shallotfold._entry.explanations import Explanations
+from shallotfold._entry.shell import EntryShell
+from shallotfold._entry.shell import Part
+from shallotfold._entry.state import EntryState
+from shallotfold._entry.upstream_client import UpstreamClient
+from shallotfold._errors import Fault
+from shallotfold._errors import InvalidInputError
+from shallotfold._model.configuration import Configuration
+from shallotfold._model.serialization import document_sha256
+from shallotfold._model.serialization import load_configuration
+from shallotfold._runtime.metrics import Metrics
+from shallotfold._settings.entry import EntrySettings
+
+EXIT_ORDERLY = 0
+EXIT_CUT_OFF = 1
+FILE_VERSION = 1
+
+
+class EntryProcess:
+    """A whole entry; see `Process` for its life.
+
+    Attributes:
+        shell: Runs the reducer.
+        callers: The callers' port.
+        exchanges: Requests under way.
+        explanations: What happened to the latest requests.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        self._document = _read_document(settings.configuration_file)
+        self.shell = EntryShell(
+            EntryState(
+                host=settings.host,
+                data_centre=settings.data_centre,
+                incarnation=time.time_ns(),
+            )
+        )
+        self.client = UpstreamClient(
+            settings.attempts, settings.credentials, self.shell.deliver
+        )
+        self.exchanges = Exchanges(self.shell, self.client.run)
+        self.callers = CallerServer(settings, self.shell, self.exchanges)
+        self.explanations = Explanations()
+        self._metrics = Metrics(settings.statsd)
+        self._linger_until_s = 0.0
+        self._stopped: asyncio.Future[int] | None = None
+        self._register()
+
+    async def start(self) -> None:
+        """Start all parts and begin to serve."""
+        self._stopped = asyncio.get_running_loop().create_future()
+        self.shell.parts = [
+            self.client,
+            self.exchanges,
+            *make_parts(self.shell, self._settings),
+            self.callers,
+        ]
+        await self.shell.start()
+        if self._document is not None:
+            self._adopt_document(*self._document)
+        logger.info("serving callers at {}", self.callers.address)
+
+    async def close(self) -> None:
+        """Close all parts."""
+        await self.shell.close()
+        self._metrics.close()
+
+    def request_shutdown(self) -> None:
+        """Drain; the process ends when all is done or after the bound."""
+        self._linger_until_s = time.monotonic() + (
+            self._settings.shutdown_linger_s
+        )
+        self.shell.deliver(events.ShutdownRequested(now_s=time.monotonic()))
+        asyncio.get_running_loop().call_later(
+            self._settings.shutdown_timeout_s, self._cut_off
+        )
+
+    async def wait_stopped(self) -> int:
+        """Wait for the end of the drain."""
+        assert self._stopped is not None
+        return await self._stopped
+
+    def _register(self) -> None:
+        shell = self.shell
+        shell.register(effects.ExitProcess, self._exit)
+        shell.register(
+            effects.RecordExplanation,
+            lambda e: self.explanations.record(e.request_id, e.step, e.detail),
+        )
+        shell.register(
+            effects.CountMetric,
+            lambda e: self._metrics.count(e.name, e.value),
+        )
+        shell.register(
+            effects.TimeMetric,
+            lambda e: self._metrics.time(e.name, e.value_s),
+        )
+
+    def _adopt_document(
+        self, document: bytes, configuration: Configuration
+    ) -> None:
+        self.shell.deliver(
+            events.ConfigurationRead(
+                now_s=time.monotonic(),
+                version=FILE_VERSION,
+                configuration=configuration,
+                document=document,
+                sha256=document_sha256(document),
+            )
+        )
+
+    def _exit(self, effect: effects.ExitProcess) -> None:
+        del effect
+        lingers = time.monotonic() < self._linger_until_s
+        if lingers or self.exchanges.by_id:
+            # The reducer asks again with the next tick.
+            return
+        self._stop(EXIT_ORDERLY)
+
+    def _cut_off(self) -> None:
+        logger.warning(
+            "not drained after {} s; cutting off {} requests",
+            self._settings.shutdown_timeout_s,
+            len(self.exchanges.by_id),
+        )
+        self._stop(EXIT_CUT_OFF)
+
+    def _stop(self, code: int) -> None:
+        assert self._stopped is not None
+        if not self._stopped.done():
+            self._stopped.set_result(code)
+
+
+def make_parts(shell: EntryShell, settings: EntrySettings) -> list[Part]:
+    """Make the parts that speak to peers and to the platform.
+
+    They register their runners with the shell and are started before the
+    callers' port opens.
+    """
+    del shell, settings
+    return []
+
+
+def _read_document(path: str) -> tuple[bytes, Configuration] | None:
+    if not path:
+        return None
+    try:
+        document = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise InvalidInputError(
+            [
+                Fault(
+                    source="settings",
+                    key="configuration_file",
+                    found=str(error),
+                    allowed="a readable configuration document",
+                    remedy="Correct the path.",
+                )
+            ]
+        ) from error
+    return document, load_configuration(document, path)
--- /dev/null
+++ b/src/shallotfold/_entry/shell.py
@@ -0,0 +1,165 @@
+"""Run the entry's reducer: feed it events and run its effects in order."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import random
+import time
+from typing import Any
+from typing import Protocol
+
+from loguru import logger
+
+from shallotfold._entry import effects
+from shallotfold._entry import events
+from shallotfold._entry import reducer
+from shallotfold._entry.state import EntryState
+from shallotfold._model.requests import Outcome
+from shallotfold._model.requests import Refusal
+from shallotfold._model.requests import RefusalCode
+
+TICK_INTERVAL_S = 0.05
+
+Runner = Callable[[Any], None]
+
+
+class Part(Protocol):
+    """Something that an entry starts and closes with itself."""
+
+    async def start(self) -> None:
+        """Begin to work."""
+        ...
+
+    async def close(self) -> None:
+        """Release everything; also after a failed start."""
+        ...
+
+
+class EntryShell:
+    """Own the reducer's state and run effects synchronously, in order.
+
+    Attributes:
+        state: State of the reducer; only `deliver` changes it.
+        parts: Started in order and closed in reverse by the shell.
+        before_event: Called with each event before it is reduced.
+    """
+
+    def __init__(self, state: EntryState) -> None:
+        self.state = state
+        self.parts: list[Part] = []
+        self.before_event: Callable[[events.Event], None] | None = None
+        self._runners_by_effect: dict[type, Runner] = {
+            effects.ClaimIdempotencyKey: self._refuse_claim,
+        }
+        self._pending: collections.deque[events.Event] = collections.deque()
+        self._delivering = False
+        self._started: list[Part] = []
+        self._ticker: asyncio.Task[None] | None = None
+
+    def register(self, effect_type: type, runner: Runner) -> None:
+        """Run effects of a type by `runner`, which must not block.
+
+        A runner of `SendToPeer` gets only messages for other entries. Without
+        a runner an effect is dropped; a claim then fails as if the store
+        were down.
+        """
+        self._runners_by_effect[effect_type] = runner
+
+    async def start(self) -> None:
+        """Start the parts and the ticks."""
+        for part in self.parts:
+            self._started.append(part)
+            await part.start()
+        self._ticker = asyncio.create_task(self._tick())
+
+    async def close(self) -> None:
+        """Stop the ticks and close what was started, in reverse."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+            await asyncio.gather(self._ticker, return_exceptions=True)
+        while self._started:
+            await self._started.pop().close()
+
+    def deliver(self, event: events.Event) -> None:
+        """Reduce an event and run its effects.
+
+        An event delivered by a runner is reduced after the running event's
+        effects, in the same turn of the loop.
+        """
+        if self.before_event is not None and not self._delivering:
+            self.before_event(event)
+        self._pending.append(event)
+        if self._delivering:
+            return
+        self._delivering = True
+        try:
+            while self._pending:
+                self._reduce(self._pending.popleft())
+        finally:
+            self._delivering = False
+
+    def _reduce(self, event: events.Event) -> None:
+        try:
+            wanted = reducer.reduce(self.state, event)
+        except Exception:  # noqa: BLE001
+            logger.exception("fault in the reducer on {}", type(event).__name__)
+            wanted = _refusal_of_fault(event)
+        for effect in wanted:
+            self._run(effect, event.now_s)
+
+    def _run(self, effect: effects.Effect, now_s: float) -> None:
+        if (
+            isinstance(effect, effects.SendToPeer)
+            and effect.host == self.state.host
+        ):
+            self._loop_back(effect, now_s)
+            return
+        runner = self._runners_by_effect.get(type(effect))
+        if runner is None:
+            return
+        try:
+            runner(effect)
+        except Exception:  # noqa: BLE001
+            logger.exception("fault in the runner of {}", type(effect).__name__)
+
+    def _loop_back(self, effect: effects.SendToPeer, now_s: float) -> None:
+        self._pending.append(
+            events.PeerMessageReceived(
+                now_s=now_s, host=effect.host, message=effect.message
+            )
+        )
+
+    def _refuse_claim(self, effect: effects.ClaimIdempotencyKey) -> None:
+        self.deliver(
+            events.ClaimFailed(
+                now_s=time.monotonic(),
+                request_id=effect.request_id,
+                reason=RefusalCode.STORE_UNAVAILABLE.name,
+            )
+        )
+
+    async def _tick(self) -> None:
+        while True:
+            self.deliver(
+                events.Tick(
+                    now_s=time.monotonic(),
+                    wall_s=time.time(),
+                    random=random.random(),
+                )
+            )
+            await asyncio.sleep(TICK_INTERVAL_S)
+
+
+def _refusal_of_fault(event: events.Event) -> list[effects.Effect]:
+    """Answer the caller whose event met a fault, rather than hang."""
+    request_id = getattr(event, "request_id", "")
+    if isinstance(event, events.RequestArrived):
+        request_id = event.request.request_id
+    if not request_id or isinstance(event, events.CallerLeft):
+        return []
+    refusal = Refusal(
+        code=RefusalCode.UPSTREAM_FAILED,
+        message="The entry met a fault of its own; see its log.",
+        outcome=Outcome.UNKNOWN,
+    )
+    return [effects.RefuseRequest(request_id=request_id, refusal=refusal)]
--- /dev/null
+++ b/src/shallotfold/_entry/sse.py
@@ -0,0 +1,142 @@
+"""Cut a server-sent event stream into whole events and read model chunks."""
+
+from collections.abc import Iterator
+import json
+from typing import Any
+
+import attrs
+
+from shallotfold._errors import ShallotfoldError
+
+END_DATA = b"[DONE]"
+END_EVENT = b"data: [DONE]\n\n"
+_PLAIN_DELTA_KEYS = frozenset({"role", "content", "refusal"})
+
+
+class StreamError(ShallotfoldError):
+    """An upstream's stream breaks the protocol; repair the upstream."""
+
+
+class EventSplitter:
+    """Cut bytes into events; an unfinished one waits for its rest.
+
+    Raises:
+        StreamError: From `feed`: an event is larger than the limit.
+    """
+
+    def __init__(self, max_event_bytes: int) -> None:
+        self._max_event_bytes = max_event_bytes
+        self._rest = b""
+
+    @property
+    def unfinished(self) -> bool:
+        """Whether bytes of an unfinished event wait."""
+        return bool(self._rest.strip())
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the data of all events that `data` completes."""
+        if b"\r" in data:
+            data = data.replace(b"\r\n", b"\n")
+        blocks = (self._rest + data).split(b"\n\n")
+        self._rest = blocks.pop()
+        if len(self._rest) > self._max_event_bytes:
+            raise StreamError("an event of the stream is too large")
+        return [d for block in blocks for d in _data_of(block)]
+
+
+def _data_of(block: bytes) -> Iterator[bytes]:
+    if block.startswith(b"data: ") and b"\n" not in block:
+        yield block[6:]
+        return
+    lines = [
+        line[5:].removeprefix(b" ")
+        for line in block.split(b"\n")
+        if line.startswith(b"data:")
+    ]
+    if lines:
+        yield b"\n".join(lines)
+
+
+@attrs.frozen
+class Chunk:
+    """What one chunk of a model's stream means.
+
+    Attributes:
+        text: Text that it adds to the answer.
+        has_token: Whether it brings a token.
+        finished: Whether the model gave a reason to finish.
+        resumable: Whether text alone tells what it added.
+        prompt_tokens: Input tokens from `usage`; 0 when unsaid.
+        completion_tokens: Output tokens from `usage`; -1 when unsaid.
+        content: The parsed chunk.
+    """
+
+    text: str
+    has_token: bool
+    finished: bool
+    resumable: bool
+    prompt_tokens: int
+    completion_tokens: int
+    content: dict[str, Any]
+
+
+def read_chunk(data: bytes) -> Chunk:
+    """Read one chunk.
+
+    Raises:
+        StreamError: The data is no chunk, or an error of the engine.
+    """
+    try:
+        content = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise StreamError("a chunk of the stream is no JSON") from error
+    if not isinstance(content, dict) or "error" in content:
+        raise StreamError("the engine sent an error in its stream")
+    choices = content.get("choices") or []
+    if not isinstance(choices, list):
+        raise StreamError("a chunk has no list of choices")
+    text = ""
+    finished = False
+    resumable = True
+    for choice in choices:
+        if not isinstance(choice, dict):
+            raise StreamError("a choice is no object")
+        added, plain = _text_of(choice)
+        text += added
+        resumable = resumable and plain and not choice.get("index")
+        finished = finished or choice.get("finish_reason") is not None
+    prompt_tokens, completion_tokens = usage_of(content)
+    return Chunk(
+        text=text,
+        has_token=bool(text) or not resumable,
+        finished=finished,
+        resumable=resumable,
+        prompt_tokens=prompt_tokens,
+        completion_tokens=completion_tokens,
+        content=content,
+    )
+
+
+def usage_of(content: dict[str, Any]) -> tuple[int, int]:
+    """Return input tokens (0: unsaid) and output tokens (-1: unsaid)."""
+    usage = content.get("usage")
+    if not isinstance(usage, dict):
+        return 0, -1
+    prompt = usage.get("prompt_tokens")
+    completion = usage.get("completion_tokens")
+    return (
+        prompt if type(prompt) is int and prompt >= 0 else 0,
+        completion if type(completion) is int and completion >= 0 else -1,
+    )
+
+
+def _text_of(choice: dict[str, Any]) -> tuple[str, bool]:
+    delta = choice.get("delta")
+    if not isinstance(delta, dict):
+        text = choice.get("text")
+        return (text, True) if isinstance(text, str) else ("", True)
+    text = delta.get("content")
+    plain = all(
+        key in _PLAIN_DELTA_KEYS or not value for key, value in delta.items()
+    )
+    return (text if isinstance(text, str) else ""), plain
--- /dev/null
+++ b/src/shallotfold/_entry/stream_relay.py
@@ -0,0 +1,135 @@
+"""Pass one attempt's stream on to the caller, token by token."""
+
+from collections.abc import Callable
+import json
+
+from shallotfold._entry import events
+from shallotfold._entry.exchange import Exchange
+from shallotfold._entry.sse import END_DATA
+from shallotfold._entry.sse import Chunk
+from shallotfold._entry.sse import EventSplitter
+from shallotfold._entry.sse import StreamError
+from shallotfold._entry.sse import read_chunk
+
+_SHARED_FIELDS = ("id", "created", "model")
+
+
+class StreamRelay:
+    """The stream of one attempt.
+
+    From the chunk with the reason to finish on, all is held back until the
+    end marker, so that a stream which breaks there can still be resumed.
+
+    Attributes:
+        resuming: Whether the caller already has a part of the answer.
+        whole: Whether the end marker was seen.
+        received_tokens: Tokens received in this attempt.
+        prompt_tokens: Input tokens that the engine counted; 0 when unsaid.
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        max_event_bytes: int,
+        deliver: Callable[[events.Event], None],
+    ) -> None:
+        self.resuming = exchange.response is not None
+        self.whole = False
+        self.received_tokens = 0
+        self.prompt_tokens = 0
+        self._exchange = exchange
+        self._deliver = deliver
+        self._splitter = EventSplitter(max_event_bytes)
+        self._max_tail_bytes = max_event_bytes
+        self._tail: list[bytes] = []
+        self._tail_bytes = 0
+        self._counted_by_engine = -1
+        self._tokens_before = exchange.tokens
+
+    @property
+    def output_tokens(self) -> int:
+        """Output tokens of this attempt, as the engine counted if it did."""
+        if self._counted_by_engine >= 0:
+            return self._counted_by_engine
+        return self.received_tokens
+
+    def body(self) -> bytes:
+        """Return the request's body, with what the caller has to go on from."""
+        exchange = self._exchange
+        if not exchange.tokens:
+            return exchange.body
+        resume = json.dumps({"text": exchange.text, "tokens": exchange.tokens})
+        # The body is a JSON object written without a space at its end.
+        return exchange.body[:-1] + b',"resume":' + resume.encode() + b"}"
+
+    async def feed(self, data: bytes) -> None:
+        """Pass on the events that `data` completes.
+
+        Raises:
+            StreamError: The stream breaks the protocol.
+            CallerGoneError: The caller has left.
+        """
+        exchange = self._exchange
+        ready: list[bytes] = []
+        tokens = 0
+        for event in self._splitter.feed(data):
+            if event == END_DATA:
+                self._finish()
+                break
+            chunk = read_chunk(event)
+            self._note(chunk)
+            if chunk.finished or self._tail:
+                self._hold(self._render(event, chunk))
+                continue
+            if self._is_repeated_start(chunk):
+                continue
+            ready.append(self._render(event, chunk))
+            exchange.resumable = exchange.resumable and chunk.resumable
+            exchange.add_text(chunk.text)
+            tokens += chunk.has_token
+        if tokens:
+            exchange.count_tokens(tokens, self._deliver)
+        if ready:
+            await exchange.write(b"".join(ready))
+
+    def _note(self, chunk: Chunk) -> None:
+        self.received_tokens += chunk.has_token
+        if chunk.prompt_tokens:
+            self.prompt_tokens = chunk.prompt_tokens
+        if chunk.completion_tokens >= 0:
+            self._counted_by_engine = chunk.completion_tokens
+
+    def _is_repeated_start(self, chunk: Chunk) -> bool:
+        return self.resuming and not chunk.has_token
+
+    def _hold(self, event: bytes) -> None:
+        self._tail.append(event)
+        self._tail_bytes += len(event)
+        if self._tail_bytes > self._max_tail_bytes:
+            raise StreamError("too much follows the reason to finish")
+
+    def _finish(self) -> None:
+        self.whole = True
+        self._exchange.tail = b"".join(self._tail)
+
+    def _render(self, event: bytes, chunk: Chunk) -> bytes:
+        exchange = self._exchange
+        if not self.resuming:
+            if not exchange.first_chunk:
+                exchange.first_chunk = {
+                    name: chunk.content[name]
+                    for name in _SHARED_FIELDS
+                    if name in chunk.content
+                }
+            return b"data: " + event + b"\n\n"
+        content = {**chunk.content, **exchange.first_chunk}
+        if chunk.completion_tokens >= 0:
+            content["usage"] = self._whole_usage(chunk)
+        return b"data: " + json.dumps(content).encode() + b"\n\n"
+
+    def _whole_usage(self, chunk: Chunk) -> dict[str, object]:
+        usage = dict(chunk.content["usage"])
+        completion = chunk.completion_tokens + self._tokens_before
+        usage["completion_tokens"] = completion
+        usage["total_tokens"] = chunk.prompt_tokens + completion
+        return usage
