Add the operators' command line

Cause: operators check, compare, submit, withdraw keys and read the trail. Weighed: reporting a failed audit append as a failed submission was tried and dropped: exit code 3 says that nothing was changed, which would be untrue. The append is retried, and `audit` fills gaps from the manifest's history.

--- a/src/shallotfold/_cli/operator_main.py
+++ b/src/shallotfold/_cli/operator_main.py
@@ -1,6 +1,277 @@
-"""Start `shallotfold`."""
+"""Start `shallotfold`, the operators' command line."""
 
+import argparse
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+import datetime
+import math
+import os
+import pathlib
+import sys
 
-def main() -> int:
-    """Run the binary and return its exit code."""
-    raise NotImplementedError
+from shallotfold._cli.common import EXIT_FAILURE
+from shallotfold._cli.common import EXIT_OK
+from shallotfold._cli.common import make_parser
+from shallotfold._cli.common import run_guarded
+from shallotfold._errors import ConfigurationRaceError
+from shallotfold._errors import StoreUnavailableError
+from shallotfold._errors import SubmissionUnknownError
+from shallotfold._errors import UsageError
+from shallotfold._fleet.audit import AuditFilter
+from shallotfold._operator.commands import audit
+from shallotfold._operator.commands import configuration
+from shallotfold._operator.commands import entries
+from shallotfold._operator.commands import keys
+from shallotfold._operator.commands.context import CommandContext
+from shallotfold._operator.commands.context import StoreConnector
+from shallotfold._operator.commands.context import ask_on_terminal
+from shallotfold._operator.commands.context import connect_store
+from shallotfold._operator.commands.context import current_user
+from shallotfold._operator.output import Output
+
+EXIT_STORE_UNAVAILABLE = 3
+EXIT_RACE = 4
+EXIT_UNKNOWN = 5
+EXIT_INTERRUPTED = 130
+
+EXIT_CODES_HELP = """\
+exit codes:
+  0    done
+  1    failed; the message says why
+  2    wrong command line, settings or configuration; all faults are listed
+  3    the key-value service does not answer; nothing was changed
+  4    another version was accepted first; nothing was changed
+  5    the outcome of a submission is unknown; the message says how to ask
+  130  interrupted
+"""
+
+Command = Callable[[CommandContext, argparse.Namespace], Awaitable[None]]
+
+
+def main(
+    argv: Sequence[str] | None = None, connect: StoreConnector = connect_store
+) -> int:
+    """Run one command.
+
+    Args:
+        argv: Arguments; the command line when `None`.
+        connect: Connects to the key-value service.
+
+    Returns:
+        The exit code; `--help` lists them.
+    """
+    options = _make_parser().parse_args(argv)
+    context = CommandContext(
+        settings_path=options.settings,
+        output=Output(stream=sys.stdout, as_json=options.json),
+        confirm=ask_on_terminal,
+        connect=connect,
+    )
+    command: Command = options.command
+    return run_guarded(lambda: _run(command, context, options))
+
+
+def _run(
+    command: Command, context: CommandContext, options: argparse.Namespace
+) -> int:
+    try:
+        asyncio.run(_await(command, context, options))
+        sys.stdout.flush()
+    except SubmissionUnknownError as error:
+        return _fail(error, EXIT_UNKNOWN)
+    except StoreUnavailableError as error:
+        return _fail(error, EXIT_STORE_UNAVAILABLE)
+    except ConfigurationRaceError as error:
+        return _fail(error, EXIT_RACE)
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
+    except BrokenPipeError:
+        # The interpreter flushes standard output once more when it exits.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return EXIT_FAILURE
+    return EXIT_OK
+
+
+async def _await(
+    command: Command, context: CommandContext, options: argparse.Namespace
+) -> None:
+    await command(context, options)
+
+
+def _fail(error: Exception, exit_code: int) -> int:
+    print(error, file=sys.stderr)
+    return exit_code
+
+
+def _make_parser() -> argparse.ArgumentParser:
+    parser = make_parser(
+        "shallotfold",
+        "Check, submit and watch a deployment of shallotfold.",
+        EXIT_CODES_HELP,
+    )
+    parser.add_argument(
+        "--settings",
+        type=pathlib.Path,
+        metavar="FILE",
+        help="TOML settings: store_url, entry_urls, operator_key_file",
+    )
+    parser.add_argument(
+        "--json", action="store_true", help="write JSON for programs"
+    )
+    commands = parser.add_subparsers(metavar="COMMAND", required=True)
+    _add_configuration_commands(commands)
+    _add_key_commands(commands)
+    _add_watching_commands(commands)
+    return parser
+
+
+def _add_configuration_commands(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    check = commands.add_parser(
+        "check", help="check a configuration file and list all faults"
+    )
+    check.add_argument("file", type=pathlib.Path, help="file; - for stdin")
+    check.set_defaults(
+        command=lambda context, o: configuration.check(context, o.file)
+    )
+    show = commands.add_parser(
+        "print", help="print the configuration in force, or a file"
+    )
+    show.add_argument("file", type=pathlib.Path, nargs="?")
+    show.set_defaults(
+        command=lambda context, o: configuration.print_configuration(
+            context, o.file
+        )
+    )
+    diff = commands.add_parser("diff", help="show what a file would change")
+    diff.add_argument("file", type=pathlib.Path, help="file; - for stdin")
+    diff.set_defaults(
+        command=lambda context, o: configuration.diff(context, o.file)
+    )
+    submit = commands.add_parser(
+        "submit", help="make a file the next version of the configuration"
+    )
+    submit.add_argument("file", type=pathlib.Path, help="file; - for stdin")
+    submit.add_argument("--yes", action="store_true", help="do not ask")
+    submit.add_argument(
+        "--base",
+        type=int,
+        default=-1,
+        metavar="VERSION",
+        help="version that the file was derived from; fails if it is not in "
+        "force any more (default: the one in force)",
+    )
+    _add_reason(submit)
+    submit.set_defaults(command=_submit)
+
+
+def _add_key_commands(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    group = commands.add_parser("keys", help="make or withdraw callers' keys")
+    actions = group.add_subparsers(metavar="ACTION", required=True)
+    new = actions.add_parser("new", help="make a key and show it once")
+    new.add_argument("key_id", help="public name of the key")
+    new.add_argument(
+        "--workspace",
+        default="",
+        help="grant it to this workspace in a new version",
+    )
+    _add_reason(new)
+    new.set_defaults(
+        command=lambda context, o: keys.create(context, _key_change(o))
+    )
+    withdraw = actions.add_parser(
+        "withdraw", help="withdraw a key; its callers are cut off in seconds"
+    )
+    withdraw.add_argument("key_id", help="public name of the key")
+    _add_reason(withdraw)
+    withdraw.set_defaults(
+        workspace="",
+        command=lambda context, o: keys.withdraw(context, _key_change(o)),
+    )
+
+
+def _add_watching_commands(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    status = commands.add_parser("status", help="show the entries")
+    status.set_defaults(command=lambda context, _: entries.status(context))
+    explain = commands.add_parser(
+        "explain", help="tell where a request went and why"
+    )
+    explain.add_argument("request_id", help="value of the X-Request-Id header")
+    explain.set_defaults(
+        command=lambda context, o: entries.explain(context, o.request_id)
+    )
+    trail = commands.add_parser("audit", help="print the audit trail")
+    trail.add_argument(
+        "--kind",
+        default="",
+        choices=("configuration", "key", "lease", "order", "usage"),
+    )
+    trail.add_argument("--who", default="", help="exact name")
+    trail.add_argument("--what", default="", help="start of the thing's name")
+    trail.add_argument(
+        "--since", type=_parse_time, default=0.0, help="ISO time"
+    )
+    trail.add_argument("--until", type=_parse_time, default=math.inf)
+    trail.add_argument("--limit", type=int, default=1000, help="newest records")
+    trail.set_defaults(
+        command=lambda context, o: audit.audit(context, _audit_filter(o))
+    )
+
+
+def _add_reason(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--why",
+        default="",
+        help="reason for the audit trail (required to "
+        "change the configuration)",
+    )
+    parser.add_argument(
+        "--who", default=current_user(), help="name for the audit trail"
+    )
+
+
+async def _submit(context: CommandContext, options: argparse.Namespace) -> None:
+    asked = configuration.Submission(
+        path=options.file,
+        who=options.who,
+        why=options.why,
+        confirmed=options.yes,
+        base_version=options.base,
+    )
+    await configuration.submit(context, asked)
+
+
+def _key_change(options: argparse.Namespace) -> keys.KeyChange:
+    return keys.KeyChange(
+        key_id=options.key_id,
+        workspace=options.workspace,
+        who=options.who,
+        why=options.why,
+    )
+
+
+def _audit_filter(options: argparse.Namespace) -> AuditFilter:
+    if options.limit < 1:
+        raise UsageError("--limit must be 1 or more")
+    return AuditFilter(
+        kind=options.kind,
+        who=options.who,
+        what=options.what,
+        since_s=options.since,
+        until_s=options.until,
+        limit=options.limit,
+    )
+
+
+def _parse_time(text: str) -> float:
+    moment = datetime.datetime.fromisoformat(text)
+    if moment.tzinfo is None:
+        moment = moment.replace(tzinfo=datetime.UTC)
+    return moment.timestamp()
--- /dev/null
+++ b/src/shallotfold/_operator/auditing.py
@@ -0,0 +1,103 @@
+"""Write operators' changes into the audit trail."""
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+import re
+import time
+
+from loguru import logger
+
+from shallotfold._fleet.audit import AuditChange
+from shallotfold._fleet.audit import AuditRecord
+from shallotfold._fleet.audit import append_patiently
+from shallotfold._fleet.manifest import Submission
+from shallotfold._operator.difference import Change
+from shallotfold._platform.ports import Store
+
+APPEND_TRIES = 4
+
+_KEYS_PATH = re.compile(r"workspaces_by_name\.(?P<workspace>.+)\.keys")
+
+
+async def record_submission(
+    store: Store,
+    version: int,
+    changes: Sequence[Change],
+    *,
+    who: str,
+    why: str,
+) -> None:
+    """Append one record for the version and one for each changed key list.
+
+    The ids follow from the version, so that a repeat adds nothing. A record
+    that can't be written is logged; the version is in force all the same, and
+    `missing_records` finds it in the manifest's history.
+    """
+    described = _describe(version, changes, who, why)
+    records = [
+        AuditRecord(
+            record_id=f"configuration/{version}/{index}",
+            at_s=time.time(),
+            change=change,
+        )
+        for index, change in enumerate(described)
+    ]
+    for record in records:
+        if not await append_patiently(store, record, APPEND_TRIES):
+            logger.warning(
+                "Version {} is accepted, but the audit trail misses {}",
+                version,
+                record.record_id,
+            )
+
+
+def missing_records(
+    history: Sequence[Submission], records: Sequence[AuditRecord]
+) -> list[AuditRecord]:
+    """Return records of accepted versions that the trail does not hold."""
+    known = {record.record_id for record in records}
+    return [
+        AuditRecord(
+            record_id=f"configuration/{submission.version}/0",
+            at_s=submission.submitted_s,
+            change=AuditChange(
+                kind="configuration",
+                who=submission.who,
+                why=submission.why,
+                what=f"version/{submission.version}",
+                before=f"version {submission.version - 1}",
+                after="; ".join(submission.changed),
+            ),
+        )
+        for submission in history
+        if f"configuration/{submission.version}/0" not in known
+    ]
+
+
+def _describe(
+    version: int, changes: Sequence[Change], who: str, why: str
+) -> Iterator[AuditChange]:
+    yield AuditChange(
+        kind="configuration",
+        who=who,
+        why=why,
+        what=f"version/{version}",
+        before=f"version {version - 1}",
+        after="; ".join(change.path for change in changes),
+    )
+    for change in changes:
+        match = _KEYS_PATH.fullmatch(change.path)
+        if match:
+            yield AuditChange(
+                kind="key",
+                who=who,
+                why=why,
+                what=f"keys/{match['workspace']}",
+                before=_key_ids(change.before),
+                after=_key_ids(change.after),
+            )
+
+
+def _key_ids(keys_json: str) -> str:
+    """Return the public names of a list of key digests."""
+    return ", ".join(re.findall(r'"key_id": "([^"]*)"', keys_json))
--- /dev/null
+++ b/src/shallotfold/_operator/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Run the commands of the operators' command line."""
--- /dev/null
+++ b/src/shallotfold/_operator/commands/configuration.py
@@ -0,0 +1,178 @@
+"""Check, print, compare and submit configurations."""
+
+import asyncio
+import pathlib
+import sys
+
+import attrs
+
+from shallotfold._errors import InvalidInputError
+from shallotfold._errors import StoreUnavailableError
+from shallotfold._errors import UsageError
+from shallotfold._fleet.configuration_reader import StoredConfiguration
+from shallotfold._fleet.configuration_store import ConfigurationStore
+from shallotfold._model.checking import check_configuration
+from shallotfold._model.configuration import Configuration
+from shallotfold._model.serialization import dump_configuration
+from shallotfold._model.serialization import load_configuration
+from shallotfold._operator.auditing import record_submission
+from shallotfold._operator.commands.context import CommandContext
+from shallotfold._operator.difference import Change
+from shallotfold._operator.difference import compare
+from shallotfold._platform.ports import Store
+
+READ_TRIES = 4
+FIRST_RETRY_DELAY_S = 0.1
+STANDARD_INPUT = pathlib.Path("-")
+
+
+@attrs.frozen(kw_only=True)
+class Submission:
+    """What `submit` was asked to do.
+
+    Attributes:
+        path: Configuration file; `-` for standard input.
+        who: Name for the audit trail.
+        why: Reason for the audit trail.
+        confirmed: Whether to submit without asking.
+        base_version: Version that the file was derived from; -1 for the one
+            in force now.
+    """
+
+    path: pathlib.Path
+    who: str
+    why: str
+    confirmed: bool = False
+    base_version: int = -1
+
+
+def read_configuration(path: pathlib.Path) -> Configuration:
+    """Read and check a configuration file.
+
+    Raises:
+        InvalidInputError: The configuration holds faults; all are given.
+        UsageError: The file can't be read.
+    """
+    try:
+        document = (
+            sys.stdin.buffer.read()
+            if path == STANDARD_INPUT
+            else path.read_bytes()
+        )
+    except OSError as error:
+        raise UsageError(f"can't read {path}: {error.strerror}") from error
+    configuration = load_configuration(document, source=str(path))
+    faults = check_configuration(configuration, source=str(path))
+    if faults:
+        raise InvalidInputError(faults)
+    return configuration
+
+
+async def check(context: CommandContext, path: pathlib.Path) -> None:
+    """Check a file and say that it holds no fault."""
+    read_configuration(path)
+    context.output.write_line(f"{path}: no faults")
+    context.output.write_json({"faults": []})
+
+
+async def print_configuration(
+    context: CommandContext, path: pathlib.Path | None
+) -> None:
+    """Print a file, or what is in force, as canonical JSON."""
+    if path is not None:
+        configuration = read_configuration(path)
+    else:
+        async with context.open_store() as store:
+            configuration = (await read_stored(store)).configuration
+    document = dump_configuration(configuration).decode()
+    context.output.stream.write(document + "\n")
+
+
+async def diff(context: CommandContext, path: pathlib.Path) -> None:
+    """Print what a file would change."""
+    configuration = read_configuration(path)
+    async with context.open_store() as store:
+        stored = await read_stored(store)
+    _write_changes(
+        context, stored.version, compare(stored.configuration, configuration)
+    )
+
+
+async def submit(context: CommandContext, asked: Submission) -> None:
+    """Show the difference, ask, and make the file the next version."""
+    configuration = read_configuration(asked.path)
+    async with context.open_store() as store:
+        stored = await read_stored(store)
+        changes = compare(stored.configuration, configuration)
+        if not changes:
+            context.output.write_line(
+                f"version {stored.version} is the same; nothing submitted"
+            )
+            context.output.write_json(
+                {"version": stored.version, "submitted": False}
+            )
+            return
+        _show_changes(context, changes)
+        if not asked.confirmed and not context.confirm("Submit this?"):
+            raise UsageError("nothing submitted; answer yes or give --yes")
+        version = await submit_changed(
+            store, stored, configuration, changes, asked
+        )
+    context.output.write_line(f"version {version} accepted")
+    context.output.write_json({"version": version, "submitted": True})
+
+
+async def submit_changed(
+    store: Store,
+    stored: StoredConfiguration,
+    configuration: Configuration,
+    changes: tuple[Change, ...],
+    asked: Submission,
+) -> int:
+    """Store a configuration as the next version and audit it.
+
+    Returns:
+        The new version.
+
+    Raises:
+        ConfigurationRaceError: Another version came first.
+        PlatformError: The store can't be reached.
+    """
+    base = stored.version if asked.base_version < 0 else asked.base_version
+    version = await ConfigurationStore(store).submit(
+        dump_configuration(configuration), base, asked.who, asked.why
+    )
+    await record_submission(
+        store, version, changes, who=asked.who, why=asked.why
+    )
+    return version
+
+
+async def read_stored(store: Store) -> StoredConfiguration:
+    """Read what is in force, trying again when an answer is lost.
+
+    Raises:
+        StoreUnavailableError: The store did not answer any try.
+    """
+    for number in range(READ_TRIES - 1):
+        try:
+            return await ConfigurationStore(store).read()
+        except StoreUnavailableError:
+            await asyncio.sleep(FIRST_RETRY_DELAY_S * 2**number)
+    return await ConfigurationStore(store).read()
+
+
+def _show_changes(context: CommandContext, changes: tuple[Change, ...]) -> None:
+    for change in changes:
+        context.output.write_line(str(change))
+
+
+def _write_changes(
+    context: CommandContext, version: int, changes: tuple[Change, ...]
+) -> None:
+    if not changes:
+        context.output.write_line(f"no difference to version {version}")
+    _show_changes(context, changes)
+    context.output.write_json(
+        {"version": version, "changes": [attrs.asdict(c) for c in changes]}
+    )
--- /dev/null
+++ b/src/shallotfold/_operator/commands/context.py
@@ -0,0 +1,82 @@
+"""Give every command its settings, output and access to the store."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+from contextlib import AbstractAsyncContextManager
+import getpass
+import pathlib
+import sys
+
+import attrs
+
+from shallotfold._errors import UsageError
+from shallotfold._operator.output import Output
+from shallotfold._platform.http_store import HttpStore
+from shallotfold._platform.ports import Store
+from shallotfold._settings.loading import load_settings
+from shallotfold._settings.operator import OperatorSettings
+
+
+@contextlib.asynccontextmanager
+async def connect_store(settings: OperatorSettings) -> AsyncIterator[Store]:
+    """Connect to the key-value service for the time of a command."""
+    store = HttpStore(settings.store_url, timeout_s=settings.timeout_s)
+    await store.start()
+    try:
+        yield store
+    finally:
+        await store.close()
+
+
+StoreConnector = Callable[
+    [OperatorSettings], AbstractAsyncContextManager[Store]
+]
+
+
+@attrs.frozen(kw_only=True)
+class CommandContext:
+    """What a command works with.
+
+    Attributes:
+        settings_path: TOML settings; `None` when not given.
+        output: Where results go.
+        confirm: Asks a yes-or-no question; returns the answer.
+        connect: Connects to the key-value service.
+    """
+
+    settings_path: pathlib.Path | None
+    output: Output
+    confirm: Callable[[str], bool]
+    connect: StoreConnector = connect_store
+
+    def settings(self) -> OperatorSettings:
+        """Load the settings.
+
+        Raises:
+            UsageError: No settings were given, or they hold faults.
+        """
+        if self.settings_path is None:
+            raise UsageError("give the deployment's settings: --settings FILE")
+        return load_settings(self.settings_path, OperatorSettings)
+
+    def open_store(self) -> AbstractAsyncContextManager[Store]:
+        """Connect to the key-value service for the time of a command."""
+        return self.connect(self.settings())
+
+
+def current_user() -> str:
+    """Return the name of the operator for the audit trail."""
+    try:
+        return getpass.getuser()
+    except (OSError, KeyError):
+        return "unknown"
+
+
+def ask_on_terminal(question: str) -> bool:
+    """Ask on standard error; answers no when nobody can be asked."""
+    if not sys.stdin.isatty():
+        return False
+    sys.stderr.write(f"{question} [y/N] ")
+    sys.stderr.flush()
+    return sys.stdin.readline().strip().lower() in ("y", "yes")
