--- a/benchmarks/disruptions.py
+++ b/benchmarks/disruptions.py
@@ -72,6 +72,7 @@
         )
         await wait_for(WITHDRAW_KEY_AT_S)
         await leaving
+        await self.fleet.switch(self.fleet.topology.platform_url, store="ok")
         await self._withdraw_key()
         await wait_for(STOP_ENTRY_AT_S)
         await self._stop_entry()
@@ -97,7 +98,9 @@
 
     async def _withdraw_key(self) -> None:
         long_stream = self._spare_key_workload(tokens=2000)
-        connected = asyncio.create_task(self.callers.send_one(long_stream))
+        visitor = Callers(self.callers.entry_urls, max_tries=1)
+        await visitor.start()
+        connected = asyncio.create_task(visitor.send_one(long_stream))
         await asyncio.sleep(0.5)
         say("withdrawing a key with a connected caller")
         await self.fleet.submit(with_spare_key=False, base_version=1)
@@ -111,6 +114,8 @@
             faults.append("the stream was served to its end")
         else:
             say(f"its stream ended {ended_s:.1f} s later")
+        connected.cancel()
+        await visitor.close()
         remaining_s = WITHDRAWAL_LIMIT_S - ended_s
         await asyncio.sleep(max(0.0, min(2.0, remaining_s)))
         for name in self.fleet.topology.entry_names:
@@ -133,7 +138,7 @@
     def _spare_key_workload(self, tokens: int) -> Workload:
         return Workload(
             class_name="chat",
-            workspace="agency",
+            workspace="visitors",
             key=self.fleet.topology.spare_key.secret,
             interval_s=1.0,
             streaming=True,
--- a/benchmarks/topology.py
+++ b/benchmarks/topology.py
@@ -55,7 +55,7 @@
         network: First two numbers of the loopback network.
         fleet_secret: Secret shared by the entries.
         keys_by_workspace: The callers' keys.
-        spare_key: A further key of the first workspace, withdrawn later.
+        spare_key: A key of the workspace `visitors`, withdrawn later.
     """
 
     entry_count: int = ENTRY_COUNT
@@ -67,7 +67,7 @@
             for name in ("agency", "field-crew", "reports")
         }
     )
-    spare_key: Key = attrs.field(factory=lambda: make_key("agency-2"))
+    spare_key: Key = attrs.field(factory=lambda: make_key("visitors-1"))
 
     @property
     def platform_url(self) -> str:
@@ -121,8 +121,10 @@
         keys_by_workspace = {
             name: [key.digest()] for name, key in self.keys_by_workspace.items()
         }
+        visitor_keys = [make_key("visitors-2").digest()]
         if with_spare_key:
-            keys_by_workspace["agency"].append(self.spare_key.digest())
+            visitor_keys.append(self.spare_key.digest())
+        keys_by_workspace["visitors"] = visitor_keys
         return declaration.declare(self.upstreams(), keys_by_workspace)
 
     def workloads(self) -> list[Workload]:
