--- a/src/shallotfold/_entry/open_requests.py
+++ b/src/shallotfold/_entry/open_requests.py
@@ -18,7 +18,7 @@
 
 RESUME_PATIENCE_S = 10.0
 DEFAULT_PATIENCE_S = 60.0
-FIRST_TOKEN_MARGIN = 1.5
+FIRST_TOKEN_MARGIN = 2.0
 MIN_WAIT_SHARE = 0.3
 
 
@@ -59,6 +59,7 @@
         maybe_ran: Whether an earlier attempt may have run.
         redirects: How often the grant request was passed on.
         charged_tokens: Tokens charged to the workspace's limits.
+        answered: Whether the owner has shown life since it was asked.
     """
 
     request: CallerRequest
@@ -82,6 +83,7 @@
     maybe_ran: bool = False
     redirects: int = 0
     charged_tokens: float = 0.0
+    answered: bool = False
 
     @property
     def claims_key(self) -> bool:
@@ -112,6 +114,8 @@
         abandoned_claims: Requests that ended while their key was claimed.
         retry_budget: What failures may cost.
         estimates: What this entry learned about answers.
+        suspected_by_host: Until when owners that gave no answer are passed
+            over.
         owners_by_pool: Owners to whom running attempts were announced.
         announced_to: Pools and owners of the last announcement.
         samples_by_upstream: Tokens and seconds since the last report.
@@ -123,6 +127,7 @@
     abandoned_claims: set[str] = attrs.field(factory=set)
     retry_budget: RetryBudget = attrs.field(factory=RetryBudget)
     estimates: Estimates = attrs.field(factory=Estimates)
+    suspected_by_host: dict[str, float] = attrs.field(factory=dict)
     owners_by_pool: dict[str, str] = attrs.field(factory=dict)
     samples_by_upstream: dict[tuple[str, str], tuple[int, float]] = attrs.field(
         factory=dict
@@ -132,11 +137,11 @@
     announced_s: float = 0.0
 
 
-def remaining_output(
+def _remaining_output(
     state: EntryState, opened: OpenRequest, request_class: RequestClass
 ) -> float:
-    """Estimate the output tokens still to come."""
-    total = state.requests.estimates.output_tokens(
+    """Return the output tokens still to come that few answers exceed."""
+    total = state.requests.estimates.long_output_tokens(
         request_class, opened.workspace, opened.request.max_output_tokens
     )
     return max(1.0, total - opened.output_tokens)
@@ -162,7 +167,7 @@
     if targets.whole_answer_s is not None:
         run_s = 0.0
         if opened.request.model:
-            output = remaining_output(state, opened, request_class)
+            output = _remaining_output(state, opened, request_class)
             run_s = first_s + output * estimates.gap_s
         wait_s = targets.whole_answer_s - run_s
         wait_s = max(wait_s, MIN_WAIT_SHARE * targets.whole_answer_s)
