--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -11,6 +11,7 @@
 
 from benchmarks.policy_model import naive
 from benchmarks.policy_model import scenarios
+from benchmarks.policy_model import variants
 from benchmarks.policy_model.checker import Checker
 from benchmarks.policy_model.scenarios import Scenario
 from benchmarks.policy_model.simulation import Simulation
@@ -30,6 +31,12 @@
     parser.add_argument(
         "--only", default="", help="run scenarios whose name holds this text"
     )
+    parser.add_argument(
+        "--variant",
+        choices=variants.VARIANTS,
+        default="owner",
+        help="way to share upstreams that `current` uses",
+    )
     arguments = parser.parse_args()
     made = [
         scenario
@@ -37,7 +44,9 @@
         if arguments.only in _title(scenario)
     ]
     workers = min(MAX_PROCESSES, os.cpu_count() or 1)
-    with ProcessPoolExecutor(workers) as pool:
+    with ProcessPoolExecutor(
+        workers, initializer=variants.apply, initargs=(arguments.variant,)
+    ) as pool:
         results = dict(
             zip(map(_title, made), pool.map(compare, made), strict=True)
         )
--- /dev/null
+++ b/benchmarks/policy_model/variants.py
@@ -0,0 +1,73 @@
+"""Other ways to share upstreams, measured against the owner design."""
+
+from unittest import mock
+import zlib
+
+from shallotfold._entry import asking
+from shallotfold._entry import ownership
+from shallotfold._entry import routing
+from shallotfold._entry.pool_queue import QueuedGrant
+from shallotfold._entry.pool_state import Pool
+from shallotfold._entry.state import EntryState
+from shallotfold._model.configuration import Upstream
+
+VARIANTS = ("owner", "two_choices", "slot_shares")
+ENTRIES = 8
+
+
+def apply(variant: str) -> None:
+    """Switch this process to a variant; `owner` changes nothing."""
+    if variant == "owner":
+        return
+    for module, name in ((asking, "owner_for"), (ownership, "owner_of")):
+        mock.patch.object(module, name, _own_host).start()
+    if variant == "slot_shares":
+        mock.patch.object(ownership, "share", _equal_share).start()
+    if variant == "two_choices":
+        mock.patch.object(routing, "free_upstreams", _free_by_report).start()
+        mock.patch.object(routing, "choose", _better_of_two).start()
+
+
+def _own_host(state: EntryState, name: str) -> str:
+    del name
+    return state.host
+
+
+def _equal_share(state: EntryState) -> float:
+    del state
+    return 1.0 / ENTRIES
+
+
+def _free_by_report(
+    state: EntryState, pool: Pool, now_s: float
+) -> list[routing.Candidate]:
+    free = []
+    for upstream in state.pools.catalog.upstreams_by_pool.get(pool.name, ()):
+        limit = routing.limit_of(state, upstream, now_s)
+        health = routing.health_of(state, upstream.name)
+        used = pool.running_on(upstream.name)
+        if health.load is not None:
+            used = max(used, health.load.running + health.load.queued)
+        if used < limit:
+            free.append(
+                routing.Candidate(
+                    upstream=upstream, health=health, used=used, limit=limit
+                )
+            )
+    return free
+
+
+def _better_of_two(
+    state: EntryState,
+    pool: Pool,
+    free: list[routing.Candidate],
+    waiting: QueuedGrant,
+) -> Upstream | None:
+    del state, pool
+    fit = [c for c in free if c.upstream.name not in waiting.request.avoid]
+    if not fit:
+        return None
+    drawn = zlib.crc32(repr(waiting.key).encode())
+    first = fit[drawn % len(fit)]
+    second = fit[drawn // 7919 % len(fit)]
+    return min(first, second, key=lambda c: c.used / c.limit).upstream
