Test the callers' side and the upstreams' side against fakes

Cause: the promises about keys, crossed answers, broken streams, leaving callers, at most once and truthful refusals need a test each. Found by the tests: aiohttp logs malformed requests with their bytes at level ERROR, so a key in a broken header reached the log (test_junk..., red before the filter in callers.py); a line end of a stream cut in two was missed (test_events_are_the_same..., red before the change in sse.py). Two-step proof: with each of these switched off a test fails: echo check, aiohttp's retries off, fresh connection, end marker, tail held back, repeated start dropped, query and header stripping, key in the body, cancellation of handlers, the log filter. Not covered by a test of its own: Exchanges.remove also cancels the attempt, as the reducer's CancelAttempt does first.

--- a/src/shallotfold/_entry/callers.py
+++ b/src/shallotfold/_entry/callers.py
@@ -7,6 +7,7 @@
 import time
 
 from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
@@ -79,9 +80,9 @@
         bounds = self._settings.callers
         app = web.Application(client_max_size=bounds.max_body_bytes)
         app.router.add_route("*", "/{path:.*}", self._serve)
-        # Messages about malformed requests quote them, keys included.
         quiet = logging.getLogger(_HTTP_LOGGER)
         quiet.setLevel(logging.ERROR)
+        quiet.addFilter(_without_quotes)
         self._runner = web.AppRunner(
             app,
             handler_cancellation=True,
@@ -248,6 +249,15 @@
         return exchange.response
 
 
+def _without_quotes(record: logging.LogRecord) -> bool:
+    """Drop the text of protocol errors; it quotes requests, keys included."""
+    error = record.exc_info[1] if record.exc_info else None
+    if isinstance(error, HttpProcessingError):
+        record.msg = f"{record.msg}: {type(error).__name__}"
+        record.exc_info = None
+    return True
+
+
 def _replay(exchange: Exchange, ending: Replayed) -> web.Response:
     answer = ending.answer
     chosen = {headers.REQUEST_ID: exchange.request_id}
--- a/src/shallotfold/_entry/sse.py
+++ b/src/shallotfold/_entry/sse.py
@@ -35,9 +35,11 @@
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the data of all events that `data` completes."""
+        # A line end may be cut in two, so that the rest is looked at again.
+        data = self._rest + data
         if b"\r" in data:
             data = data.replace(b"\r\n", b"\n")
-        blocks = (self._rest + data).split(b"\n\n")
+        blocks = data.split(b"\n\n")
         self._rest = blocks.pop()
         if len(self._rest) > self._max_event_bytes:
             raise StreamError("an event of the stream is too large")
--- /dev/null
+++ b/tests/entry/test_callers.py
@@ -0,0 +1,273 @@
+import asyncio
+import base64
+import json
+import pathlib
+
+from aiohttp import web
+from loguru import logger
+import pytest
+import yarl
+
+from shallotfold._runtime.logs import configure_logs
+from shallotfold._settings.common import LogSettings
+from shallotfold._settings.entry import CallerSettings
+from tests.entry import serving as s
+
+
+async def answer_plain(request: web.Request) -> web.StreamResponse:
+    return web.Response(
+        text="booked",
+        headers={**s.echo(request), "Set-Cookie": "a=b", "ETag": "e"},
+    )
+
+
+def test_no_upstream_sees_the_key(tmp_path: pathlib.Path) -> None:
+    basic = base64.b64encode(f"user:{s.KEY}".encode()).decode()
+    hiding_headers = {
+        "Cookie": f"session={s.KEY}",
+        "X-Api-Key": s.KEY,
+        "Proxy-Authorization": f"Basic {basic}",
+        "X-Forwarded-Authorization": s.KEY,
+        "Referer": f"http://x/?k={s.KEY}",
+        "Accept": f"text/plain; k={s.KEY}",
+        "X-Request-Id": s.KEY,
+    }
+    hidden = "".join(f"%{ord(c):02x}" for c in s.KEY)
+
+    async def main() -> None:
+        async with (
+            s.upstreams(s.answer_whole, answer_plain) as [model, booking],
+            s.serving(tmp_path, {"m1": model.url, "b1": booking.url}) as served,
+        ):
+            logged: list[str] = []
+            sink = logger.add(logged.append, level="DEBUG")
+            chat = f"{served.url}/v1/chat/completions?api_key={s.KEY}"
+            async with served.client.post(
+                chat, json=s.CHAT, headers=hiding_headers
+            ) as response:
+                assert response.status == 200
+                request_id = response.headers["X-Request-Id"]
+            url = f"{served.url}/booking/a?x=1&key={hidden}&k={s.KEY}&y=2"
+            async with served.client.post(
+                yarl.URL(url, encoded=True), headers=hiding_headers
+            ) as response:
+                assert await response.text() == "booked"
+                assert "Set-Cookie" not in response.headers
+                assert response.headers["ETag"] == "e"
+            logger.remove(sink)
+            seen = model.seen() + booking.seen()
+            assert s.KEY not in seen
+            assert basic not in seen
+            assert hidden not in seen
+            assert booking.requests[0].raw_path == "/booking/a?x=1&y=2"
+            assert s.KEY not in "".join(logged)
+            steps = served.entry.explanations.steps_of(request_id)
+            assert s.KEY not in str(steps)
+            assert steps
+
+    s.run(main())
+
+
+ESCAPED_KEY = "".join(f"\\u{ord(c):04x}" for c in s.KEY)
+
+
+@pytest.mark.parametrize(
+    ("body", "code"),
+    [
+        (b"", "bad_request"),
+        (b"{", "bad_request"),
+        (b"[]", "bad_request"),
+        (b'"\xff"', "bad_request"),
+        (b'{"model": 3, "messages": []}', "bad_request"),
+        (json.dumps({**s.CHAT, "model": "none"}).encode(), "unknown_model"),
+        (json.dumps({**s.CHAT, "messages": {}}).encode(), "bad_request"),
+        (json.dumps({**s.CHAT, "messages": ["a"]}).encode(), "bad_request"),
+        (json.dumps({**s.CHAT, "stream": "yes"}).encode(), "bad_request"),
+        (json.dumps({**s.CHAT, "max_tokens": -1}).encode(), "bad_request"),
+        (json.dumps({**s.CHAT, "n": 2}).encode(), "bad_request"),
+        (json.dumps({**s.CHAT, "resume": {}}).encode(), "bad_request"),
+        (json.dumps({**s.CHAT, "user": s.KEY}).encode(), "bad_request"),
+        (
+            json.dumps({**s.CHAT, "user": "k"}).encode()[:-2]
+            + f'{ESCAPED_KEY}"}}'.encode(),
+            "bad_request",
+        ),
+        (b'{"a":' * 100_000, "bad_request"),
+        (
+            json.dumps(s.CHAT).encode()[:-1]
+            + b',"x":'
+            + b"[" * 80
+            + b"]" * 80
+            + b"}",
+            "bad_request",
+        ),
+        (json.dumps(s.CHAT).encode()[:-1] + b',"x":NaN}', "bad_request"),
+        (json.dumps(s.CHAT).encode()[:-1] + b',"x":1e999}', "bad_request"),
+        (json.dumps(s.CHAT).encode()[:-1] + b',"x":"\\ud800"}', "bad_request"),
+        (b" " * 2_000_000, "too_large"),
+    ],
+)
+def test_wrong_body_is_refused_and_nothing_is_sent(
+    tmp_path: pathlib.Path, body: bytes, code: str
+) -> None:
+    async def main() -> None:
+        async with (
+            s.upstreams(s.answer_whole) as [fake],
+            s.serving(
+                tmp_path,
+                {"m1": fake.url},
+                callers=CallerSettings(max_body_bytes=1_000_000),
+            ) as served,
+            served.client.post(
+                f"{served.url}/v1/chat/completions", data=body
+            ) as response,
+        ):
+            assert 400 <= response.status < 500
+            error = (await response.json())["error"]
+            assert error["code"] == code
+            assert error["not_run"] is True
+            assert s.KEY not in str(error)
+            assert not fake.requests
+
+    s.run(main())
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/booking/%2e%2e/admin", {}, 400),
+        (f"/booking/{s.KEY}", {}, 400),
+        ("/elsewhere", {}, 404),
+        ("/booking/a", {"Content-Encoding": "gzip"}, 400),
+        ("/booking/a", {"X-Request-Class": "x" * 100}, 400),
+        ("/booking/a", {"X-Request-Class": s.KEY}, 400),
+        ("/booking/a", {"Idempotency-Key": s.KEY}, 400),
+        ("/booking/a", {"Authorization": "Bearer other"}, 401),
+        ("/booking/a", {"Authorization": "Basic eDp5"}, 401),
+    ],
+)
+def test_wrong_plain_request_is_refused_and_nothing_is_sent(
+    tmp_path: pathlib.Path, path: str, headers: dict[str, str], status: int
+) -> None:
+    async def main() -> None:
+        async with (
+            s.upstreams(answer_plain) as [fake],
+            s.serving(tmp_path, {"b1": fake.url}) as served,
+            served.client.post(
+                yarl.URL(served.url + path, encoded=True),
+                headers=headers,
+                data=b"x",
+            ) as response,
+        ):
+            assert response.status == status
+            assert (await response.json())["error"]["not_run"] is True
+            assert not fake.requests
+
+    s.run(main())
+
+
+@pytest.mark.parametrize(
+    "junk",
+    [
+        b"\x16\x03\x01\x02\x00\x01\x00",
+        b"GET / HTTP/9.9\r\n\r\n",
+        b"POST /v1/chat/completions HTTP/1.1\r\nContent-Length: -3\r\n\r\n",
+        b"GET /readyz HTTP/1.1\r\nAuthorization Bearer sk-oops\r\n\r\n",
+        b"GET /readyz HTTP/1.1\r\nX: " + b"y" * 100_000 + b"\r\n\r\n",
+    ],
+)
+def test_junk_on_the_port_never_stops_the_entry(
+    tmp_path: pathlib.Path, junk: bytes, capsys: pytest.CaptureFixture[str]
+) -> None:
+    configure_logs(LogSettings(level="DEBUG"))
+
+    async def main() -> None:
+        async with (
+            s.upstreams(s.answer_whole) as [fake],
+            s.serving(tmp_path, {"m1": fake.url}) as served,
+        ):
+            address = served.entry.callers.address
+            reader, writer = await asyncio.open_connection(
+                address.ip, address.port
+            )
+            writer.write(junk)
+            answer = await reader.read(4096)
+            writer.close()
+            assert answer.startswith((b"HTTP/1.1 4", b"HTTP/1.0 4"))
+            assert "sk-oops" not in capsys.readouterr().err
+            async with served.client.post(
+                f"{served.url}/v1/chat/completions", json=s.CHAT
+            ) as response:
+                assert response.status == 200
+
+    s.run(main())
+
+
+def test_models_are_listed_for_a_known_key_only(tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        async with s.serving(tmp_path, {"m1": "http://127.0.0.1:9"}) as served:
+            url = f"{served.url}/v1/models"
+            async with served.client.get(url) as response:
+                models = (await response.json())["data"]
+                assert [model["id"] for model in models] == ["small"]
+            async with served.client.get(
+                url, headers={"Authorization": "Bearer other"}
+            ) as response:
+                assert response.status == 401
+
+    s.run(main())
+
+
+def test_shutdown_cuts_off_no_stream(tmp_path: pathlib.Path) -> None:
+    go_on = asyncio.Event()
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        response = await s.begin_stream(request)
+        await response.write(s.token("one "))
+        await go_on.wait()
+        await response.write(s.token("two ") + s.LAST + s.DONE)
+        return response
+
+    async def main() -> None:
+        async with (
+            s.upstreams(answer) as [fake],
+            s.serving(tmp_path, {"m1": fake.url}) as served,
+        ):
+            async with served.client.post(
+                f"{served.url}/v1/chat/completions", json=s.STREAM
+            ) as response:
+                text = (await response.content.readany()).decode()
+                served.entry.request_shutdown()
+                async with served.client.get(f"{served.url}/readyz") as ready:
+                    assert ready.status == 503
+                go_on.set()
+                text += await response.text()
+            assert "two " in text
+            assert text.endswith("[DONE]\n\n")
+            assert await served.entry.wait_stopped() == 0
+
+    s.run(main())
+
+
+def test_shutdown_ends_at_its_bound(tmp_path: pathlib.Path) -> None:
+    async def answer(request: web.Request) -> web.StreamResponse:
+        response = await s.begin_stream(request)
+        await response.write(s.token("one "))
+        await asyncio.Event().wait()
+        return response
+
+    async def main() -> None:
+        async with (
+            s.upstreams(answer) as [fake],
+            s.serving(
+                tmp_path, {"m1": fake.url}, shutdown_timeout_s=0.2
+            ) as served,
+            served.client.post(
+                f"{served.url}/v1/chat/completions", json=s.STREAM
+            ) as response,
+        ):
+            await response.content.readany()
+            served.entry.request_shutdown()
+            assert await served.entry.wait_stopped() == 1
+
+    s.run(main())
--- /dev/null
+++ b/tests/entry/test_parsing.py
@@ -0,0 +1,78 @@
+import contextlib
+import json
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from shallotfold._entry.parsing import RejectedRequestError
+from shallotfold._entry.parsing import parse_model_body
+from shallotfold._entry.sse import EventSplitter
+from shallotfold._entry.sse import StreamError
+from shallotfold._entry.sse import read_chunk
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=10,
+)
+FIELDS = (
+    "model",
+    "messages",
+    "prompt",
+    "stream",
+    "max_tokens",
+    "n",
+    "choices",
+    "delta",
+    "usage",
+    "finish_reason",
+)
+BODIES = st.dictionaries(st.sampled_from(FIELDS) | st.text(), JSON).map(
+    lambda content: json.dumps(content).encode()
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(body=st.binary() | BODIES, chat=st.booleans())
+def test_any_body_is_accepted_or_rejected(body: bytes, *, chat: bool) -> None:
+    try:
+        parsed = parse_model_body(body, chat=chat, key="k" * 20, max_nesting=64)
+    except RejectedRequestError:
+        return
+    assert json.loads(parsed.normalized)["model"] == parsed.model
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(data=st.binary() | BODIES)
+def test_any_chunk_is_read_or_rejected(data: bytes) -> None:
+    with contextlib.suppress(StreamError):
+        read_chunk(data)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    events=st.lists(st.sampled_from([b"a", b"bc", b"[DONE]", b"{}"])),
+    cuts=st.lists(st.integers(min_value=0, max_value=80)),
+)
+def test_events_are_the_same_however_bytes_are_cut(
+    events: list[bytes], cuts: list[int]
+) -> None:
+    stream = b"".join(b"data: " + event + b"\r\n\r\n" for event in events)
+    splitter = EventSplitter(1000)
+    found: list[bytes] = []
+    start = 0
+    for cut in [*sorted(cuts), len(stream)]:
+        found.extend(splitter.feed(stream[start:cut]))
+        start = max(start, cut)
+    assert found == events
+
+
+def test_rewritten_body_holds_each_name_once() -> None:
+    body = b'{"model":"a","model":"b","prompt":"x"}'
+    parsed = parse_model_body(body, chat=False, key="", max_nesting=64)
+    assert parsed.normalized == b'{"model":"b","prompt":"x"}'
+    assert parsed.model == "b"
--- /dev/null
+++ b/tests/entry/test_upstream_client.py
@@ -0,0 +1,283 @@
+import asyncio
+import json
+import pathlib
+
+from aiohttp import web
+import pytest
+
+from shallotfold._entry import events
+from shallotfold._model.requests import Outcome
+from tests.entry import serving as s
+
+
+def chat_url(served: s.Serving) -> str:
+    return f"{served.url}/v1/chat/completions"
+
+
+def texts_of(stream: str) -> list[str]:
+    chunks = [
+        json.loads(event[6:])
+        for event in stream.split("\n\n")
+        if event.startswith("data: {")
+    ]
+    return [
+        choice["delta"].get("content", "")
+        for chunk in chunks
+        for choice in chunk.get("choices", ())
+    ]
+
+
+async def answer_stream(request: web.Request) -> web.StreamResponse:
+    response = await s.begin_stream(request)
+    for text in ("one ", "two ", "three "):
+        await response.write(s.token(text))
+    await response.write(s.LAST + s.DONE)
+    return response
+
+
+def test_stream_arrives_whole(tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        async with (
+            s.upstreams(answer_stream) as [fake],
+            s.serving(tmp_path, {"m1": fake.url}) as served,
+            served.client.post(chat_url(served), json=s.STREAM) as response,
+        ):
+            text = await response.text()
+            assert texts_of(text) == ["one ", "two ", "three ", ""]
+            assert text.endswith("data: [DONE]\n\n")
+            sent = fake.requests[0].headers
+            assert response.headers["X-Request-Id"] == sent["X-Request-Id"]
+            assert sent["Authorization"] == "Bearer upstream-secret"
+            assert sent["X-Priority"] == "1"
+
+    s.run(main())
+
+
+@pytest.mark.parametrize("end", ["cut", "cut after the reason", "no marker"])
+def test_broken_stream_is_resumed_without_loss(
+    tmp_path: pathlib.Path, end: str
+) -> None:
+    resumed: list[object] = []
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        response = await s.begin_stream(request)
+        if "resume" not in body:
+            await response.write(s.token("one ") + s.token("two "))
+            if end == "no marker":
+                return response
+            if end == "cut after the reason":
+                await response.write(s.LAST)
+            # Half an event must not reach the caller.
+            await response.write(s.token("three ")[:20])
+            await asyncio.sleep(0.05)
+            s.break_off(request)
+            return response
+        resumed.append(body["resume"])
+        start = {"id": "c2", "choices": [{"delta": {"role": "assistant"}}]}
+        await response.write(b"data: %s\n\n" % json.dumps(start).encode())
+        usage = {"prompt_tokens": 4, "completion_tokens": 1}
+        last = {"id": "c2", "choices": [], "usage": usage}
+        await response.write(s.token("three ").replace(b"c1", b"c2") + s.LAST)
+        await response.write(b"data: %s\n\n" % json.dumps(last).encode())
+        await response.write(s.DONE)
+        return response
+
+    async def main() -> None:
+        async with (
+            s.upstreams(answer, answer) as [one, two],
+            s.serving(tmp_path, {"m1": one.url, "m2": two.url}) as served,
+            served.client.post(chat_url(served), json=s.STREAM) as response,
+        ):
+            text = await response.text()
+            assert "".join(texts_of(text)) == "one two three "
+            assert resumed == [{"text": "one two ", "tokens": 2}]
+            assert text.count("[DONE]") == 1
+            assert '"c2"' not in text
+            assert '"role"' not in text
+            assert '"completion_tokens": 3' in text
+
+    s.run(main())
+
+
+def test_crossed_answer_is_never_shown(tmp_path: pathlib.Path) -> None:
+    async def answer(request: web.Request) -> web.StreamResponse:
+        if "X-Crossed" in fake_state:
+            return await s.answer_whole(request)
+        fake_state.append("X-Crossed")
+        return web.json_response(
+            {"choices": [{"message": {"content": "not for you"}}]},
+            headers={"X-Request-Id": "another"},
+        )
+
+    fake_state: list[str] = []
+
+    async def main() -> None:
+        async with (
+            s.upstreams(answer, answer) as [one, two],
+            s.serving(tmp_path, {"m1": one.url, "m2": two.url}) as served,
+            served.client.post(chat_url(served), json=s.CHAT) as response,
+        ):
+            assert response.status == 200
+            assert "not for you" not in await response.text()
+            assert len(one.requests) + len(two.requests) == 2
+
+    s.run(main())
+
+
+def test_upstream_work_ends_when_the_caller_leaves(
+    tmp_path: pathlib.Path,
+) -> None:
+    cancelled = asyncio.Event()
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        response = await s.begin_stream(request)
+        try:
+            while True:
+                await response.write(s.token("more "))
+                await asyncio.sleep(0.01)
+        except (asyncio.CancelledError, ConnectionError):
+            cancelled.set()
+            raise
+
+    async def main() -> None:
+        async with (
+            s.upstreams(answer) as [fake],
+            s.serving(tmp_path, {"m1": fake.url}) as served,
+        ):
+            async with served.client.post(
+                chat_url(served), json=s.STREAM
+            ) as response:
+                await response.content.readany()
+                response.close()
+            await cancelled.wait()
+            assert not served.entry.exchanges.by_id
+            assert not served.entry.shell.state.requests.open_by_id
+
+    s.run(main())
+
+
+def test_non_idempotent_requests_never_share_a_connection(
+    tmp_path: pathlib.Path,
+) -> None:
+    peers: list[object] = []
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        assert request.transport is not None
+        peers.append(request.transport.get_extra_info("peername"))
+        return web.Response(text="booked", headers=s.echo(request))
+
+    async def main() -> None:
+        async with (
+            s.upstreams(answer) as [fake],
+            s.serving(tmp_path, {"b1": fake.url}) as served,
+        ):
+            url = f"{served.url}/booking/slots"
+            for method in ("GET", "GET", "POST", "POST", "GET"):
+                async with served.client.request(method, url) as response:
+                    assert await response.text() == "booked"
+            assert peers[0] == peers[1] == peers[4]
+            assert len(set(peers)) == 3
+
+    s.run(main())
+
+
+@pytest.mark.parametrize(("method", "runs"), [("POST", 1), ("GET", 4)])
+def test_request_without_an_answer_has_an_unknown_outcome(
+    tmp_path: pathlib.Path, method: str, runs: int
+) -> None:
+    # An idempotent request is repeated by the reducer, MAX_FAILURES times at
+    # most; aiohttp's own retries would double the runs.
+    async def answer(request: web.Request) -> web.StreamResponse:
+        s.break_off(request)
+        return web.Response()
+
+    async def main() -> None:
+        async with (
+            s.upstreams(answer, answer, answer, answer) as fakes,
+            s.serving(
+                tmp_path, {f"b{i}": f.url for i, f in enumerate(fakes)}
+            ) as served,
+            served.client.request(
+                method, f"{served.url}/booking/slots"
+            ) as response,
+        ):
+            error = (await response.json())["error"]
+            assert error["unknown"] is True
+            assert "not_run" not in error
+            assert sum(len(fake.requests) for fake in fakes) <= runs
+
+    s.run(main())
+
+
+def test_refused_connection_means_not_run(tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        async with (
+            s.serving(tmp_path, {"b1": "http://127.0.0.1:9"}) as served,
+            served.client.post(f"{served.url}/booking/slots") as response,
+        ):
+            assert (await response.json())["error"]["not_run"] is True
+            assert "Retry-After" in response.headers
+
+    s.run(main())
+
+
+def test_refusal_by_the_upstream_means_not_run(tmp_path: pathlib.Path) -> None:
+    async def answer(request: web.Request) -> web.StreamResponse:
+        return web.Response(
+            status=503,
+            headers={**s.echo(request), "X-Not-Run": "1", "Retry-After": "7"},
+        )
+
+    async def main() -> None:
+        async with (
+            s.upstreams(answer) as [fake],
+            s.serving(tmp_path, {"b1": fake.url}) as served,
+        ):
+            ended: list[events.AttemptEnded] = []
+
+            def note(event: events.Event) -> None:
+                if isinstance(event, events.AttemptEnded):
+                    ended.append(event)
+
+            served.entry.shell.before_event = note
+            async with served.client.post(
+                f"{served.url}/booking/slots"
+            ) as response:
+                error = (await response.json())["error"]
+                assert error["not_run"] is True
+                assert "Retry-After" in response.headers
+            assert ended[0].outcome is Outcome.NOT_RUN
+            assert (ended[0].status, ended[0].retry_after_s) == (503, 7.0)
+
+    s.run(main())
+
+
+def test_slow_reader_holds_the_upstream_back(tmp_path: pathlib.Path) -> None:
+    written = 0
+    stalled = asyncio.Event()
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        nonlocal written
+        response = await s.begin_stream(request)
+        data = s.token("x" * 1000) * 16
+        while True:
+            try:
+                async with asyncio.timeout(0.5):
+                    await response.write(data)
+            except TimeoutError:
+                stalled.set()
+                raise
+            written += len(data)
+
+    async def main() -> None:
+        async with (
+            s.upstreams(answer) as [fake],
+            s.serving(tmp_path, {"m1": fake.url}) as served,
+            served.client.post(chat_url(served), json=s.STREAM) as response,
+        ):
+            await stalled.wait()
+            assert written < 64 * 1024 * 1024
+            response.close()
+
+    s.run(main())
