--- /dev/null
+++ b/benchmarks/entry_latency.py
@@ -0,0 +1,245 @@
+"""Measure what an entry adds to latency, and its requests a second per core.
+
+Sends the same streams in turn to an engine stand-in directly and through one
+entry. Each token carries the time at which the engine sent it, so that the
+time on its way is known. Then sends small requests from many callers at once
+and divides their number by the processor time of the entry. Prints one JSON
+object.
+"""
+
+import argparse
+import asyncio
+from collections.abc import Sequence
+import json
+import pathlib
+import statistics
+import sys
+import tempfile
+import time
+from typing import Any
+
+import aiohttp
+import attrs
+
+from benchmarks.declaration import MODEL
+from benchmarks.fleet import Fleet
+from benchmarks.proc_usage import read_usage
+from benchmarks.processes import Processes
+from benchmarks.topology import CREDENTIAL
+from benchmarks.topology import Topology
+
+ENTRY = "entry-1"
+TOKENS_PER_STREAM = 20
+ENGINE_SLOTS = 256
+ENGINE_TOKENS_PER_S = 25_600.0
+WARM_UP_STREAMS = 20
+
+
+@attrs.frozen
+class Target:
+    """Where requests go, and with which bearer token."""
+
+    url: str
+    token: str
+
+
+@attrs.define
+class Samples:
+    """Times of one target, in seconds.
+
+    Attributes:
+        first_token: From the request to the first token.
+        on_the_way: From the engine to the caller, for later tokens.
+        whole: From the request to the end of an answer not streamed.
+    """
+
+    first_token: list[float] = attrs.field(factory=list)
+    on_the_way: list[float] = attrs.field(factory=list)
+    whole: list[float] = attrs.field(factory=list)
+
+    def medians_ms(self) -> dict[str, float]:
+        """Return medians in milliseconds."""
+        return {
+            "first_token_ms": _median_ms(self.first_token),
+            "later_token_ms": _median_ms(self.on_the_way),
+            "whole_ms": _median_ms(self.whole),
+        }
+
+
+async def send_stream(
+    session: aiohttp.ClientSession, target: Target, number: int, into: Samples
+) -> None:
+    """Send one streamed request and record its times."""
+    started_s = time.monotonic()
+    async with _post(session, target, number, streaming=True) as response:
+        response.raise_for_status()
+        later = False
+        async for line in response.content:
+            if not line.startswith(b'data: {"'):
+                continue
+            arrived_s = time.monotonic()
+            chunk = json.loads(line[len(b"data: ") :])
+            if later and "sent_monotonic_s" in chunk:
+                into.on_the_way.append(arrived_s - chunk["sent_monotonic_s"])
+            if not later:
+                into.first_token.append(arrived_s - started_s)
+                later = True
+
+
+async def send_whole(
+    session: aiohttp.ClientSession, target: Target, number: int, into: Samples
+) -> None:
+    """Send one request for a whole answer and record its time."""
+    started_s = time.monotonic()
+    async with _post(session, target, number, streaming=False) as response:
+        response.raise_for_status()
+        await response.read()
+    into.whole.append(time.monotonic() - started_s)
+
+
+def _post(
+    session: aiohttp.ClientSession,
+    target: Target,
+    number: int,
+    *,
+    streaming: bool,
+    tokens: int = TOKENS_PER_STREAM,
+) -> Any:
+    content = f"[tokens={tokens}] {number}"
+    return session.post(
+        f"{target.url}/v1/chat/completions",
+        headers={"Authorization": f"Bearer {target.token}"},
+        json={
+            "model": MODEL,
+            "messages": [{"role": "user", "content": content}],
+            "stream": streaming,
+        },
+    )
+
+
+async def measure_latency(
+    session: aiohttp.ClientSession, direct: Target, entry: Target, rounds: int
+) -> dict[str, Any]:
+    """Send the same requests to both targets in turn."""
+    for number in range(WARM_UP_STREAMS):
+        await send_stream(session, entry, number, Samples())
+        await send_stream(session, direct, number, Samples())
+    direct_samples, entry_samples = Samples(), Samples()
+    for number in range(rounds):
+        for target, samples in (
+            (direct, direct_samples),
+            (entry, entry_samples),
+        ):
+            await send_stream(session, target, number, samples)
+            await send_whole(session, target, number, samples)
+    direct_ms = direct_samples.medians_ms()
+    entry_ms = entry_samples.medians_ms()
+    added_ms = {k: round(entry_ms[k] - direct_ms[k], 3) for k in entry_ms}
+    return {"direct": direct_ms, "entry": entry_ms, "added": added_ms}
+
+
+async def measure_throughput(
+    session: aiohttp.ClientSession,
+    entry: Target,
+    pid: int,
+    *,
+    callers: int,
+    duration_s: float,
+    plain: bool,
+) -> dict[str, float]:
+    """Send small requests from many callers at once."""
+    end_s = time.monotonic() + duration_s
+    answered = 0
+
+    async def call(number: int) -> None:
+        nonlocal answered
+        while time.monotonic() < end_s:
+            async with (
+                session.get(
+                    f"{entry.url}/booking/slots",
+                    headers={"Authorization": f"Bearer {entry.token}"},
+                )
+                if plain
+                else _post(session, entry, number, streaming=False, tokens=1)
+            ) as response:
+                await response.read()
+                answered += response.status == 200
+
+    before = read_usage(pid)
+    await asyncio.gather(*(call(number) for number in range(callers)))
+    cpu_s = read_usage(pid).cpu_s - before.cpu_s
+    return {
+        "answered": answered,
+        "requests_per_s": round(answered / duration_s, 1),
+        "entry_cpu_s": round(cpu_s, 2),
+        "requests_per_core_s": round(answered / cpu_s, 1) if cpu_s else 0.0,
+    }
+
+
+async def run(
+    directory: pathlib.Path, rounds: int, callers: int, duration_s: float
+) -> dict[str, Any]:
+    """Start one entry and measure it."""
+    topology = Topology(
+        entry_count=1,
+        engine_slots=ENGINE_SLOTS,
+        engine_tokens_per_s=ENGINE_TOKENS_PER_S,
+    )
+    processes = Processes(directory)
+    try:
+        async with aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        ) as session:
+            fleet = Fleet(topology, processes, session, with_controllers=False)
+            await fleet.start(joined_upstreams=True)
+            key = topology.keys_by_workspace["agency"].secret
+            entry = Target(topology.entry_url(ENTRY), key)
+            direct = Target(topology.upstream_url("engine-1"), CREDENTIAL)
+            latency = await measure_latency(session, direct, entry, rounds)
+            pid = processes.running_by_name[ENTRY].pid
+            throughput = {
+                name: await measure_throughput(
+                    session,
+                    entry,
+                    pid,
+                    callers=callers,
+                    duration_s=duration_s,
+                    plain=name == "plain",
+                )
+                for name in ("plain", "model")
+            }
+    finally:
+        processes.stop_all()
+    return {"rounds": rounds, **latency, "throughput": throughput}
+
+
+def _median_ms(values: Sequence[float]) -> float:
+    return round(1000 * statistics.median(values), 3) if values else 0.0
+
+
+def main() -> int:
+    """Read the command line, measure, and return the exit code."""
+    parser = argparse.ArgumentParser(
+        prog="benchmarks.entry_latency",
+        description=__doc__,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--rounds", type=int, default=100)
+    parser.add_argument("--callers", type=int, default=32)
+    parser.add_argument("--seconds", type=float, default=4.0)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as directory:
+        result = asyncio.run(
+            run(
+                pathlib.Path(directory),
+                options.rounds,
+                options.callers,
+                options.seconds,
+            )
+        )
+    print(json.dumps(result))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/topology.py
+++ b/benchmarks/topology.py
@@ -52,6 +52,8 @@
 
     Attributes:
         entry_count: Number of entry hosts.
+        engine_slots: Requests that one engine runs at once.
+        engine_tokens_per_s: Output rate of one engine when full.
         network: First two numbers of the loopback network.
         fleet_secret: Secret shared by the entries.
         keys_by_workspace: The callers' keys.
@@ -59,6 +61,8 @@
     """
 
     entry_count: int = ENTRY_COUNT
+    engine_slots: int = 8
+    engine_tokens_per_s: float = 400.0
     network: str = attrs.field(factory=lambda: f"127.{64 + os.getpid() % 128}")
     fleet_secret: str = attrs.field(factory=lambda: secrets.token_hex(16))
     keys_by_workspace: dict[str, Key] = attrs.field(
@@ -95,6 +99,8 @@
                 url=f"http://{self.network}.2.{index + 1}:{UPSTREAM_PORT}",
                 data_centre=_data_centre(index),
                 model=declaration.MODEL,
+                slots=self.engine_slots,
+                tokens_per_s=self.engine_tokens_per_s,
                 credential="upstream",
                 reclaimable=index >= len(DATA_CENTRES),
             )
@@ -265,11 +271,13 @@
 
 
 def _upstream_table(upstream: operator.Upstream) -> str:
+    rate = f"tokens_per_s = {upstream.tokens_per_s}\n" if upstream.model else ""
     return (
         f"[[{_kind(upstream)}s]]\n"
         f'name = "{upstream.name}"\n'
         f'address = "{upstream.url.removeprefix("http://")}"\n'
         f"slots = {upstream.slots}\n"
+        f"{rate}"
         f'credential = "{CREDENTIAL}"\n'
         f'secret_marker = "{KEY_MARKER}"\n'
     )
--- a/src/shallotfold/_standin/engine_http.py
+++ b/src/shallotfold/_standin/engine_http.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import json
+import time
 from typing import Any
 
 from aiohttp import web
@@ -225,7 +226,13 @@
         choice["delta"] = {"content": text}
     else:
         choice["text"] = text
-    return {"id": f"job-{job.number}", "choices": [choice]}
+    # Clocks of processes on one host agree, so that readers can tell how
+    # long a token was under way.
+    return {
+        "id": f"job-{job.number}",
+        "choices": [choice],
+        "sent_monotonic_s": time.monotonic(),
+    }
 
 
 def _last_chunk(job: Job, *, chat: bool) -> dict[str, Any]:
