--- a/benchmarks/judging.py
+++ b/benchmarks/judging.py
@@ -10,6 +10,7 @@
 from benchmarks.callers import Callers
 from benchmarks.disruptions import KILLED_ENGINE
 from benchmarks.fleet import Fleet
+from benchmarks.topology import DATA_CENTRES
 from benchmarks.verdict import UsageTotals
 from benchmarks.verdict import Verdict
 
@@ -58,15 +59,34 @@
 
     async def _judge_usage(self, totals: dict[str, UsageTotals]) -> None:
         if not self.fleet.with_controllers:
-            self.verdict.skip("usage reports", "no controllers were started")
+            self.verdict.skip(
+                "usage reports and orders", "no controllers were started"
+            )
             return
         faults = [f for name in totals for f in totals[name].faults(name)]
         self.verdict.check("reported usage is what callers got", faults)
-        conflicts = (await self._fetch_usage())["conflicts"]
+        usage = await self._fetch_usage()
+        conflicts, stale = usage["conflicts"], usage["stale"]
         self.verdict.check(
             "no usage window is reported with two sets of figures",
             [f"{conflicts} conflicts"] if conflicts else [],
         )
+        self.verdict.check(
+            "no report comes from a superseded process",
+            [f"{stale} reports"] if stale else [],
+        )
+        await self._judge_orders()
+
+    async def _judge_orders(self) -> None:
+        faults = []
+        for name in DATA_CENTRES:
+            orders = await self.fleet.fetch(
+                self.fleet.topology.platform_url, f"/v1/orders/{name}"
+            )
+            numbers = [order["fencing"] for order in orders["orders"]]
+            if numbers != sorted(numbers):
+                faults.append(f"{name} took orders {numbers}")
+        self.verdict.check("no order comes from a superseded process", faults)
 
     async def _runs(self) -> dict[str, int]:
         runs: dict[str, int] = {}
