--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -1,11 +1,11 @@
 """Start and stop the processes of a demo or a benchmark."""
 
 import asyncio
-from collections.abc import Callable
 import pathlib
 import signal
 import subprocess
 import sys
+import time
 
 import aiohttp
 import attrs
@@ -87,11 +87,17 @@
         """
         if not command.ready_url:
             return
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
         async with aiohttp.ClientSession() as session:
-            async with asyncio.timeout(READY_TIMEOUT_S):
-                while not await _is_ready(session, command.ready_url):
-                    self._check_alive(command.name)
-                    await asyncio.sleep(POLL_INTERVAL_S)
+            while not await _is_ready(session, command.ready_url):
+                self._check_alive(command.name)
+                if time.monotonic() > deadline_s:
+                    raise StartError(
+                        f"{command.name} is not ready after "
+                        f"{READY_TIMEOUT_S:.0f} s:\n"
+                        f"{self.last_lines(command.name)}"
+                    )
+                await asyncio.sleep(POLL_INTERVAL_S)
 
     def kill(self, name: str) -> None:
         """End one process without warning."""
@@ -134,13 +140,3 @@
     except subprocess.TimeoutExpired:
         process.kill()
         return process.wait()
-
-
-async def wait_until(condition: Callable[[], bool], timeout_s: float) -> bool:
-    """Poll a condition; return whether it held in time."""
-    deadline_s = asyncio.get_running_loop().time() + timeout_s
-    while not condition():
-        if asyncio.get_running_loop().time() > deadline_s:
-            return False
-        await asyncio.sleep(POLL_INTERVAL_S)
-    return True
