Count usage at the entries and report it from frozen figures

Cause: a killed entry lost every count since its last flush, and figures computed at each send may differ between sends and between controllers.

An answer's end waits (50 ms at most) until a peer, preferably in another data centre, holds its count. Holding on the store was ruled out: a write per answer needs 2,800 writes a second at the size to come. Windows are frozen by creating one value; a ledger in the shard's head says what was included, so late counts go into the next window once. A ledger of every count was ruled out (over a megabyte at 350 nodes); only windows that a source had not closed are listed.

--- a/src/shallotfold/_controller/duty_calls.py
+++ b/src/shallotfold/_controller/duty_calls.py
@@ -9,13 +9,11 @@
 from shallotfold._controller import events
 from shallotfold._controller.shell import ControllerShell
 from shallotfold._errors import LeaseLostError
-from shallotfold._errors import PlatformError
 from shallotfold._errors import StoreConflictError
 from shallotfold._errors import StoreUnavailableError
 from shallotfold._fleet import audit
 from shallotfold._fleet import duties
 from shallotfold._fleet.verified_write import write_verified
-from shallotfold._platform.ports import HostList
 from shallotfold._platform.ports import Store
 
 AUDIT_TRIES = 20
@@ -23,23 +21,20 @@
 
 @attrs.define
 class DutyCalls:
-    """Calls about leases, duties, hosts and the audit trail.
+    """Calls about leases, duties and the audit trail.
 
     Attributes:
         shell: Receives the answers as events.
         store: Key-value service.
-        hosts: Host list.
         wall_clock: Seconds since the epoch.
     """
 
     shell: ControllerShell
     store: Store
-    hosts: HostList
     wall_clock: Callable[[], float]
 
     def register(self) -> None:
         """Register all runners."""
-        self.shell.register(effects.FetchHosts, self._fetch_hosts)
         self.shell.register(effects.ListDuties, self._list_duties)
         self.shell.register(effects.GrantLease, self._grant)
         self.shell.register(effects.RenewLease, self._renew)
@@ -48,16 +43,6 @@
         self.shell.register(effects.ReleaseDuty, self._release)
         self.shell.register(effects.RecordAudit, self._record)
 
-    async def _fetch_hosts(self, effect: effects.FetchHosts) -> None:
-        del effect
-        try:
-            hosts = await self.hosts.fetch()
-        except PlatformError:
-            return
-        self.shell.deliver(
-            events.HostsListed(now_s=self.shell.clock(), hosts=hosts)
-        )
-
     async def _list_duties(self, effect: effects.ListDuties) -> None:
         del effect
         started_s = self.shell.clock()
--- /dev/null
+++ b/src/shallotfold/_entry/demand.py
@@ -0,0 +1,64 @@
+"""Count the output tokens that callers ask for, by model and class."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from shallotfold._fleet.usage_flush import ModelDemand
+
+if TYPE_CHECKING:
+    from shallotfold._entry import effects
+    from shallotfold._entry import events
+    from shallotfold._entry.state import EntryState
+
+
+@attrs.define(kw_only=True)
+class DemandState:
+    """Cumulative demand at this entry.
+
+    Attributes:
+        asked_by_key: Estimated output tokens asked for, by model and class.
+        fresh: Whether something was asked for since the last flush.
+    """
+
+    asked_by_key: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    fresh: bool = False
+
+
+def on_arrival(
+    state: EntryState, event: events.RequestArrived
+) -> list[effects.Effect]:
+    """Count a request for a model that was not refused at once."""
+    opened = state.requests.open_by_id.get(event.request.request_id)
+    if opened is None or not event.request.model:
+        return []
+    classes = state.configuration.current.classes_by_name
+    request_class = classes.get(opened.class_name)
+    if request_class is None:
+        return []
+    tokens = request_class.expected_output_tokens
+    if event.request.max_output_tokens:
+        tokens = min(tokens, event.request.max_output_tokens)
+    key = (event.request.model, opened.class_name)
+    known = state.demand.asked_by_key.get(key, 0)
+    state.demand.asked_by_key[key] = known + tokens
+    state.demand.fresh = True
+    return []
+
+
+def is_fresh(state: EntryState) -> bool:
+    """Tell whether demand changed since the last flush."""
+    return state.demand.fresh
+
+
+def take(state: EntryState) -> tuple[ModelDemand, ...]:
+    """Return the demand for a flush."""
+    state.demand.fresh = False
+    return tuple(
+        ModelDemand(model=model, class_name=class_name, asked_tokens=tokens)
+        for (model, class_name), tokens in sorted(
+            state.demand.asked_by_key.items()
+        )
+    )
--- a/src/shallotfold/_entry/effects.py
+++ b/src/shallotfold/_entry/effects.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from shallotfold._fleet.usage_flush import ModelDemand
 from shallotfold._model.requests import Outcome
 from shallotfold._model.requests import RecordedAnswer
 from shallotfold._model.requests import Refusal
@@ -116,8 +117,31 @@
 
 @attrs.frozen(kw_only=True)
 class FlushUsage:
-    """Write cumulative counts of this entry to the store in one value."""
+    """Write cumulative counts of this entry to the store in one value.
 
+    Attributes:
+        sequence: Everything counted up to it is in the counts.
+        counts: All counts that were not reported for good.
+        host: Name of this host.
+        incarnation: Incarnation under which it counts.
+        closed_before: Counts of windows that start before it are final.
+        demand: Cumulative demand.
+    """
+
+    sequence: int
+    counts: tuple[UsageCount, ...]
+    host: str = ""
+    incarnation: int = 0
+    closed_before: int = 0
+    demand: tuple[ModelDemand, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class FlushHeldUsage:
+    """Write counts held for a peer to the peer's value in the store."""
+
+    host: str
+    incarnation: int
     sequence: int
     counts: tuple[UsageCount, ...]
 
@@ -171,6 +195,7 @@
     | FetchConfiguration
     | LoadConfigurationDocument
     | FlushUsage
+    | FlushHeldUsage
     | RecordExplanation
     | CountMetric
     | TimeMetric
--- a/src/shallotfold/_entry/events.py
+++ b/src/shallotfold/_entry/events.py
@@ -207,9 +207,51 @@
 
 @attrs.frozen(kw_only=True)
 class UsageFlushed(Event):
-    """The store has the counts up to a flush sequence."""
+    """The store has the counts up to a flush sequence.
+
+    Attributes:
+        sequence: The flush sequence.
+        closed_before: What the flush said about final windows.
+    """
 
     sequence: int
+    closed_before: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class UsageFlushFailed(Event):
+    """A flush did not reach the store, or nobody knows.
+
+    Attributes:
+        retired: Whether the store closed this source: it was silent for so
+            long that its counts were reported for good.
+    """
+
+    retired: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class HeldUsageFlushed(Event):
+    """A write of counts held for a peer has ended.
+
+    Attributes:
+        host: The peer.
+        incarnation: Its incarnation.
+        sequence: Sequence number of the write.
+        stored: Whether the store has them.
+    """
+
+    host: str
+    incarnation: int
+    sequence: int
+    stored: bool
+
+
+@attrs.frozen(kw_only=True)
+class UsageSettled(Event):
+    """All shards reported this entry's windows before a time for good."""
+
+    before: int
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_entry/reducer.py
+++ b/src/shallotfold/_entry/reducer.py
@@ -5,12 +5,14 @@
 from typing import Any
 
 from shallotfold._entry import configuration
+from shallotfold._entry import demand
 from shallotfold._entry import events
 from shallotfold._entry import limits
 from shallotfold._entry import membership
 from shallotfold._entry import pools
 from shallotfold._entry import requests
 from shallotfold._entry import usage
+from shallotfold._entry import usage_held
 from shallotfold._entry.effects import Effect
 from shallotfold._entry.state import EntryState
 from shallotfold._wire import control_messages
@@ -63,7 +65,7 @@
         requests.on_tick,
         usage.on_tick,
     ),
-    events.RequestArrived: (requests.on_arrival,),
+    events.RequestArrived: (requests.on_arrival, demand.on_arrival),
     events.CallerLeft: (requests.on_caller_left,),
     events.TokensForwarded: (requests.on_tokens,),
     events.AttemptEnded: (requests.on_attempt_ended,),
@@ -83,5 +85,8 @@
     events.ClaimSucceeded: (requests.on_claimed,),
     events.ClaimFailed: (requests.on_claim_failed,),
     events.UsageFlushed: (usage.on_flushed,),
+    events.UsageFlushFailed: (usage.on_flush_failed,),
+    events.HeldUsageFlushed: (usage_held.on_held_flushed,),
+    events.UsageSettled: (usage.on_settled,),
     events.ShutdownRequested: (requests.on_shutdown, pools.on_shutdown),
 }
--- a/src/shallotfold/_entry/state.py
+++ b/src/shallotfold/_entry/state.py
@@ -4,11 +4,12 @@
 
 from shallotfold._entry.claims import ClaimsState
 from shallotfold._entry.configuration import ConfigurationState
+from shallotfold._entry.demand import DemandState
 from shallotfold._entry.limits import LimitsState
 from shallotfold._entry.membership import MembershipState
 from shallotfold._entry.open_requests import RequestsState
 from shallotfold._entry.pool_state import PoolsState
-from shallotfold._entry.usage import UsageState
+from shallotfold._entry.usage_state import UsageState
 
 
 @attrs.define(kw_only=True)
@@ -25,6 +26,7 @@
         pools: Pools of upstreams that this entry owns.
         claims: Requests waiting for their idempotency key.
         limits: Use of the workspaces that have limits.
+        demand: What callers ask for.
         usage: Counts of answered requests.
         draining: Whether a shutdown was requested.
     """
@@ -38,5 +40,6 @@
     pools: PoolsState = attrs.field(factory=PoolsState)
     claims: ClaimsState = attrs.field(factory=ClaimsState)
     limits: LimitsState = attrs.field(factory=LimitsState)
+    demand: DemandState = attrs.field(factory=DemandState)
     usage: UsageState = attrs.field(factory=UsageState)
     draining: bool = False
--- a/src/shallotfold/_entry/usage.py
+++ b/src/shallotfold/_entry/usage.py
@@ -1,4 +1,9 @@
-"""Count answered requests per workspace and window, cumulatively."""
+"""Count answered requests per workspace and window, cumulatively.
+
+An answer counts in the window in which it ended. Before its end goes to the
+caller a peer holds the count, so a crash of this entry loses none of them
+while that peer lives. One flush carries all counts to the store.
+"""
 
 from __future__ import annotations
 
@@ -6,23 +11,27 @@
 
 import attrs
 
+from shallotfold._entry import demand
 from shallotfold._entry import effects
+from shallotfold._entry import usage_held
+from shallotfold._entry import usage_holds
+from shallotfold._entry.usage_state import UsageState
+from shallotfold._wire import usage_messages
 from shallotfold._wire.usage_messages import UsageCount
 
 if TYPE_CHECKING:
     from shallotfold._entry import events
     from shallotfold._entry.state import EntryState
 
-
-@attrs.define(kw_only=True)
-class UsageState:
-    """Counts of this entry.
-
-    Attributes:
-        counts_by_key: Cumulative counts by workspace and window.
-    """
-
-    counts_by_key: dict[tuple[str, int], UsageCount] = attrs.field(factory=dict)
+FLUSH_INTERVAL_S = 3.0
+MAX_FLUSH_INTERVAL_S = 25.0
+FLUSH_BYTES_PER_S = 1000.0
+BYTES_PER_COUNT = 40
+DRAIN_FLUSH_INTERVAL_S = 0.25
+FLUSH_RETRY_S = 1.0
+DRAIN_HELD_S = 5.0
+DRAIN_LIMIT_S = 60.0
+FROZEN_S = 600.0
 
 
 def count_answer(
@@ -39,37 +48,103 @@
 
     The returned effects, or those of a later event, hold `FinishAnswer`.
     """
-    del now_s
-    length_s = state.configuration.current.usage_window_s
-    window = int(wall_s // length_s) * length_s
-    old = state.usage.counts_by_key.get((workspace, window))
-    state.usage.counts_by_key[workspace, window] = UsageCount(
-        workspace=workspace,
-        window=window,
-        requests=(old.requests if old else 0) + 1,
-        prompt_tokens=(old.prompt_tokens if old else 0) + prompt_tokens,
-        output_tokens=(old.output_tokens if old else 0) + output_tokens,
+    if not workspace:
+        return [effects.FinishAnswer(request_id=request_id)]
+    usage = state.usage
+    _notice_freeze(state, now_s)
+    window = _window_at(state, max(wall_s, usage.wall_s))
+    _add(
+        usage,
+        UsageCount(
+            workspace=workspace,
+            window=window,
+            requests=1,
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
+        ),
     )
-    return [effects.FinishAnswer(request_id=request_id)]
+    return usage_holds.wait_until_held(state, request_id, now_s)
 
 
 def has_unflushed(state: EntryState) -> bool:
-    """Whether counts are still missing in the store."""
-    del state
-    return False
+    """Whether counts are missing in the store or answers wait for them.
+
+    While draining, counts that a peer holds are waited for a short time
+    only, and all others at most `DRAIN_LIMIT_S`.
+    """
+    usage = state.usage
+    if usage.waiting_by_id:
+        return True
+    unstored = usage.unstored_keys()
+    if not unstored or usage.draining_since_s is None:
+        return bool(unstored)
+    drained_s = (usage.ticked_s or 0.0) - usage.draining_since_s
+    held = all(
+        usage.safe_by_key.get(key) == usage.counts_by_key[key]
+        for key in unstored
+    )
+    return drained_s < (DRAIN_HELD_S if held else DRAIN_LIMIT_S)
 
 
 def on_tick(state: EntryState, event: events.Tick) -> list[effects.Effect]:
     """Flush what the store does not have yet."""
-    del state, event
-    return []
+    usage = state.usage
+    _notice_freeze(state, event.now_s)
+    usage.wall_s = max(usage.wall_s, event.wall_s)
+    if state.draining and usage.draining_since_s is None:
+        usage.draining_since_s = event.now_s
+        usage.next_flush_s = event.now_s
+    usage.closed_before = max(
+        usage.closed_before, _window_at(state, usage.wall_s)
+    )
+    return [
+        *usage_holds.on_tick(state, event.now_s),
+        *usage_held.on_tick(state, event.now_s),
+        *_flush_when_due(state, event.now_s),
+    ]
 
 
 def on_flushed(
     state: EntryState, event: events.UsageFlushed
 ) -> list[effects.Effect]:
     """Forget what the store now has."""
-    del state, event
+    usage = state.usage
+    usage.flushing = False
+    if event.sequence <= usage.stored_sequence:
+        return []
+    usage.stored_sequence = event.sequence
+    usage.flushed_closed_before = event.closed_before
+    usage.note_safe(usage.last_flush)
+    return usage_holds.tell_stored(state, event.sequence)
+
+
+def on_flush_failed(
+    state: EntryState, event: events.UsageFlushFailed
+) -> list[effects.Effect]:
+    """Flush again later, or under a new name if ours was retired."""
+    usage = state.usage
+    usage.flushing = False
+    usage.next_flush_s = event.now_s + FLUSH_RETRY_S
+    if event.retired:
+        _begin_new_source(state)
+    return []
+
+
+def on_settled(
+    state: EntryState, event: events.UsageSettled
+) -> list[effects.Effect]:
+    """Forget counts of windows that were reported for good."""
+    usage = state.usage
+    unstored = usage.unstored_keys()
+    settled = [
+        key
+        for key in usage.counts_by_key
+        if key[1] < event.before and key not in unstored
+    ]
+    for key in settled:
+        del usage.counts_by_key[key]
+        del usage.sequences_by_key[key]
+        usage.safe_by_key.pop(key, None)
     return []
 
 
@@ -77,5 +152,115 @@
     state: EntryState, event: events.PeerMessageReceived
 ) -> list[effects.Effect]:
     """Hold counts for a peer, or learn that a peer holds ours."""
-    del state, event
+    message = event.message
+    if isinstance(message, usage_messages.UsageHeld):
+        return usage_held.on_held(state, event, message)
+    if isinstance(message, usage_messages.UsageHoldAcknowledged):
+        return usage_holds.on_acknowledged(state, event, message)
+    if isinstance(message, usage_messages.UsageStored):
+        return usage_held.on_stored(state, message)
     return []
+
+
+def _notice_freeze(state: EntryState, now_s: float) -> None:
+    """Begin a new source after a freeze long enough to be retired."""
+    usage = state.usage
+    ticked_s = usage.ticked_s
+    usage.ticked_s = now_s
+    if ticked_s is not None and now_s - ticked_s > FROZEN_S:
+        # Others may have written and reported what we held and counted.
+        usage.held_by_source.clear()
+        _begin_new_source(state)
+
+
+def _flush_when_due(state: EntryState, now_s: float) -> list[effects.Effect]:
+    usage = state.usage
+    # A source without a value in the store need not say what is final.
+    closing = 0 < usage.flushed_closed_before < usage.closed_before
+    wanted = closing or bool(usage.unstored_keys()) or demand.is_fresh(state)
+    if usage.flushing or now_s < usage.next_flush_s or not wanted:
+        return []
+    usage.flushing = True
+    usage.last_flush = dict(usage.counts_by_key)
+    usage.next_flush_s = now_s + _flush_interval_s(state)
+    usage.sequence += 1
+    return [
+        effects.FlushUsage(
+            sequence=usage.sequence,
+            counts=tuple(usage.counts_by_key.values()),
+            host=state.host,
+            incarnation=usage_holds.incarnation_of(state),
+            closed_before=usage.closed_before,
+            demand=demand.take(state),
+        )
+    ]
+
+
+def _flush_interval_s(state: EntryState) -> float:
+    """Spread flushes so that control traffic stays bounded."""
+    if state.draining:
+        return DRAIN_FLUSH_INTERVAL_S
+    size = BYTES_PER_COUNT * len(state.usage.counts_by_key)
+    wanted_s = max(FLUSH_INTERVAL_S, size / FLUSH_BYTES_PER_S)
+    return min(wanted_s, MAX_FLUSH_INTERVAL_S)
+
+
+def _window_at(state: EntryState, wall_s: float) -> int:
+    length_s = state.configuration.current.usage_window_s
+    window = int(wall_s // length_s) * length_s
+    return max(window, state.usage.closed_before)
+
+
+def _add(usage: UsageState, added: UsageCount) -> None:
+    key = (added.workspace, added.window)
+    known = usage.counts_by_key.get(key)
+    if known is not None:
+        added = attrs.evolve(
+            known,
+            requests=known.requests + added.requests,
+            prompt_tokens=known.prompt_tokens + added.prompt_tokens,
+            output_tokens=known.output_tokens + added.output_tokens,
+        )
+    usage.counts_by_key[key] = added
+    usage.sequence += 1
+    usage.sequences_by_key[key] = usage.sequence
+    usage.unheld.add(key)
+
+
+def _begin_new_source(state: EntryState) -> None:
+    """Count on under a new name; what others have stays under the old one.
+
+    What was sent without an answer may have arrived and been reported, so it
+    is not counted again.
+    """
+    usage = state.usage
+    usage.note_safe(usage.last_flush)
+    if usage.open_hold is not None:
+        usage.note_safe(usage.open_hold.counts_by_key)
+    rest = [
+        _rest(count, usage.safe_by_key.get(key))
+        for key, count in usage.counts_by_key.items()
+    ]
+    usage.rotation += 1
+    usage.counts_by_key.clear()
+    usage.sequences_by_key.clear()
+    usage.safe_by_key.clear()
+    usage.unheld.clear()
+    usage.open_hold = None
+    usage.last_flush = {}
+    usage.stored_sequence = usage.sequence
+    usage.flushed_closed_before = 0
+    for count in rest:
+        if count.requests:
+            _add(usage, count)
+
+
+def _rest(count: UsageCount, safe: UsageCount | None) -> UsageCount:
+    if safe is None:
+        return count
+    return attrs.evolve(
+        count,
+        requests=count.requests - safe.requests,
+        prompt_tokens=count.prompt_tokens - safe.prompt_tokens,
+        output_tokens=count.output_tokens - safe.output_tokens,
+    )
--- /dev/null
+++ b/src/shallotfold/_entry/usage_flusher.py
@@ -0,0 +1,195 @@
+"""Write usage to the store for an entry, and learn what was reported."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+import time
+from typing import Any
+from typing import Protocol
+import uuid
+
+import attrs
+
+from shallotfold._entry import effects
+from shallotfold._entry import events
+from shallotfold._errors import PlatformError
+from shallotfold._errors import StoreConflictError
+from shallotfold._errors import StoreUnavailableError
+from shallotfold._fleet.duties import USAGE_SHARDS
+from shallotfold._fleet.usage_flush import UsageFlush
+from shallotfold._fleet.usage_flush import decode_flush
+from shallotfold._fleet.usage_flush import encode_flush
+from shallotfold._fleet.usage_flush import flush_key
+from shallotfold._fleet.usage_flush import merge_counts
+from shallotfold._fleet.usage_flush import source_name
+from shallotfold._fleet.usage_ledger import HEAD_PREFIX
+from shallotfold._fleet.usage_ledger import decode_head
+from shallotfold._fleet.verified_write import write_verified
+from shallotfold._platform.ports import Store
+
+SETTLED_PERIOD_S = 120.0
+MAX_TRIES = 3
+
+
+class Shell(Protocol):
+    """What the flusher needs of the entry's shell."""
+
+    def deliver(self, event: events.Event) -> None:
+        """Reduce an event and run its effects."""
+        ...
+
+    def register(
+        self, effect_type: type, runner: Callable[[Any], Awaitable[None]]
+    ) -> None:
+        """Set the runner of an effect type."""
+        ...
+
+
+class SourceRetiredError(PlatformError):
+    """A source was closed after a long silence; count on under a new name."""
+
+
+@attrs.define
+class UsageFlusher:
+    """A part of the entry's shell: `start()` it, then it runs flushes.
+
+    Attributes:
+        shell: Shell of the entry.
+        store: Key-value service.
+        clock: Monotonic time in seconds.
+    """
+
+    shell: Shell
+    store: Store
+    clock: Callable[[], float] = time.monotonic
+    _revisions_by_source: dict[str, int] = attrs.field(factory=dict)
+    _source: str = ""
+    _reader: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Register the runners and begin to read what was reported."""
+        self.shell.register(effects.FlushUsage, self.flush)
+        self.shell.register(effects.FlushHeldUsage, self.flush_held)
+        self._reader = asyncio.create_task(self._read_settled())
+
+    async def close(self) -> None:
+        """Stop reading."""
+        if self._reader is not None:
+            self._reader.cancel()
+            await asyncio.gather(self._reader, return_exceptions=True)
+
+    async def flush(self, effect: effects.FlushUsage) -> None:
+        """Write this entry's counts; they replace what the store has."""
+        self._source = source_name(effect.host, effect.incarnation)
+        flush = UsageFlush(
+            source=self._source,
+            token=uuid.uuid4().hex,
+            closed_before=effect.closed_before,
+            counts=effect.counts,
+            demand=effect.demand,
+        )
+        answer: events.Event
+        try:
+            await self._write_own(flush)
+        except SourceRetiredError:
+            answer = events.UsageFlushFailed(now_s=self.clock(), retired=True)
+        except PlatformError:
+            answer = events.UsageFlushFailed(now_s=self.clock())
+        else:
+            answer = events.UsageFlushed(
+                now_s=self.clock(),
+                sequence=effect.sequence,
+                closed_before=effect.closed_before,
+            )
+        self.shell.deliver(answer)
+
+    async def flush_held(self, effect: effects.FlushHeldUsage) -> None:
+        """Merge counts held for a peer into the peer's value."""
+        stored = True
+        try:
+            await self._write_held(effect)
+        except PlatformError:
+            stored = False
+        self.shell.deliver(
+            events.HeldUsageFlushed(
+                now_s=self.clock(),
+                host=effect.host,
+                incarnation=effect.incarnation,
+                sequence=effect.sequence,
+                stored=stored,
+            )
+        )
+
+    async def read_settled(self) -> None:
+        """Read once up to which window all shards reported our counts."""
+        if not self._source:
+            return
+        try:
+            stored = await self.store.list(HEAD_PREFIX)
+        except StoreUnavailableError:
+            return
+        settled = [
+            decode_head(value.value).ledger.settled_before.get(self._source, 0)
+            for value in stored
+        ]
+        if len(settled) == USAGE_SHARDS:
+            self.shell.deliver(
+                events.UsageSettled(now_s=self.clock(), before=min(settled))
+            )
+
+    async def _read_settled(self) -> None:
+        while True:
+            await asyncio.sleep(SETTLED_PERIOD_S * random.uniform(0.75, 1.25))
+            await self.read_settled()
+
+    async def _write_own(self, flush: UsageFlush) -> None:
+        """Write, over whatever a holder may have written meanwhile.
+
+        Raises:
+            SourceRetiredError: The source is closed.
+            StoreConflictError: Others wrote several times in between.
+            StoreUnavailableError: The outcome is unknown.
+        """
+        key = flush_key(flush.source)
+        value = encode_flush(flush)
+        for _ in range(MAX_TRIES):
+            revision = self._revisions_by_source.get(flush.source, 0)
+            try:
+                written = await write_verified(self.store, key, revision, value)
+            except StoreConflictError:
+                found = await self.store.get(key)
+                gone = found is None and revision > 0
+                if gone or (found is not None and decode_flush(found).retired):
+                    raise SourceRetiredError(
+                        f"{key} was retired; count on under a new name"
+                    ) from None
+                self._revisions_by_source[flush.source] = (
+                    found.revision if found else 0
+                )
+                continue
+            self._revisions_by_source[flush.source] = written
+            return
+        raise StoreConflictError(key, revision)
+
+    async def _write_held(self, effect: effects.FlushHeldUsage) -> None:
+        source = source_name(effect.host, effect.incarnation)
+        key = flush_key(source)
+        for _ in range(MAX_TRIES):
+            found = await self.store.get(key)
+            flush = decode_flush(found) if found else UsageFlush(source=source)
+            merged = merge_counts(flush.counts, effect.counts)
+            if flush.retired or merged == flush.counts:
+                return
+            merged_flush = attrs.evolve(
+                flush, counts=merged, token=uuid.uuid4().hex
+            )
+            revision = found.revision if found else 0
+            try:
+                await write_verified(
+                    self.store, key, revision, encode_flush(merged_flush)
+                )
+            except StoreConflictError:
+                continue
+            return
+        raise StoreConflictError(key, 0)
--- /dev/null
+++ b/src/shallotfold/_entry/usage_holds.py
@@ -0,0 +1,182 @@
+"""Let a peer hold our counts before the caller has the whole answer."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from shallotfold._entry import effects
+from shallotfold._entry import membership
+from shallotfold._entry.usage_state import OpenHold
+from shallotfold._entry.usage_state import WaitingAnswer
+from shallotfold._wire import usage_messages
+
+if TYPE_CHECKING:
+    from shallotfold._entry import events
+    from shallotfold._entry.state import EntryState
+
+HOLD_TIMEOUT_S = 0.05
+HOLD_RETRY_S = 0.5
+AVOID_S = 10.0
+
+
+def incarnation_of(state: EntryState) -> int:
+    """Return the incarnation under which this entry counts now."""
+    return state.incarnation + state.usage.rotation
+
+
+def wait_until_held(
+    state: EntryState, request_id: str, now_s: float
+) -> list[effects.Effect]:
+    """Ask the holder to take the newest counts; then the answer may end."""
+    usage = state.usage
+    usage.waiting_by_id[request_id] = WaitingAnswer(
+        sequence=usage.sequence, deadline_s=now_s + HOLD_TIMEOUT_S
+    )
+    return send_unheld(state, now_s)
+
+
+def send_unheld(state: EntryState, now_s: float) -> list[effects.Effect]:
+    """Send all counts that wait, in one message at a time."""
+    usage = state.usage
+    _follow_holder(state, now_s)
+    if usage.open_hold is not None or not usage.unheld:
+        return []
+    if not usage.holder:
+        usage.unheld.clear()
+        return _finish_exposed(state, usage.sequence)
+    usage.sequence += 1
+    counts = {
+        key: usage.counts_by_key[key]
+        for key in usage.unheld
+        if key in usage.counts_by_key
+    }
+    usage.unheld.clear()
+    usage.open_hold = OpenHold(
+        sequence=usage.sequence, sent_s=now_s, counts_by_key=counts
+    )
+    message = usage_messages.UsageHeld(
+        host=state.host,
+        incarnation=incarnation_of(state),
+        sequence=usage.sequence,
+        counts=tuple(counts.values()),
+    )
+    return [effects.SendToPeer(host=usage.holder, message=message)]
+
+
+def on_acknowledged(
+    state: EntryState,
+    event: events.PeerMessageReceived,
+    message: usage_messages.UsageHoldAcknowledged,
+) -> list[effects.Effect]:
+    """End the answers whose counts are held now."""
+    usage = state.usage
+    hold = usage.open_hold
+    if hold is None or event.host != usage.holder:
+        return []
+    if message.sequence < hold.sequence:
+        return []
+    usage.note_safe(hold.counts_by_key)
+    usage.open_hold = None
+    finished = _pop_waiting(state, hold.sequence)
+    return [
+        *(
+            effects.FinishAnswer(request_id=request_id)
+            for request_id in finished
+        ),
+        *send_unheld(state, event.now_s),
+    ]
+
+
+def on_tick(state: EntryState, now_s: float) -> list[effects.Effect]:
+    """End answers that waited too long; leave a holder that is silent."""
+    usage = state.usage
+    hold = usage.open_hold
+    if hold is not None and now_s - hold.sent_s > HOLD_RETRY_S:
+        usage.avoided_until_by_host[usage.holder] = now_s + AVOID_S
+    overdue = [
+        request_id
+        for request_id, waiting in usage.waiting_by_id.items()
+        if waiting.deadline_s <= now_s
+    ]
+    return [*_end_exposed(state, overdue), *send_unheld(state, now_s)]
+
+
+def tell_stored(state: EntryState, sequence: int) -> list[effects.Effect]:
+    """Tell the holders that the store has what they hold."""
+    usage = state.usage
+    message = usage_messages.UsageStored(
+        host=state.host, incarnation=incarnation_of(state), sequence=sequence
+    )
+    holders = {*usage.former_holders, usage.holder} - {""}
+    usage.former_holders.clear()
+    return [
+        effects.SendToPeer(host=host, message=message)
+        for host in sorted(holders)
+    ]
+
+
+def _follow_holder(state: EntryState, now_s: float) -> None:
+    """Choose the holder again; a new one gets all that is not stored."""
+    usage = state.usage
+    chosen = _choose_holder(state, now_s)
+    if chosen == usage.holder:
+        return
+    if usage.holder:
+        usage.former_holders.add(usage.holder)
+    usage.holder = chosen
+    usage.open_hold = None
+    usage.unheld |= usage.unstored_keys()
+
+
+def _choose_holder(state: EntryState, now_s: float) -> str:
+    usage = state.usage
+    usable = [
+        host
+        for host in membership.live_entries(state)
+        if host != state.host
+        and usage.avoided_until_by_host.get(host, 0.0) <= now_s
+    ]
+    return min(usable, key=lambda host: _preference(state, host), default="")
+
+
+def _preference(state: EntryState, host: str) -> tuple[bool, bytes]:
+    """Prefer another data centre, then spread by rendezvous hashing."""
+    record = state.membership.hosts_by_name.get(host)
+    near = record is None or record.data_centre == state.data_centre
+    return near, hashlib.sha256(f"{state.host}\0{host}".encode()).digest()
+
+
+def _pop_waiting(state: EntryState, sequence: int) -> list[str]:
+    waiting = state.usage.waiting_by_id
+    done = [
+        request_id
+        for request_id, answer in waiting.items()
+        if answer.sequence <= sequence
+    ]
+    for request_id in done:
+        del waiting[request_id]
+    return done
+
+
+def _finish_exposed(state: EntryState, sequence: int) -> list[effects.Effect]:
+    waiting = state.usage.waiting_by_id
+    done = [r for r, answer in waiting.items() if answer.sequence <= sequence]
+    return _end_exposed(state, done)
+
+
+def _end_exposed(
+    state: EntryState, request_ids: list[str]
+) -> list[effects.Effect]:
+    """End answers whose counts a crash of this entry alone could lose."""
+    for request_id in request_ids:
+        del state.usage.waiting_by_id[request_id]
+    ended: list[effects.Effect] = [
+        effects.FinishAnswer(request_id=request_id)
+        for request_id in request_ids
+    ]
+    if ended:
+        ended.append(
+            effects.CountMetric(name="usage.exposed", value=len(ended))
+        )
+    return ended
