--- a/src/shallotfold/_controller/orders.py
+++ b/src/shallotfold/_controller/orders.py
@@ -26,7 +26,6 @@
     from shallotfold._controller import events
     from shallotfold._controller.state import ControllerState
 
-ORDER_TIMEOUT_S = 2.0
 RETRY_S = 1.0
 PLAN_PERIOD_S = 5.0
 REFUSED_OFFER_PAUSE_S = 30.0
@@ -229,7 +228,7 @@
     return [
         effects.PlaceOrder(
             order=order_of(intent, data_centre, orders.fencing),
-            timeout_s=min(ORDER_TIMEOUT_S, left_s),
+            timeout_s=min(state.order_timeout_s, left_s),
         )
     ]
 
--- a/src/shallotfold/_controller/state.py
+++ b/src/shallotfold/_controller/state.py
@@ -20,6 +20,7 @@
         process_token: Unique token of this process.
         lease_ttl_s: Time to live of the lease.
         takeover_wait_s: Wait between acquiring a duty and its first send.
+        order_timeout_s: Longest wait for the answer to an order.
         version: Version of the configuration; 0 before any was read.
         configuration: Newest configuration.
         hosts_by_name: The platform's lagging host list.
@@ -36,6 +37,7 @@
     process_token: str
     lease_ttl_s: float = 6.0
     takeover_wait_s: float = 3.0
+    order_timeout_s: float = 2.0
     version: int = 0
     configuration: Configuration = attrs.field(factory=Configuration)
     hosts_by_name: dict[str, HostRecord] = attrs.field(factory=dict)
--- a/src/shallotfold/_entry/usage_flusher.py
+++ b/src/shallotfold/_entry/usage_flusher.py
@@ -1,8 +1,8 @@
 """Write usage to the store for an entry, and learn what was reported."""
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 import random
 import time
 from typing import Any
@@ -40,9 +40,9 @@
         ...
 
     def register(
-        self, effect_type: type, runner: Callable[[Any], Awaitable[None]]
+        self, effect_type: type, runner: Callable[[Any], None]
     ) -> None:
-        """Set the runner of an effect type."""
+        """Set the runner of an effect type; it must not block."""
         ...
 
 
@@ -65,19 +65,25 @@
     clock: Callable[[], float] = time.monotonic
     _revisions_by_source: dict[str, int] = attrs.field(factory=dict)
     _source: str = ""
-    _reader: asyncio.Task[None] | None = None
+    _tasks: set[asyncio.Future[None]] = attrs.field(factory=set)
 
     async def start(self) -> None:
         """Register the runners and begin to read what was reported."""
-        self.shell.register(effects.FlushUsage, self.flush)
-        self.shell.register(effects.FlushHeldUsage, self.flush_held)
-        self._reader = asyncio.create_task(self._read_settled())
+        self.shell.register(
+            effects.FlushUsage, lambda effect: self._spawn(self.flush(effect))
+        )
+        self.shell.register(
+            effects.FlushHeldUsage,
+            lambda effect: self._spawn(self.flush_held(effect)),
+        )
+        self._spawn(self._read_settled())
 
     async def close(self) -> None:
-        """Stop reading."""
-        if self._reader is not None:
-            self._reader.cancel()
-            await asyncio.gather(self._reader, return_exceptions=True)
+        """Cancel the calls under way."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def flush(self, effect: effects.FlushUsage) -> None:
         """Write this entry's counts; they replace what the store has."""
@@ -138,6 +144,11 @@
                 events.UsageSettled(now_s=self.clock(), before=min(settled))
             )
 
+    def _spawn(self, call: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _read_settled(self) -> None:
         while True:
             await asyncio.sleep(SETTLED_PERIOD_S * random.uniform(0.75, 1.25))
--- a/tests/controller/test_usage.py
+++ b/tests/controller/test_usage.py
@@ -23,7 +23,7 @@
 async def make_fleet() -> UsageSimulation:
     fleet = UsageSimulation()
     for name in ENTRIES:
-        fleet.start_entry(name)
+        await fleet.start_entry(name)
     await fleet.run(HOLDER_WAIT_S)
     return fleet
 
@@ -178,7 +178,7 @@
     for name, entry in list(fleet.entries.items()):
         entry.frozen = False
         if entry.line.dead:
-            fleet.start_entry(name)
+            await fleet.start_entry(name)
     for name, controller in list(fleet.controllers.items()):
         fleet.thaw(name)
         if controller.dead or controller.shell.stopped.is_set():
--- a/tests/controller/usage_simulation.py
+++ b/tests/controller/usage_simulation.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
 
@@ -42,21 +41,16 @@
     finished: Counter[str] = attrs.field(factory=Counter)
     exposed: int = 0
     workspaces_by_request: dict[str, str] = attrs.field(factory=dict)
-    runners: dict[type, Callable[[Any], Awaitable[None]]] = attrs.field(
-        factory=dict
-    )
-    tasks: set[asyncio.Future[None]] = attrs.field(factory=set)
+    runners: dict[type, Callable[[Any], None]] = attrs.field(factory=dict)
     flusher: UsageFlusher = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.flusher = UsageFlusher(
             self, MortalStore(self.fleet.store, self.line), self.fleet.clock
         )
-        self.register(effects.FlushUsage, self.flusher.flush)
-        self.register(effects.FlushHeldUsage, self.flusher.flush_held)
 
     def register(
-        self, effect_type: type, runner: Callable[[Any], Awaitable[None]]
+        self, effect_type: type, runner: Callable[[Any], None]
     ) -> None:
         self.runners[effect_type] = runner
 
@@ -91,10 +85,7 @@
             ):
                 self.exposed += effect.value
             elif type(effect) in self.runners:
-                runner = self.runners[type(effect)]
-                task = asyncio.ensure_future(runner(effect))
-                self.tasks.add(task)
-                task.add_done_callback(self.tasks.discard)
+                self.runners[type(effect)](effect)
 
 
 @attrs.define
@@ -107,7 +98,7 @@
     counted: Counter[str] = attrs.field(factory=Counter)
     _answers: int = 0
 
-    def start_entry(self, name: str) -> None:
+    async def start_entry(self, name: str) -> None:
         self._starts += 1
         old = self.entries.get(name)
         if old is not None:
@@ -127,6 +118,7 @@
                 sha256="",
             )
         )
+        await entry.flusher.start()
         self.entries[name] = entry
         for other in self.entries.values():
             if other is not entry and not other.line.dead:
