Trust keys only while the configuration is known to be fresh

Cause: an entry that is cut off must stop accepting keys within seconds, while an outage of the store alone must stop nobody; heartbeats in the buffer of a paused process look fresh when it wakes up.

A heartbeat echoes the newest time stamp that its sender got from the receiver, so that everything in it holds for a moment after that stamp. Ages alone, gaps between ticks and 'hears' lists were ruled out: with arrival times in place of echoes, the tests of one-way links and of the paused process fail. An entry trusts its keys when nothing newer existed 3.5 s ago, or when most of the known entries are in reach for certain and none of them has a newer version. Without a host list nothing is a majority.

Large fleets pass on who was alive in half a byte an entry, ages rounded up. live_entries drops a closed stream at once, a silent one after 1.5 s, and delays a peer that came back by a second. Configurations spread between peers in bounded parts with a digest; versions never revert in a state machine, which failed to find a reverting reducer until it delivered slow reads of the store as well; now it finds it.

--- /dev/null
+++ b/src/shallotfold/_entry/configuration_sync.py
@@ -0,0 +1,207 @@
+"""Follow the configuration in the store, and pass documents to peers."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import random
+import time
+from typing import Any
+
+from loguru import logger
+
+from shallotfold._entry import effects
+from shallotfold._entry import events
+from shallotfold._entry.configuration_parts import split_into_parts
+from shallotfold._entry.configuration_parts import unpack_document
+from shallotfold._errors import FrameError
+from shallotfold._errors import InvalidInputError
+from shallotfold._errors import PlatformError
+from shallotfold._fleet.configuration_reader import ConfigurationReader
+from shallotfold._fleet.configuration_reader import StoredConfiguration
+from shallotfold._fleet.manifest import MANIFEST_KEY
+from shallotfold._fleet.manifest import Manifest
+from shallotfold._fleet.manifest import load_manifest
+from shallotfold._model.serialization import load_configuration
+from shallotfold._platform.ports import Store
+from shallotfold._platform.ports import StoreChanges
+from shallotfold._wire.messages import PeerMessage
+
+# A watch is one store call; the whole fleet makes a hundred a second at most
+# until its size asks for more, so that no watch outlasts the longest.
+FLEET_WATCHES_PER_S = 100.0
+SHORTEST_WATCH_S = 1.0
+LONGEST_WATCH_S = 2.0
+ANSWER_MARGIN_S = 1.0
+FIRST_BACKOFF_S = 0.2
+MAX_BACKOFF_S = 2.0
+
+
+class ConfigurationSync:
+    """The part of an entry that reads configurations.
+
+    One watch is always open. Its answer tells of a change at once, and its
+    end without a change confirms that nothing newer exists.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        deliver: Callable[[events.Event], None],
+        send: Callable[[str, PeerMessage], None],
+        count_entries: Callable[[], int],
+    ) -> None:
+        self._store = store
+        self._deliver = deliver
+        self._send = send
+        self._count_entries = count_entries
+        self._reader = ConfigurationReader(store)
+        self._manifest = Manifest()
+        self._revision = 0
+        self._reading = asyncio.Lock()
+        self._following: asyncio.Task[None] | None = None
+        self._running: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Start to follow the store; returns before the first read."""
+        self._following = asyncio.create_task(self._follow())
+
+    async def close(self) -> None:
+        """Stop following, and drop what is under way."""
+        tasks = [*self._running]
+        if self._following is not None:
+            tasks.append(self._following)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def fetch(self, effect: effects.FetchConfiguration) -> None:
+        """Read a newer version from the store in the background."""
+        self._run(self._fetch(effect))
+
+    def load(self, effect: effects.LoadConfigurationDocument) -> None:
+        """Decode a document from a peer in the background."""
+        self._run(self._load(effect))
+
+    def send(self, effect: effects.SendConfiguration) -> None:
+        """Send a document to a peer in the background."""
+        self._run(self._send_parts(effect))
+
+    def _run(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+
+    async def _follow(self) -> None:
+        backoff_s = FIRST_BACKOFF_S
+        while True:
+            try:
+                await self._read_manifest()
+                while True:
+                    await self._watch()
+                    backoff_s = FIRST_BACKOFF_S
+            except (PlatformError, TimeoutError) as error:
+                logger.debug("configuration can't be read: {!r}", error)
+            await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
+            backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+
+    async def _read_manifest(self) -> None:
+        started_s = time.monotonic()
+        async with asyncio.timeout(SHORTEST_WATCH_S + ANSWER_MARGIN_S):
+            manifest, revision = await self._reader.read_manifest()
+        self._manifest = manifest
+        self._revision = max(self._revision, revision)
+        self._confirm(started_s)
+
+    async def _watch(self) -> None:
+        timeout_s = watch_time_s(self._count_entries())
+        started_s = time.monotonic()
+        async with asyncio.timeout(timeout_s + ANSWER_MARGIN_S):
+            changes = await self._store.watch(
+                MANIFEST_KEY, self._revision, timeout_s
+            )
+        self._revision = changes.revision
+        if self._take_over(changes):
+            self._confirm(started_s)
+        elif time.monotonic() - started_s >= timeout_s:
+            # The store looked for changes until its time was over.
+            self._confirm(started_s + timeout_s)
+        else:
+            self._confirm(started_s)
+
+    def _take_over(self, changes: StoreChanges) -> bool:
+        for value in changes.changed:
+            if value.key == MANIFEST_KEY:
+                self._manifest = load_manifest(value.value)
+                return True
+        return False
+
+    def _confirm(self, read_started_s: float) -> None:
+        self._deliver(
+            events.VersionConfirmed(
+                now_s=time.monotonic(),
+                version=self._manifest.version,
+                read_started_s=read_started_s,
+            )
+        )
+
+    async def _fetch(self, effect: effects.FetchConfiguration) -> None:
+        try:
+            async with self._reading:
+                stored = await self._read(effect.version)
+        except (PlatformError, InvalidInputError) as error:
+            logger.warning(
+                "configuration {} can't be read: {}", effect.version, error
+            )
+            return
+        self._deliver(
+            events.ConfigurationRead(
+                now_s=time.monotonic(),
+                version=stored.version,
+                configuration=stored.configuration,
+                document=stored.document,
+                sha256=stored.sha256,
+            )
+        )
+
+    async def _read(self, version: int) -> StoredConfiguration:
+        if self._manifest.version >= version:
+            return await self._reader.read_version(self._manifest)
+        return await self._reader.read()
+
+    async def _load(self, effect: effects.LoadConfigurationDocument) -> None:
+        try:
+            document = await asyncio.to_thread(
+                unpack_document, effect.document, effect.sha256
+            )
+            configuration = await asyncio.to_thread(
+                load_configuration, document
+            )
+        except (FrameError, InvalidInputError) as error:
+            logger.warning(
+                "configuration {} from a peer: {}", effect.version, error
+            )
+            return
+        self._deliver(
+            events.ConfigurationRead(
+                now_s=time.monotonic(),
+                version=effect.version,
+                configuration=configuration,
+                document=document,
+                sha256=effect.sha256,
+            )
+        )
+
+    async def _send_parts(self, effect: effects.SendConfiguration) -> None:
+        parts = await asyncio.to_thread(
+            lambda: list(
+                split_into_parts(effect.version, effect.document, effect.sha256)
+            )
+        )
+        for part in parts:
+            self._send(effect.host, part)
+
+
+def watch_time_s(entries: int) -> float:
+    """Return how long one watch of one entry of a fleet waits."""
+    wanted_s = entries / FLEET_WATCHES_PER_S
+    return min(LONGEST_WATCH_S, max(SHORTEST_WATCH_S, wanted_s))
--- a/src/shallotfold/_entry/effects.py
+++ b/src/shallotfold/_entry/effects.py
@@ -105,9 +105,32 @@
     version: int
 
 
+@attrs.frozen(kw_only=True)
+class SendConfiguration:
+    """Send a configuration document to a peer, in parts.
+
+    Attributes:
+        host: Peer that asked.
+        version: Version of the document.
+        document: Its canonical bytes.
+        sha256: Digest of the document.
+    """
+
+    host: str
+    version: int
+    document: bytes
+    sha256: str
+
+
 @attrs.frozen(kw_only=True)
 class LoadConfigurationDocument:
-    """Decode a document assembled from a peer into `ConfigurationRead`."""
+    """Decode a document assembled from a peer into `ConfigurationRead`.
+
+    Attributes:
+        version: Version of the document.
+        document: Its joined parts, still compressed.
+        sha256: Digest of the document.
+    """
 
     version: int
     document: bytes
@@ -169,6 +192,7 @@
     | SettleClaim
     | SendToPeer
     | FetchConfiguration
+    | SendConfiguration
     | LoadConfigurationDocument
     | FlushUsage
     | RecordExplanation
--- /dev/null
+++ b/src/shallotfold/_entry/host_sync.py
@@ -0,0 +1,73 @@
+"""Poll the platform's host list."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+import random
+import time
+
+from loguru import logger
+
+from shallotfold._entry import events
+from shallotfold._errors import PlatformError
+from shallotfold._model.upstreams import HostRecord
+from shallotfold._platform.ports import HostList
+
+POLL_INTERVAL_S = 2.0
+LARGE_LIST_POLL_INTERVAL_S = 10.0
+LARGE_LIST_HOSTS = 100
+FIRST_BACKOFF_S = 0.2
+
+
+class HostSync:
+    """The part of an entry that reads the host list.
+
+    A list that can't be read leaves the last one in force.
+    """
+
+    def __init__(
+        self,
+        host_list: HostList,
+        deliver: Callable[[events.Event], None],
+        set_hosts: Callable[[Sequence[HostRecord]], None],
+    ) -> None:
+        self._host_list = host_list
+        self._deliver = deliver
+        self._set_hosts = set_hosts
+        self._polling: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start polling; returns before the first read."""
+        self._polling = asyncio.create_task(self._poll())
+
+    async def close(self) -> None:
+        """Stop polling."""
+        if self._polling is None:
+            return
+        self._polling.cancel()
+        await asyncio.gather(self._polling, return_exceptions=True)
+
+    async def _poll(self) -> None:
+        interval_s = FIRST_BACKOFF_S
+        while True:
+            try:
+                hosts = await self._host_list.fetch()
+            except PlatformError as error:
+                logger.debug("host list can't be read: {!r}", error)
+                interval_s = min(POLL_INTERVAL_S, 2 * interval_s)
+            else:
+                self._take_over(hosts)
+                interval_s = _poll_interval_s(len(hosts))
+            await asyncio.sleep(interval_s * random.uniform(0.75, 1.25))
+
+    def _take_over(self, hosts: Sequence[HostRecord]) -> None:
+        self._set_hosts(hosts)
+        self._deliver(
+            events.HostsListed(now_s=time.monotonic(), hosts=tuple(hosts))
+        )
+
+
+def _poll_interval_s(hosts: int) -> float:
+    if hosts >= LARGE_LIST_HOSTS:
+        return LARGE_LIST_POLL_INTERVAL_S
+    return POLL_INTERVAL_S
--- a/src/shallotfold/_entry/keys.py
+++ b/src/shallotfold/_entry/keys.py
@@ -4,24 +4,80 @@
 
 from typing import TYPE_CHECKING
 
+from shallotfold._entry import freshness
+from shallotfold._model.configuration import Configuration
 from shallotfold._model.configuration import Workspace
 from shallotfold._model.requests import Refusal
 from shallotfold._model.requests import RefusalCode
 
 if TYPE_CHECKING:
+    from shallotfold._entry.open_requests import OpenRequest
     from shallotfold._entry.state import EntryState
 
+STALE_RETRY_AFTER_S = 2.0
+
+
+def index_workspaces(configuration: Configuration) -> dict[str, Workspace]:
+    """Return the workspaces of a configuration by the digests of their keys.
+
+    A look-up by digest takes no time that depends on how much of a wrong key
+    is right: callers choose keys, not digests.
+    """
+    return {
+        key.sha256: workspace
+        for workspace in configuration.workspaces_by_name.values()
+        for key in workspace.keys
+    }
+
 
 def authenticate(
     state: EntryState, key_sha256: str, now_s: float
 ) -> Workspace | Refusal:
     """Return the workspace of a key, or the refusal to answer with."""
-    del now_s
-    for workspace in state.configuration.current.workspaces_by_name.values():
-        for key in workspace.keys:
-            if key.sha256 == key_sha256:
-                return workspace
+    if not freshness.is_trusted(state, now_s):
+        return stale_refusal()
+    workspace = state.configuration.workspaces_by_key.get(key_sha256)
+    if workspace is not None:
+        return workspace
     return Refusal(
         code=RefusalCode.UNAUTHENTICATED,
         message="The key is unknown or withdrawn; ask your operator for one.",
     )
+
+
+def is_entitled(state: EntryState, opened: OpenRequest) -> bool:
+    """Tell whether an open request would still be admitted by its key."""
+    request = opened.request
+    if not opened.workspace:
+        routes = state.configuration.current.routes_by_prefix
+        route = routes.get(request.route_prefix)
+        return route is not None and route.open_to_all
+    workspace = state.configuration.workspaces_by_key.get(request.key_sha256)
+    if workspace is None or workspace.name != opened.workspace:
+        return False
+    if request.route_prefix:
+        return request.route_prefix in workspace.routes
+    return opened.class_name in workspace.classes
+
+
+def stale_refusal() -> Refusal:
+    """Return the refusal of an entry that can't tell which keys are valid."""
+    return Refusal(
+        code=RefusalCode.NOT_READY,
+        message=(
+            "This host can't tell whether the key is still valid; "
+            "repeat on another one."
+        ),
+        retry_after_s=STALE_RETRY_AFTER_S,
+    )
+
+
+def withdrawn_refusal() -> Refusal:
+    """Return the refusal of a request whose key was withdrawn."""
+    return Refusal(
+        code=RefusalCode.KEY_WITHDRAWN,
+        message=(
+            "The key no longer entitles to this request; "
+            "ask your operator for another one."
+        ),
+    )
--- a/src/shallotfold/_entry/state.py
+++ b/src/shallotfold/_entry/state.py
@@ -5,7 +5,7 @@
 from shallotfold._entry.claims import ClaimsState
 from shallotfold._entry.configuration import ConfigurationState
 from shallotfold._entry.limits import LimitsState
-from shallotfold._entry.membership import MembershipState
+from shallotfold._entry.members import MembershipState
 from shallotfold._entry.open_requests import RequestsState
 from shallotfold._entry.pool_state import PoolsState
 from shallotfold._entry.usage import UsageState
--- a/src/shallotfold/_wire/control_messages.py
+++ b/src/shallotfold/_wire/control_messages.py
@@ -2,9 +2,6 @@
 
 import attrs
 
-REACH_AGE_UNIT_S = 0.1
-UNREACHED = 255
-
 
 @attrs.frozen(kw_only=True)
 class Heartbeat:
@@ -23,10 +20,9 @@
             link, and bounds how old the contents are.
         known_entries: Number of entries in the host list of the sender; 0
             when it has read none.
-        hosts_digest: Digest of the sorted names of these entries.
-        reach_ages: One byte an entry, in the order of these names: time since
-            it was alive in tenths of a second, `UNREACHED` when longer. Empty
-            towards peers that are no neighbours.
+        names_digest: Digest of the sorted names of these entries.
+        reach_ages: How long ago each of these entries was alive, packed by
+            `_entry.reach`; empty towards peers that are no neighbours.
     """
 
     incarnation: int
@@ -36,7 +32,7 @@
     sent_s: float = 0.0
     echo_s: float = -1.0
     known_entries: int = 0
-    hosts_digest: int = 0
+    names_digest: int = 0
     reach_ages: bytes = b""
 
 
--- /dev/null
+++ b/tests/entry/fleet.py
@@ -0,0 +1,312 @@
+"""Several entry reducers joined by fake links and a fake store."""
+
+from collections.abc import Sequence
+import heapq
+import itertools
+from typing import Any
+
+import attrs
+
+from shallotfold._entry import effects
+from shallotfold._entry import events
+from shallotfold._entry import reducer
+from shallotfold._entry.configuration_parts import split_into_parts
+from shallotfold._entry.configuration_parts import unpack_document
+from shallotfold._entry.neighbours import choose_neighbours
+from shallotfold._entry.state import EntryState
+from shallotfold._model.configuration import Configuration
+from shallotfold._model.configuration import KeyDigest
+from shallotfold._model.configuration import RequestClass
+from shallotfold._model.configuration import Upstream
+from shallotfold._model.configuration import Workspace
+from shallotfold._model.requests import CallerRequest
+from shallotfold._model.requests import RefusalCode
+from shallotfold._model.serialization import document_sha256
+from shallotfold._model.serialization import dump_configuration
+from shallotfold._model.serialization import load_configuration
+from shallotfold._model.upstreams import HostRecord
+from shallotfold._model.upstreams import HostRole
+from shallotfold._model.upstreams import HostState
+
+STEP_S = 0.05
+LINK_DELAY_S = 0.002
+WATCH_S = 1.0
+SILENCE_LIMIT_S = 4.0
+KEY = "a" * 64
+
+
+def make_configuration(*keys: str) -> Configuration:
+    """Return a configuration with one workspace that holds the keys."""
+    return Configuration(
+        classes_by_name={"chat": RequestClass(name="chat", tier=1)},
+        workspaces_by_name={
+            "north": Workspace(
+                name="north",
+                keys=tuple(
+                    KeyDigest(key_id=f"k{index}", sha256=key)
+                    for index, key in enumerate(keys)
+                ),
+                classes=("chat",),
+                default_class="chat",
+            )
+        },
+        upstreams_by_name={
+            "m1": Upstream(
+                name="m1",
+                url="http://127.0.0.1:1",
+                data_centre="a",
+                model="small",
+            )
+        },
+        data_centres=("a",),
+    )
+
+
+@attrs.define
+class Fleet:
+    """Entries in virtual time.
+
+    Attributes:
+        hosts: Names of all entries.
+        now_s: Virtual time.
+        states: Reducer states by host.
+        stored: Version and configuration in the store.
+        store_down_for: Hosts that can't reach the store.
+        cut: Pairs (sender, receiver) whose bytes get lost.
+        frozen: Hosts that are paused; events wait for them.
+        refusals: Refusals so far, as (host, request, code).
+    """
+
+    hosts: list[str]
+    now_s: float = 1000.0
+    states: dict[str, EntryState] = attrs.field(factory=dict)
+    stored: tuple[int, Configuration] = (1, make_configuration(KEY))
+    store_down_for: set[str] = attrs.field(factory=set)
+    cut: set[tuple[str, str]] = attrs.field(factory=set)
+    frozen: set[str] = attrs.field(factory=set)
+    refusals: list[tuple[str, str, RefusalCode]] = attrs.field(factory=list)
+    sent: list[tuple[str, str, Any]] = attrs.field(factory=list)
+    link_delay_s: float = LINK_DELAY_S
+    listed: bool = True
+    _outbox: list[Any] = attrs.field(factory=list)
+    _numbers: Any = attrs.field(factory=itertools.count)
+    _held: dict[str, list[events.Event]] = attrs.field(factory=dict)
+    _links: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    _watched_s: dict[str, float] = attrs.field(factory=dict)
+    _watched_version: dict[str, int] = attrs.field(factory=dict)
+
+    def start(self, *hosts: str) -> None:
+        """Start processes, or start them anew with nothing known."""
+        for host in hosts or tuple(self.hosts):
+            self._unlink(host)
+            self.states[host] = EntryState(
+                host=host, data_centre="a", incarnation=int(self.now_s * 1e9)
+            )
+            self._watched_s[host] = -1.0
+            self._watched_version[host] = 0
+            if self.listed:
+                self.list_hosts(host)
+
+    def kill(self, host: str) -> None:
+        """End a process; its connections close at once."""
+        self._unlink(host)
+        del self.states[host]
+
+    def list_hosts(self, host: str, leaving: Sequence[str] = ()) -> None:
+        """Give a host the platform's list."""
+        records = tuple(
+            HostRecord(
+                name=name,
+                role=HostRole.ENTRY,
+                state=(
+                    HostState.LEAVING if name in leaving else HostState.LIVE
+                ),
+                data_centre="a",
+                address="127.0.0.1:1",
+            )
+            for name in self.hosts
+        )
+        self.reduce(host, events.HostsListed(now_s=self.now_s, hosts=records))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += STEP_S
+            self._connect()
+            self._deliver_due()
+            self._watch_store()
+            for host in self._running():
+                tick = events.Tick(
+                    now_s=self.now_s, wall_s=self.now_s, random=0.5
+                )
+                self.reduce(host, tick)
+            self._close_silent()
+
+    def thaw(self, host: str) -> None:
+        """Let a paused process run on; what waited for it comes first."""
+        self.frozen.discard(host)
+        for event in self._held.pop(host, []):
+            self.reduce(host, attrs.evolve(event, now_s=self.now_s))
+
+    def isolate(self, host: str) -> None:
+        """Cut a host off from all peers and from the store."""
+        self.split([host], [h for h in self.hosts if h != host])
+        self.store_down_for.add(host)
+
+    def split(self, left: Sequence[str], right: Sequence[str]) -> None:
+        """Cut the links between two groups."""
+        for a, b in itertools.product(left, right):
+            self.cut |= {(a, b), (b, a)}
+
+    def heal(self) -> None:
+        """Mend all links and the store."""
+        self.cut.clear()
+        self.store_down_for.clear()
+
+    def request(self, host: str, name: str, key: str = KEY) -> str:
+        """Send a caller's request; return the refusal code or `open`."""
+        request = CallerRequest(
+            request_id=name, key_sha256=key, model="small", streaming=True
+        )
+        self.reduce(
+            host,
+            events.RequestArrived(
+                now_s=self.now_s, request=request, wall_s=self.now_s
+            ),
+        )
+        return self.outcome(name)
+
+    def outcome(self, name: str) -> str:
+        """Return how a request ended, or `open`."""
+        for _, request_id, code in self.refusals:
+            if request_id == name:
+                return code.name
+        return "open"
+
+    def reduce(self, host: str, event: events.Event) -> None:
+        """Reduce an event and run its effects."""
+        if host in self.frozen:
+            self._held.setdefault(host, []).append(event)
+            return
+        for effect in reducer.reduce(self.states[host], event):
+            self._run_effect(host, effect)
+
+    def _run_effect(self, host: str, effect: Any) -> None:
+        if isinstance(effect, effects.SendToPeer):
+            self._send(host, effect.host, effect.message)
+        elif isinstance(effect, effects.RefuseRequest):
+            self.refusals.append((host, effect.request_id, effect.refusal.code))
+        elif isinstance(effect, effects.FetchConfiguration):
+            self._read_store(host)
+        elif isinstance(effect, effects.SendConfiguration):
+            for part in split_into_parts(
+                effect.version, effect.document, effect.sha256
+            ):
+                self._send(host, effect.host, part)
+        elif isinstance(effect, effects.LoadConfigurationDocument):
+            document = unpack_document(effect.document, effect.sha256)
+            self._adopt(host, effect.version, document)
+
+    def _send(self, sender: str, receiver: str, message: Any) -> None:
+        self.sent.append((sender, receiver, message))
+        linked = sender == receiver or (sender, receiver) in self._links
+        if not linked or (sender, receiver) in self.cut:
+            return
+        delay_s = 0.0 if sender == receiver else self.link_delay_s
+        item = (self.now_s + delay_s, next(self._numbers), sender, receiver)
+        heapq.heappush(self._outbox, (item, message))
+
+    def _deliver_due(self) -> None:
+        while self._outbox and self._outbox[0][0][0] <= self.now_s:
+            (_, _, sender, receiver), message = heapq.heappop(self._outbox)
+            if receiver not in self.states:
+                continue
+            if sender != receiver:
+                if (sender, receiver) not in self._links:
+                    continue
+                self._links[sender, receiver] = self.now_s
+            self.reduce(
+                receiver,
+                events.PeerMessageReceived(
+                    now_s=self.now_s, host=sender, message=message
+                ),
+            )
+
+    def _connect(self) -> None:
+        for host in self._running():
+            for peer in choose_neighbours(host, self.hosts):
+                usable = peer in self.states and peer not in self.frozen
+                broken = {(host, peer), (peer, host)} & self.cut
+                if not usable or broken or (host, peer) in self._links:
+                    continue
+                self._links[host, peer] = self.now_s
+                self._links[peer, host] = self.now_s
+                self._tell(events.PeerConnected, host, peer)
+
+    def _close_silent(self) -> None:
+        for (sender, receiver), heard_s in list(self._links.items()):
+            late = self.now_s - heard_s > SILENCE_LIMIT_S
+            if late and (sender, receiver) in self._links:
+                self._close(sender, receiver)
+
+    def _unlink(self, host: str) -> None:
+        for a, b in list(self._links):
+            if host in (a, b) and (a, b) in self._links:
+                self._close(a, b)
+
+    def _close(self, a: str, b: str) -> None:
+        del self._links[a, b]
+        del self._links[b, a]
+        self._tell(events.PeerDisconnected, a, b)
+
+    def _tell(self, event_type: Any, a: str, b: str) -> None:
+        for host, peer in ((a, b), (b, a)):
+            if host in self.states:
+                self.reduce(host, event_type(now_s=self.now_s, host=peer))
+
+    def _watch_store(self) -> None:
+        for host in self._running():
+            if host in self.store_down_for:
+                continue
+            version = self.stored[0]
+            due = self.now_s - self._watched_s[host] >= WATCH_S
+            if due or version != self._watched_version[host]:
+                self._watched_s[host] = self.now_s
+                self._watched_version[host] = version
+                self.reduce(
+                    host,
+                    events.VersionConfirmed(
+                        now_s=self.now_s,
+                        version=version,
+                        read_started_s=self.now_s - 0.005,
+                    ),
+                )
+
+    def _read_store(self, host: str) -> None:
+        if host not in self.store_down_for:
+            version, configuration = self.stored
+            self._adopt(host, version, dump_configuration(configuration))
+
+    def _adopt(self, host: str, version: int, document: bytes) -> None:
+        self.reduce(
+            host,
+            events.ConfigurationRead(
+                now_s=self.now_s,
+                version=version,
+                configuration=load_configuration(document),
+                document=document,
+                sha256=document_sha256(document),
+            ),
+        )
+
+    def _running(self) -> list[str]:
+        return [h for h in self.states if h not in self.frozen]
+
+
+def make_fleet(size: int) -> Fleet:
+    """Return a fleet that has found itself and read its configuration."""
+    fleet = Fleet([f"e{number}" for number in range(size)])
+    fleet.start()
+    fleet.run(3.0)
+    return fleet
