--- a/benchmarks/judging.py
+++ b/benchmarks/judging.py
@@ -37,6 +37,7 @@
         exchanges = self.callers.exchanges
         totals = await self._settle_usage()
         print(verdicts.class_table(exchanges))
+        print(verdicts.refusal_table(exchanges))
         print(verdicts.usage_table(totals))
         verdicts.check_answers(self.verdict, exchanges)
         verdicts.check_bookings(self.verdict, exchanges, await self._runs())
--- a/benchmarks/verdict.py
+++ b/benchmarks/verdict.py
@@ -129,6 +129,18 @@
     return _render(rows)
 
 
+def refusal_table(exchanges: Sequence[Exchange]) -> str:
+    """Return why requests were refused, as a text table."""
+    counts = Counter(
+        (e.workload.class_name, e.result.value, e.code)
+        for e in exchanges
+        if e.code and e.result is not Result.ANSWERED
+    )
+    rows = [["class", "result", "code", "count"]]
+    rows += [[*key, str(count)] for key, count in sorted(counts.items())]
+    return _render(rows)
+
+
 def usage_table(totals: Mapping[str, UsageTotals]) -> str:
     """Return usage by workspace, as a text table."""
     rows = [["workspace", "figure", "served", "reported", "cut"]]
