Join the entry to the store and to its upstreams' reports

Cause: claims, usage flushes, load reports and cache events had no part that runs them in the binary. Found by tests/entry/test_callers.py: without a platform an entry never drained, since its usage was never written; it then counts as written, with a warning at the start (test_shutdown_cuts_off_no_stream, red before). configuration_file together with [platform], and a peer port without a fleet secret, are settings faults now. Ruled out: reading the whole cache of an engine after a gap; engines publish no such list, so what was known is dropped instead.

--- a/src/shallotfold/_entry/process.py
+++ b/src/shallotfold/_entry/process.py
@@ -14,12 +14,16 @@
 from shallotfold._entry.shell import EntryShell
 from shallotfold._entry.shell import Part
 from shallotfold._entry.state import EntryState
+from shallotfold._entry.store_parts import make_store_parts
 from shallotfold._entry.upstream_client import UpstreamClient
+from shallotfold._entry.upstream_watch import UpstreamWatch
 from shallotfold._errors import Fault
 from shallotfold._errors import InvalidInputError
 from shallotfold._model.configuration import Configuration
 from shallotfold._model.serialization import document_sha256
 from shallotfold._model.serialization import load_configuration
+from shallotfold._platform.http_cache_events import HttpCacheEvents
+from shallotfold._platform.http_loads import HttpLoadReports
 from shallotfold._runtime.metrics import Metrics
 from shallotfold._settings.entry import EntrySettings
 
@@ -40,6 +44,7 @@
 
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
+        _check_settings(settings)
         self._document = _read_document(settings.configuration_file)
         self.shell = EntryShell(
             EntryState(
@@ -65,7 +70,7 @@
         self.shell.parts = [
             self.client,
             self.exchanges,
-            *make_parts(self.shell, self._settings),
+            *make_parts(self.shell, self._settings, self.exchanges),
             self.callers,
         ]
         await self.shell.start()
@@ -144,14 +149,57 @@
             self._stopped.set_result(code)
 
 
-def make_parts(shell: EntryShell, settings: EntrySettings) -> list[Part]:
-    """Make the parts that speak to peers and to the platform.
+def make_parts(
+    shell: EntryShell, settings: EntrySettings, exchanges: Exchanges
+) -> list[Part]:
+    """Make the parts that speak to peers, upstreams and the platform.
 
     They register their runners with the shell and are started before the
     callers' port opens.
     """
-    del shell, settings
-    return []
+    return [
+        *make_store_parts(shell, settings, exchanges),
+        *_make_watch_parts(shell),
+    ]
+
+
+def _make_watch_parts(shell: EntryShell) -> list[Part]:
+    loads = HttpLoadReports()
+    cache_events = HttpCacheEvents()
+    watch = UpstreamWatch(shell.state, loads, cache_events, shell.deliver)
+    return [loads, cache_events, watch]
+
+
+def _check_settings(settings: EntrySettings) -> None:
+    """Find settings that can't work together.
+
+    Raises:
+        InvalidInputError: There are some; all are given at once.
+    """
+    faults = []
+    if settings.configuration_file and settings.platform is not None:
+        # The file counts as version 1, which the store has as well.
+        faults.append(
+            Fault(
+                source="settings",
+                key="configuration_file",
+                found="a file together with [platform]",
+                allowed="one of both",
+                remedy="Remove configuration_file; the store has the newest.",
+            )
+        )
+    if settings.peer_address is not None and not settings.fleet_secret:
+        faults.append(
+            Fault(
+                source="settings",
+                key="fleet_secret",
+                found="nothing",
+                allowed="the secret shared by all entries",
+                remedy="Add fleet_secret, or remove peer_address.",
+            )
+        )
+    if faults:
+        raise InvalidInputError(faults)
 
 
 def _read_document(path: str) -> tuple[bytes, Configuration] | None:
--- /dev/null
+++ b/src/shallotfold/_entry/store_parts.py
@@ -0,0 +1,43 @@
+"""Make the parts of an entry that write to the store."""
+
+import time
+
+from loguru import logger
+
+from shallotfold._entry import effects
+from shallotfold._entry import events
+from shallotfold._entry.claim_runner import ClaimRunner
+from shallotfold._entry.exchanges import Exchanges
+from shallotfold._entry.shell import EntryShell
+from shallotfold._entry.shell import Part
+from shallotfold._entry.usage_flusher import UsageFlusher
+from shallotfold._platform.http_store import HttpStore
+from shallotfold._settings.entry import EntrySettings
+
+
+def make_store_parts(
+    shell: EntryShell, settings: EntrySettings, exchanges: Exchanges
+) -> list[Part]:
+    """Make what claims idempotency keys and flushes usage.
+
+    Without a platform there is nothing to write to: claims then fail, and
+    usage counts as written so that the entry can drain.
+    """
+    if settings.platform is None:
+        logger.warning("no [platform]: usage is reported to nobody")
+        shell.register(
+            effects.FlushUsage,
+            lambda effect: shell.deliver(
+                events.UsageFlushed(
+                    now_s=time.monotonic(),
+                    sequence=effect.sequence,
+                    closed_before=effect.closed_before,
+                )
+            ),
+        )
+        return []
+    store = HttpStore(settings.platform.store_url)
+    claims = ClaimRunner(store, shell.deliver, exchanges.recorded_answer)
+    shell.register(effects.ClaimIdempotencyKey, claims.claim)
+    shell.register(effects.SettleClaim, claims.settle)
+    return [store, UsageFlusher(shell, store), claims]
--- /dev/null
+++ b/src/shallotfold/_entry/upstream_watch.py
@@ -0,0 +1,128 @@
+"""Read load reports and cache events of the upstreams this entry owns."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import random
+import time
+from typing import Any
+from typing import Protocol
+
+from shallotfold._entry import events
+from shallotfold._entry import pools
+from shallotfold._entry.state import EntryState
+from shallotfold._errors import PlatformError
+from shallotfold._model.configuration import Upstream
+from shallotfold._platform.http_cache_events import CacheEvents
+from shallotfold._platform.ports import LoadReports
+
+LOAD_INTERVAL_S = 0.5
+CACHE_INTERVAL_S = 1.0
+MAX_PARALLEL_CALLS = 16
+
+Reader = Callable[[Upstream], Coroutine[Any, Any, None]]
+
+
+class CacheEventSource(Protocol):
+    """Where cache events are read."""
+
+    async def fetch(self, url: str, after: int) -> CacheEvents:
+        """Read the events after a number; raises `PlatformError`."""
+        ...
+
+
+class UpstreamWatch:
+    """Poll the upstreams of the pools that this entry owns."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        loads: LoadReports,
+        cache_events: CacheEventSource,
+        deliver: Callable[[events.Event], None],
+    ) -> None:
+        self._state = state
+        self._loads = loads
+        self._cache_events = cache_events
+        self._deliver = deliver
+        self._sequence_by_upstream: dict[str, int] = {}
+        self._limit = asyncio.Semaphore(MAX_PARALLEL_CALLS)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Begin to poll."""
+        self._tasks = [
+            asyncio.create_task(self._poll(self._read_load, LOAD_INTERVAL_S)),
+            asyncio.create_task(
+                self._poll(self._read_cache_events, CACHE_INTERVAL_S)
+            ),
+        ]
+
+    async def close(self) -> None:
+        """Stop polling."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _poll(self, read: Reader, interval_s: float) -> None:
+        while True:
+            watched = pools.watched_upstreams(self._state)
+            await asyncio.gather(*(read(upstream) for upstream in watched))
+            # Jitter keeps entries from asking in step.
+            await asyncio.sleep(interval_s * random.uniform(0.8, 1.2))
+
+    async def _read_load(self, upstream: Upstream) -> None:
+        try:
+            async with self._limit:
+                load = await self._loads.fetch(upstream.url)
+        except PlatformError:
+            self._deliver(
+                events.LoadFetchFailed(
+                    now_s=time.monotonic(), upstream=upstream.name
+                )
+            )
+            return
+        self._deliver(
+            events.LoadReported(
+                now_s=time.monotonic(), upstream=upstream.name, load=load
+            )
+        )
+
+    async def _read_cache_events(self, upstream: Upstream) -> None:
+        if not upstream.model:
+            return
+        after = self._sequence_by_upstream.get(upstream.name, 0)
+        try:
+            async with self._limit:
+                published = await self._cache_events.fetch(upstream.url, after)
+        except PlatformError:
+            return
+        if published.newest < after:
+            # The engine has started anew, with an empty cache.
+            after = 0
+            self._tell(upstream, (), (), complete=True)
+        for event in published.events:
+            if event.sequence <= after:
+                continue
+            gap = after != 0 and event.sequence > after + 1
+            self._tell(upstream, event.held, event.dropped, complete=gap)
+            after = event.sequence
+        self._sequence_by_upstream[upstream.name] = after
+
+    def _tell(
+        self,
+        upstream: Upstream,
+        held: tuple[str, ...],
+        dropped: tuple[str, ...],
+        *,
+        complete: bool,
+    ) -> None:
+        self._deliver(
+            events.PrefixesCached(
+                now_s=time.monotonic(),
+                upstream=upstream.name,
+                held=held,
+                dropped=dropped,
+                complete=complete,
+            )
+        )
--- /dev/null
+++ b/src/shallotfold/_platform/http_cache_events.py
@@ -0,0 +1,74 @@
+"""Read what model engines publish about their prefix caches."""
+
+import attrs
+import cattrs
+
+from shallotfold._errors import PlatformError
+from shallotfold._platform.http_json import JsonClient
+
+CALL_TIMEOUT_S = 1.0
+
+
+@attrs.frozen
+class CacheEvent:
+    """One published change of an engine's prefix cache.
+
+    Attributes:
+        sequence: Number of the event; a missing number is a gap.
+        held: Digests now held.
+        dropped: Digests no longer held.
+    """
+
+    sequence: int
+    held: tuple[str, ...] = ()
+    dropped: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class CacheEvents:
+    """Events after a sequence number.
+
+    Attributes:
+        events: In the order of their numbers.
+        newest: Number of the newest event.
+    """
+
+    events: tuple[CacheEvent, ...]
+    newest: int
+
+
+@attrs.define
+class HttpCacheEvents:
+    """Cache events over HTTP, one connection pool for all engines."""
+
+    timeout_s: float = CALL_TIMEOUT_S
+    _client: JsonClient = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the client; it connects on the first call."""
+        self._client = JsonClient("")
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        await self._client.start()
+
+    async def close(self) -> None:
+        """Close the connection pool."""
+        await self._client.close()
+
+    async def fetch(self, url: str, after: int) -> CacheEvents:
+        """Read the events of the engine at `url` after a sequence number.
+
+        Raises:
+            PlatformError: No usable answer came in time.
+        """
+        answer = await self._client.call(
+            "GET", f"{url}/cache-events?after={after}", None, self.timeout_s
+        )
+        try:
+            return cattrs.structure(answer.content, CacheEvents)
+        except (cattrs.BaseValidationError, ValueError, TypeError) as error:
+            raise PlatformError(
+                f"{url}: the cache events have another shape (status "
+                f"{answer.status}); check the upstream's url"
+            ) from error
--- /dev/null
+++ b/tests/entry/test_upstream_watch.py
@@ -0,0 +1,93 @@
+import asyncio
+
+import pytest
+
+from shallotfold._entry import events
+from shallotfold._entry import upstream_watch
+from shallotfold._entry.state import EntryState
+from shallotfold._entry.upstream_watch import UpstreamWatch
+from shallotfold._errors import PlatformError
+from shallotfold._model.upstreams import UpstreamLoad
+from shallotfold._platform.http_cache_events import CacheEvent
+from shallotfold._platform.http_cache_events import CacheEvents
+from tests.entry import serving as s
+
+LOAD = UpstreamLoad(running=1, queued=0, slots=8)
+
+
+class FakeCacheEvents:
+    def __init__(self, answers: list[CacheEvents]) -> None:
+        self.answers = answers
+        self.asked_after: list[int] = []
+        self.exhausted = asyncio.Event()
+
+    async def fetch(self, url: str, after: int) -> CacheEvents:
+        del url
+        self.asked_after.append(after)
+        if not self.answers:
+            self.exhausted.set()
+            await asyncio.Event().wait()
+        return self.answers.pop(0)
+
+
+class FakeLoads:
+    def __init__(self) -> None:
+        self.answers: list[UpstreamLoad | None] = [LOAD, None]
+        self.exhausted = asyncio.Event()
+
+    async def fetch(self, url: str) -> UpstreamLoad:
+        del url
+        if not self.answers:
+            self.exhausted.set()
+            await asyncio.Event().wait()
+        load = self.answers.pop(0)
+        if load is None:
+            raise PlatformError("no answer")
+        return load
+
+
+def test_loads_gaps_and_restarts_reach_the_reducer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(upstream_watch, "CACHE_INTERVAL_S", 0.01)
+    monkeypatch.setattr(upstream_watch, "LOAD_INTERVAL_S", 0.01)
+    state = EntryState(host="e1", data_centre="a", incarnation=1)
+    state.configuration.current = s.configuration_of({"m1": "http://x"})
+    state.configuration.version = 1
+    cache = FakeCacheEvents(
+        [
+            CacheEvents((CacheEvent(1, ("p",)), CacheEvent(2, ("q",))), 2),
+            CacheEvents((CacheEvent(4, ("r",)),), 4),
+            CacheEvents((CacheEvent(1, ("t",)),), 1),
+        ]
+    )
+    seen: list[events.Event] = []
+
+    async def main() -> None:
+        loads = FakeLoads()
+        watch = UpstreamWatch(state, loads, cache, seen.append)
+        await watch.start()
+        await loads.exhausted.wait()
+        await cache.exhausted.wait()
+        await watch.close()
+
+    s.run(main())
+    loads = [
+        event for event in seen if not isinstance(event, events.PrefixesCached)
+    ]
+    assert isinstance(loads[0], events.LoadReported)
+    assert loads[0].load == LOAD
+    assert isinstance(loads[1], events.LoadFetchFailed)
+    cached = [
+        (event.held, event.complete)
+        for event in seen
+        if isinstance(event, events.PrefixesCached)
+    ]
+    assert cached == [
+        (("p",), False),
+        (("q",), False),
+        (("r",), True),
+        ((), True),
+        (("t",), False),
+    ]
+    assert cache.asked_after == [0, 2, 4, 1]
