--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -179,7 +179,10 @@
     exchange.not_run = _says_not_run(content, error)
     exchange.result = Result.REFUSED if exchange.not_run else Result.UNKNOWN
     # A booking whose first try is still under way is asked for again with
-    # its idempotency key; every other refusal is final for these callers.
+    # its idempotency key. A host that starts or stops sends callers to
+    # another one. Every other refusal is final for these callers.
+    if exchange.code in ("shutting_down", "not_ready"):
+        return exchange.not_run
     return exchange.workload.booking and exchange.code == "in_progress"
 
 
