--- a/src/shallotfold/_entry/configuration.py
+++ b/src/shallotfold/_entry/configuration.py
@@ -45,10 +45,11 @@
         awaited_version: Newer version that is known to exist.
         awaited_s: Latest time at which nothing newer than that existed.
         adopted_s: When the version in force was adopted.
-        fetched_s: When the store was last asked for a newer one.
+        fetched_version: Newest version that the store was asked for.
+        fetched_s: When that was.
         assembly: Parts of a document coming from a peer.
         behind_since_s: Since when a peer is known to have a newer version.
-        answered_s_by_host: When each peer was last sent the document.
+        answers_by_host: Version that each peer was sent last, and when.
         untrusted_since_s: Since when keys can't be accepted.
         ready: Readiness reported last.
     """
@@ -63,10 +64,11 @@
     awaited_version: int = 0
     awaited_s: float = -math.inf
     adopted_s: float = -math.inf
+    fetched_version: int = 0
     fetched_s: float = -math.inf
     assembly: Assembly | None = None
     behind_since_s: float = math.inf
-    answered_s_by_host: dict[str, float] = attrs.field(factory=dict)
+    answers_by_host: dict[str, tuple[int, float]] = attrs.field(factory=dict)
     untrusted_since_s: float = math.inf
     ready: bool = False
 
@@ -104,8 +106,10 @@
     freshness.confirm(state, event.version, event.read_started_s)
     if event.version <= held.version:
         return []
-    if event.now_s - held.fetched_s < FETCH_INTERVAL_S:
+    repeated = event.version == held.fetched_version
+    if repeated and event.now_s - held.fetched_s < FETCH_INTERVAL_S:
         return []
+    held.fetched_version = event.version
     held.fetched_s = event.now_s
     return [effects.FetchConfiguration(version=event.version)]
 
@@ -137,10 +141,10 @@
     held = state.configuration
     if held.version <= message.newer_than:
         return []
-    answered_s = held.answered_s_by_host.get(host, -math.inf)
-    if now_s - answered_s < ANSWER_INTERVAL_S:
+    version, answered_s = held.answers_by_host.get(host, (0, 0.0))
+    if version == held.version and now_s - answered_s < ANSWER_INTERVAL_S:
         return []
-    held.answered_s_by_host[host] = now_s
+    held.answers_by_host[host] = held.version, now_s
     return [
         effects.SendConfiguration(
             host=host,
--- /dev/null
+++ b/src/shallotfold/_entry/fleet_parts.py
@@ -0,0 +1,75 @@
+"""Make the parts of an entry that join it to its fleet."""
+
+from shallotfold._entry import effects
+from shallotfold._entry.configuration_sync import ConfigurationSync
+from shallotfold._entry.host_sync import HostSync
+from shallotfold._entry.peer_network import PeerNetwork
+from shallotfold._entry.peer_network import PeerNetworkSettings
+from shallotfold._entry.shell import EntryShell
+from shallotfold._entry.shell import Part
+from shallotfold._platform.http_hosts import HttpHostList
+from shallotfold._platform.http_store import HttpStore
+from shallotfold._platform.ports import Store
+from shallotfold._settings.entry import EntrySettings
+
+
+def make_fleet_parts(shell: EntryShell, settings: EntrySettings) -> list[Part]:
+    """Make the peer port, and what follows the store and the host list.
+
+    They register their runners with the shell. Without a platform there is
+    nothing to follow, without a peer address no port.
+    """
+    network = _make_network(shell, settings)
+    parts: list[Part] = [] if network is None else [network]
+    if settings.platform is None:
+        return parts
+    store = HttpStore(settings.platform.store_url)
+    host_list = HttpHostList(settings.platform.hosts_url)
+    sync = _make_configuration_sync(shell, store, network)
+    parts.extend([store, host_list, sync])
+    hosts = HostSync(
+        host_list,
+        shell.deliver,
+        _ignore if network is None else network.set_hosts,
+    )
+    return [*parts, hosts]
+
+
+def _make_network(
+    shell: EntryShell, settings: EntrySettings
+) -> PeerNetwork | None:
+    if settings.peer_address is None:
+        return None
+    network = PeerNetwork(
+        PeerNetworkSettings(
+            host=settings.host,
+            incarnation=shell.state.incarnation,
+            listen=settings.peer_address,
+            fleet_secret=settings.fleet_secret,
+        ),
+        shell.deliver,
+    )
+    shell.register(
+        effects.SendToPeer,
+        lambda effect: network.send(effect.host, effect.message),
+    )
+    return network
+
+
+def _make_configuration_sync(
+    shell: EntryShell, store: Store, network: PeerNetwork | None
+) -> ConfigurationSync:
+    sync = ConfigurationSync(
+        store,
+        shell.deliver,
+        _ignore if network is None else network.send,
+        lambda: len(shell.state.membership.entry_names),
+    )
+    shell.register(effects.FetchConfiguration, sync.fetch)
+    shell.register(effects.LoadConfigurationDocument, sync.load)
+    shell.register(effects.SendConfiguration, sync.send)
+    return sync
+
+
+def _ignore(*_: object) -> None:
+    return None
--- a/src/shallotfold/_entry/members.py
+++ b/src/shallotfold/_entry/members.py
@@ -7,7 +7,6 @@
 
 import attrs
 
-from shallotfold._entry import reach
 from shallotfold._entry.neighbours import is_full_mesh
 from shallotfold._model.upstreams import HostRecord
 from shallotfold._model.upstreams import HostState
@@ -20,7 +19,11 @@
 SILENCE_LIMIT_S = 1.5
 LARGE_FLEET_SILENCE_LIMIT_S = 3.0
 REACH_LIMIT_S = 2.5
-LARGE_FLEET_REACH_LIMIT_S = reach.MAX_AGE_S
+LARGE_FLEET_REACH_LIMIT_S = 8.0
+# An entry whose neighbours are all silent for longer is in no majority.
+NEIGHBOUR_REACH_LIMIT_S = 3.0
+REFRESH_INTERVAL_S = 0.1
+LARGE_FLEET_REFRESH_INTERVAL_S = 1.0
 RECENT_LOSS_S = 10.0
 
 
@@ -67,7 +70,8 @@
         alive_s_by_name: Latest time at which another entry was alive and in
             reach for certain, directly or by what peers pass on.
         live: Sorted names of the live entries; empty before any event.
-        beat_s: When heartbeats were sent last.
+        next_beat_s: When heartbeats are sent next.
+        refreshed_s: When `live` was computed last.
         ticked_s: When the last tick came.
     """
 
@@ -79,7 +83,8 @@
     peers_by_name: dict[str, Peer] = attrs.field(factory=dict)
     alive_s_by_name: dict[str, float] = attrs.field(factory=dict)
     live: tuple[str, ...] = ()
-    beat_s: float = -math.inf
+    next_beat_s: float = -math.inf
+    refreshed_s: float = -math.inf
     ticked_s: float = -math.inf
 
 
@@ -112,12 +117,35 @@
     )
     listed = max(listed, len(members.entry_names))
     known = max(listed, len({*members.entry_names, *reached}))
-    return listed > 0 and 2 * len(reached) > known
+    if listed == 0 or 2 * len(reached) <= known:
+        return False
+    return known == 1 or _hears_a_neighbour(state, now_s)
+
+
+def _hears_a_neighbour(state: EntryState, now_s: float) -> bool:
+    members = state.membership
+    return any(
+        now_s - members.alive_s_by_name.get(name, -math.inf)
+        <= NEIGHBOUR_REACH_LIMIT_S
+        for name in members.connected
+    )
+
+
+def refresh_live_at_times(state: EntryState, now_s: float) -> None:
+    """Compute the live entries anew if that was long ago."""
+    interval_s = (
+        LARGE_FLEET_REFRESH_INTERVAL_S
+        if _is_large(state)
+        else REFRESH_INTERVAL_S
+    )
+    if now_s - state.membership.refreshed_s >= interval_s:
+        refresh_live(state, now_s)
 
 
 def refresh_live(state: EntryState, now_s: float) -> None:
     """Compute the live entries anew."""
     members = state.membership
+    members.refreshed_s = now_s
     live = {
         name
         for name, peer in members.peers_by_name.items()
--- a/src/shallotfold/_entry/membership.py
+++ b/src/shallotfold/_entry/membership.py
@@ -19,6 +19,7 @@
 from shallotfold._entry.members import beat_interval_s
 from shallotfold._entry.members import live_entries
 from shallotfold._entry.members import refresh_live
+from shallotfold._entry.members import refresh_live_at_times
 from shallotfold._entry.neighbours import choose_neighbours
 from shallotfold._model.upstreams import HostRole
 from shallotfold._wire.control_messages import Heartbeat
@@ -30,6 +31,7 @@
 __all__ = ["live_entries"]
 
 REJOIN_DELAY_S = 1.0
+BEAT_JITTER = 0.25
 # A longer gap between ticks means that this process was paused.
 PAUSE_S = 1.0
 
@@ -120,10 +122,12 @@
     if now_s - members.ticked_s > PAUSE_S:
         _forgive_silence(state, now_s)
     members.ticked_s = now_s
-    refresh_live(state, now_s)
-    if now_s - members.beat_s < beat_interval_s(state):
+    refresh_live_at_times(state, now_s)
+    if now_s < members.next_beat_s:
         return []
-    members.beat_s = now_s
+    # Without jitter the beats of a whole fleet could fall together.
+    jitter = BEAT_JITTER * (2 * event.random - 1)
+    members.next_beat_s = now_s + beat_interval_s(state) * (1 + jitter)
     return [_beat(state, host, now_s) for host in sorted(members.connected)]
 
 
--- a/src/shallotfold/_entry/process.py
+++ b/src/shallotfold/_entry/process.py
@@ -11,6 +11,7 @@
 from shallotfold._entry.callers import CallerServer
 from shallotfold._entry.exchanges import Exchanges
 from shallotfold._entry.explanations import Explanations
+from shallotfold._entry.fleet_parts import make_fleet_parts
 from shallotfold._entry.shell import EntryShell
 from shallotfold._entry.shell import Part
 from shallotfold._entry.state import EntryState
@@ -150,8 +151,7 @@
     They register their runners with the shell and are started before the
     callers' port opens.
     """
-    del shell, settings
-    return []
+    return make_fleet_parts(shell, settings)
 
 
 def _read_document(path: str) -> tuple[bytes, Configuration] | None:
--- a/src/shallotfold/_entry/reach.py
+++ b/src/shallotfold/_entry/reach.py
@@ -1,18 +1,23 @@
 """Pass on between peers which entries were alive lately.
 
-Half a byte an entry tells, in steps of `AGE_STEP_S`, how long ago the entry
-was alive for certain. Ages are rounded up, so that passing them on never makes
-an entry look more alive than it was.
+Half a byte an entry tells how long ago the entry was alive for certain, in
+steps that grow with the age. Ages are rounded up, so that passing them on
+never makes an entry look more alive than it was.
 """
 
+import bisect
 from collections.abc import Iterator
 from collections.abc import Sequence
 import math
 import zlib
 
-AGE_STEP_S = 0.5
-_UNREACHED = 15
-MAX_AGE_S = (_UNREACHED - 1) * AGE_STEP_S
+# fmt: off
+AGE_STEPS_S = (
+    0.0, 0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 5.0, 6.0, 7.0, 8.0, 10.0,
+    12.0, math.inf,
+)
+# fmt: on
+_UNREACHED = len(AGE_STEPS_S) - 1
 
 
 def digest_names(names: Sequence[str]) -> int:
@@ -34,15 +39,9 @@
 def decode_ages(packed: bytes) -> Iterator[float]:
     """Unpack ages in seconds, one more than packed if the number was odd."""
     for pair in packed:
-        yield _from_steps(pair >> 4)
-        yield _from_steps(pair & 15)
+        yield AGE_STEPS_S[pair >> 4]
+        yield AGE_STEPS_S[pair & 15]
 
 
 def _to_steps(age_s: float) -> int:
-    if age_s > MAX_AGE_S:
-        return _UNREACHED
-    return max(0, math.ceil(age_s / AGE_STEP_S))
-
-
-def _from_steps(steps: int) -> float:
-    return math.inf if steps == _UNREACHED else steps * AGE_STEP_S
+    return bisect.bisect_left(AGE_STEPS_S, age_s)
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 import heapq
 import itertools
+import random
 from typing import Any
 
 import attrs
@@ -88,6 +89,8 @@
     sent: list[tuple[str, str, Any]] = attrs.field(factory=list)
     link_delay_s: float = LINK_DELAY_S
     listed: bool = True
+    _random: random.Random = attrs.field(factory=lambda: random.Random(1))
+    _neighbours: dict[str, frozenset[str]] = attrs.field(factory=dict)
     _outbox: list[Any] = attrs.field(factory=list)
     _numbers: Any = attrs.field(factory=itertools.count)
     _held: dict[str, list[events.Event]] = attrs.field(factory=dict)
@@ -138,7 +141,9 @@
             self._watch_store()
             for host in self._running():
                 tick = events.Tick(
-                    now_s=self.now_s, wall_s=self.now_s, random=0.5
+                    now_s=self.now_s,
+                    wall_s=self.now_s,
+                    random=self._random.random(),
                 )
                 self.reduce(host, tick)
             self._close_silent()
@@ -235,7 +240,7 @@
 
     def _connect(self) -> None:
         for host in self._running():
-            for peer in choose_neighbours(host, self.hosts):
+            for peer in self._neighbours_of(host):
                 usable = peer in self.states and peer not in self.frozen
                 broken = {(host, peer), (peer, host)} & self.cut
                 if not usable or broken or (host, peer) in self._links:
@@ -244,6 +249,11 @@
                 self._links[peer, host] = self.now_s
                 self._tell(events.PeerConnected, host, peer)
 
+    def _neighbours_of(self, host: str) -> frozenset[str]:
+        if host not in self._neighbours:
+            self._neighbours[host] = choose_neighbours(host, self.hosts)
+        return self._neighbours[host]
+
     def _close_silent(self) -> None:
         for (sender, receiver), heard_s in list(self._links.items()):
             late = self.now_s - heard_s > SILENCE_LIMIT_S
--- a/tests/entry/test_configuration.py
+++ b/tests/entry/test_configuration.py
@@ -59,7 +59,7 @@
     assert state.configuration.version == 2
 
 
-def test_unknown_version_is_fetched_once_a_second() -> None:
+def test_same_version_is_fetched_once_a_second() -> None:
     state = make_state()
     fetches = [
         len(
@@ -75,6 +75,17 @@
     assert fetches == [1, 0, 1]
 
 
+def test_next_version_is_fetched_without_a_wait() -> None:
+    state = make_state()
+    for version in (3, 4):
+        event = events.VersionConfirmed(
+            now_s=1.0, version=version, read_started_s=1.0
+        )
+        assert reducer.reduce(state, event) == [
+            effects.FetchConfiguration(version=version)
+        ]
+
+
 def test_newer_version_spreads_while_the_store_is_down_for_most() -> None:
     fleet = make_fleet(9)
     fleet.store_down_for = set(fleet.hosts[1:])
--- /dev/null
+++ b/tests/entry/test_fleet_parts.py
@@ -0,0 +1,48 @@
+from shallotfold._entry import effects
+from shallotfold._entry.configuration_sync import ConfigurationSync
+from shallotfold._entry.fleet_parts import make_fleet_parts
+from shallotfold._entry.host_sync import HostSync
+from shallotfold._entry.peer_network import PeerNetwork
+from shallotfold._entry.shell import EntryShell
+from shallotfold._entry.state import EntryState
+from shallotfold._settings.addresses import Address
+from shallotfold._settings.common import PlatformSettings
+from shallotfold._settings.entry import EntrySettings
+
+LOCAL = Address("127.0.0.1", 0)
+PLATFORM = PlatformSettings(
+    store_url="http://127.0.0.1:1",
+    hosts_url="http://127.0.0.1:1",
+    orders_url="http://127.0.0.1:1",
+    usage_url="http://127.0.0.1:1",
+)
+
+
+def make_shell() -> EntryShell:
+    return EntryShell(EntryState(host="e1", data_centre="a", incarnation=1))
+
+
+def test_single_entry_without_a_platform_needs_no_parts() -> None:
+    settings = EntrySettings(host="e1", data_centre="a", caller_address=LOCAL)
+    assert make_fleet_parts(make_shell(), settings) == []
+
+
+def test_entry_of_a_fleet_gets_all_parts_and_runners() -> None:
+    settings = EntrySettings(
+        host="e1",
+        data_centre="a",
+        caller_address=LOCAL,
+        peer_address=LOCAL,
+        fleet_secret="secret",
+        platform=PLATFORM,
+    )
+    shell = make_shell()
+    parts = make_fleet_parts(shell, settings)
+    kinds = {type(part) for part in parts}
+    assert {PeerNetwork, ConfigurationSync, HostSync} < kinds
+    assert {
+        effects.SendToPeer,
+        effects.FetchConfiguration,
+        effects.LoadConfigurationDocument,
+        effects.SendConfiguration,
+    } < set(shell._runners_by_effect)
--- a/tests/entry/test_membership.py
+++ b/tests/entry/test_membership.py
@@ -109,10 +109,10 @@
 
 
 def test_reach_ages_never_get_younger_on_the_way() -> None:
-    ages_s = [0.0, 0.3, 0.5, 3.2, 6.9, 7.0, 7.1, float("inf"), 1.0]
+    ages_s = [0.0, 0.3, 0.5, 3.2, 11.9, 12.0, 12.1, float("inf"), 1.0]
     passed = list(reach.decode_ages(reach.encode_ages(ages_s)))[:9]
     assert all(b >= a for a, b in zip(ages_s, passed, strict=True))
-    assert passed[:4] == [0.0, 0.5, 0.5, 3.5]
+    assert passed[:4] == [0.0, 0.5, 0.5, 4.0]
     assert passed[6] == float("inf")
 
 
