--- /dev/null
+++ b/src/shallotfold/_entry/operator_server.py
@@ -0,0 +1,129 @@
+"""Answer operators: what this entry is, and what happened to a request."""
+
+import collections
+import datetime
+import hashlib
+import hmac
+from typing import Any
+
+from aiohttp import web
+from loguru import logger
+
+from shallotfold._entry import membership
+from shallotfold._entry.callers import CallerServer
+from shallotfold._entry.explanations import Explanations
+from shallotfold._entry.explanations import Step
+from shallotfold._entry.headers import bearer_key
+from shallotfold._entry.shell import EntryShell
+from shallotfold._settings.addresses import Address
+from shallotfold._settings.entry import OperatorSettings
+
+STATUS_PATH = "/operator/status"
+EXPLAIN_PATH = "/operator/explain/{request_id}"
+CLOSE_TIMEOUT_S = 1.0
+
+
+class OperatorServer:
+    """The operators' port; closed while no operator key is set."""
+
+    def __init__(
+        self,
+        settings: OperatorSettings,
+        shell: EntryShell,
+        callers: CallerServer,
+        explanations: Explanations,
+    ) -> None:
+        self._settings = settings
+        self._shell = shell
+        self._callers = callers
+        self._explanations = explanations
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def address(self) -> Address:
+        """Address of the port; valid after `start` with an operator key."""
+        assert self._runner is not None
+        ip, port = self._runner.addresses[0][:2]
+        return Address(ip, port)
+
+    async def start(self) -> None:
+        """Listen, if there is an operator key.
+
+        Raises:
+            OSError: The address can't be used.
+        """
+        if not self._settings.key_sha256:
+            logger.info("no operator.key_sha256: the operator port is closed")
+            return
+        app = web.Application(middlewares=[self._authenticate])
+        app.router.add_get(STATUS_PATH, self._serve_status)
+        app.router.add_get(EXPLAIN_PATH, self._serve_explanation)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=CLOSE_TIMEOUT_S
+        )
+        await self._runner.setup()
+        listen = self._settings.address
+        await web.TCPSite(self._runner, listen.ip, listen.port).start()
+        logger.info("serving operators at {}", self.address)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    @web.middleware
+    async def _authenticate(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        key = bearer_key(request.headers).encode("utf-8", "surrogateescape")
+        digest = hashlib.sha256(key).hexdigest()
+        wanted = self._settings.key_sha256.lower()
+        if not hmac.compare_digest(digest.encode(), wanted.encode()):
+            return web.json_response(
+                {"error": "unauthenticated", "remedy": "send the operator key"},
+                status=401,
+            )
+        response: web.StreamResponse = await handler(request)
+        return response
+
+    async def _serve_status(self, request: web.Request) -> web.Response:
+        del request
+        state = self._shell.state
+        opened = state.requests.open_by_id.values()
+        return web.json_response(
+            {
+                "host": state.host,
+                "data_centre": state.data_centre,
+                "incarnation": state.incarnation,
+                "configuration_version": state.configuration.version,
+                "configuration_sha256": state.configuration.sha256,
+                "ready": self._callers.ready and not state.draining,
+                "draining": state.draining,
+                "peers": [
+                    host
+                    for host in membership.live_entries(state)
+                    if host != state.host
+                ],
+                "open_requests": len(opened),
+                "open_requests_by_class": collections.Counter(
+                    request.class_name for request in opened
+                ),
+            }
+        )
+
+    async def _serve_explanation(self, request: web.Request) -> web.Response:
+        request_id = request.match_info["request_id"]
+        steps = self._explanations.steps_of(request_id)
+        return web.json_response(
+            {
+                "request_id": request_id,
+                "host": self._shell.state.host,
+                "steps": [_render(step) for step in steps],
+            },
+            status=200 if steps else 404,
+        )
+
+
+def _render(step: Step) -> dict[str, str]:
+    at = datetime.datetime.fromtimestamp(step.at_s, datetime.UTC)
+    return {"at": at.isoformat(), "step": step.step, "detail": step.detail}
--- a/src/shallotfold/_entry/process.py
+++ b/src/shallotfold/_entry/process.py
@@ -11,6 +11,7 @@
 from shallotfold._entry.callers import CallerServer
 from shallotfold._entry.exchanges import Exchanges
 from shallotfold._entry.explanations import Explanations
+from shallotfold._entry.operator_server import OperatorServer
 from shallotfold._entry.shell import EntryShell
 from shallotfold._entry.shell import Part
 from shallotfold._entry.state import EntryState
@@ -39,6 +40,7 @@
         shell: Runs the reducer.
         callers: The callers' port.
         exchanges: Requests under way.
+        operators: The operators' port.
         explanations: What happened to the latest requests.
     """
 
@@ -59,6 +61,9 @@
         self.exchanges = Exchanges(self.shell, self.client.run)
         self.callers = CallerServer(settings, self.shell, self.exchanges)
         self.explanations = Explanations()
+        self.operators = OperatorServer(
+            settings.operator, self.shell, self.callers, self.explanations
+        )
         self._metrics = Metrics(settings.statsd)
         self._linger_until_s = 0.0
         self._stopped: asyncio.Future[int] | None = None
@@ -68,9 +73,11 @@
         """Start all parts and begin to serve."""
         self._stopped = asyncio.get_running_loop().create_future()
         self.shell.parts = [
+            self._metrics,
             self.client,
             self.exchanges,
             *make_parts(self.shell, self._settings, self.exchanges),
+            self.operators,
             self.callers,
         ]
         await self.shell.start()
@@ -81,7 +88,6 @@
     async def close(self) -> None:
         """Close all parts."""
         await self.shell.close()
-        self._metrics.close()
 
     def request_shutdown(self) -> None:
         """Drain; the process ends when all is done or after the bound."""
