--- a/src/shallotfold/_entry/process.py
+++ b/src/shallotfold/_entry/process.py
@@ -11,6 +11,7 @@
 from shallotfold._entry.callers import CallerServer
 from shallotfold._entry.exchanges import Exchanges
 from shallotfold._entry.explanations import Explanations
+from shallotfold._entry.fleet_parts import make_fleet_parts
 from shallotfold._entry.operator_server import OperatorServer
 from shallotfold._entry.shell import EntryShell
 from shallotfold._entry.shell import Part
@@ -165,6 +166,7 @@
     """
     return [
         *make_store_parts(shell, settings, exchanges),
+        *make_fleet_parts(shell, settings),
         *_make_watch_parts(shell),
     ]
 
