--- a/src/shallotfold/_entry/effects.py
+++ b/src/shallotfold/_entry/effects.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from shallotfold._fleet.usage_flush import ModelDemand
 from shallotfold._model.requests import Outcome
 from shallotfold._model.requests import RecordedAnswer
 from shallotfold._model.requests import Refusal
@@ -105,9 +106,32 @@
     version: int
 
 
+@attrs.frozen(kw_only=True)
+class SendConfiguration:
+    """Send a configuration document to a peer, in parts.
+
+    Attributes:
+        host: Peer that asked.
+        version: Version of the document.
+        document: Its canonical bytes.
+        sha256: Digest of the document.
+    """
+
+    host: str
+    version: int
+    document: bytes
+    sha256: str
+
+
 @attrs.frozen(kw_only=True)
 class LoadConfigurationDocument:
-    """Decode a document assembled from a peer into `ConfigurationRead`."""
+    """Decode a document assembled from a peer into `ConfigurationRead`.
+
+    Attributes:
+        version: Version of the document.
+        document: Its joined parts, still compressed.
+        sha256: Digest of the document.
+    """
 
     version: int
     document: bytes
@@ -116,8 +140,31 @@
 
 @attrs.frozen(kw_only=True)
 class FlushUsage:
-    """Write cumulative counts of this entry to the store in one value."""
+    """Write cumulative counts of this entry to the store in one value.
+
+    Attributes:
+        sequence: Everything counted up to it is in the counts.
+        counts: All counts that were not reported for good.
+        host: Name of this host.
+        incarnation: Incarnation under which it counts.
+        closed_before: Counts of windows that start before it are final.
+        demand: Cumulative demand.
+    """
+
+    sequence: int
+    counts: tuple[UsageCount, ...]
+    host: str = ""
+    incarnation: int = 0
+    closed_before: int = 0
+    demand: tuple[ModelDemand, ...] = ()
+
 
+@attrs.frozen(kw_only=True)
+class FlushHeldUsage:
+    """Write counts held for a peer to the peer's value in the store."""
+
+    host: str
+    incarnation: int
     sequence: int
     counts: tuple[UsageCount, ...]
 
@@ -169,8 +216,10 @@
     | SettleClaim
     | SendToPeer
     | FetchConfiguration
+    | SendConfiguration
     | LoadConfigurationDocument
     | FlushUsage
+    | FlushHeldUsage
     | RecordExplanation
     | CountMetric
     | TimeMetric
