Make the fleet's parts of an entry once

Cause: a merge left make_fleet_parts twice in make_parts; the second peer port could not be bound, and every entry with a peer port ended at its start (seen in the demo: OSError 98). Callers of the demo now count what is under way, so that an entry is killed while it is busy.

--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -1,6 +1,7 @@
 """Behave like real callers and check every answer token by token."""
 
 import asyncio
+from collections import Counter
 import hashlib
 import itertools
 import json
@@ -35,11 +36,13 @@
         entry_urls: Base URLs of the entries, taken in turn.
         max_tries: How often a request is sent at most.
         exchanges: All requests so far.
+        open_by_entry: Number of requests under way at each entry.
     """
 
     entry_urls: list[str]
     max_tries: int = MAX_TRIES
     exchanges: list[Exchange] = attrs.field(factory=list)
+    open_by_entry: Counter[str] = attrs.field(factory=Counter)
     _turns: "itertools.count[int]" = attrs.field(factory=itertools.count)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     _session: aiohttp.ClientSession | None = None
@@ -98,6 +101,7 @@
         self, entry_url: str, exchange: Exchange, body: bytes
     ) -> bool:
         """Send once and return whether to send again."""
+        self.open_by_entry[entry_url] += 1
         try:
             return await self._exchange(entry_url, exchange, body)
         except aiohttp.ClientConnectorError as error:
@@ -105,6 +109,8 @@
         except (_CutError, aiohttp.ClientError, TimeoutError, OSError) as e:
             exchange.detail = f"{type(e).__name__}: {e}"
             exchange.cut_at.append(entry_url)
+        finally:
+            self.open_by_entry[entry_url] -= 1
         return True
 
     async def _exchange(
--- a/benchmarks/disruptions.py
+++ b/benchmarks/disruptions.py
@@ -21,6 +21,9 @@
 STOP_ENTRY_AT_S = 19.0
 WITHDRAWAL_LIMIT_S = 5.0
 LEAVING_LIMIT_S = 4.0
+BUSY_REQUESTS = 3
+BUSY_TIMEOUT_S = 2.0
+BUSY_POLL_S = 0.01
 LOST_ANSWERS = 8
 KILLED_ENGINE = "engine-1"
 LEAVING_ENGINE = "engine-5"
@@ -56,6 +59,7 @@
         say(f"killing upstream {KILLED_ENGINE}")
         self.fleet.processes.kill(KILLED_ENGINE)
         await wait_for(KILL_ENTRY_AT_S)
+        await self._wait_busy(KILLED_ENTRY)
         say(f"killing entry {KILLED_ENTRY}")
         self.fleet.kill_entry_host(KILLED_ENTRY)
         await wait_for(RESTART_ENTRY_AT_S)
@@ -77,6 +81,15 @@
         await wait_for(STOP_ENTRY_AT_S)
         await self._stop_entry()
 
+    async def _wait_busy(self, name: str) -> None:
+        """Wait until an entry has several requests under way."""
+        url = self.fleet.topology.entry_url(name)
+        deadline_s = time.monotonic() + BUSY_TIMEOUT_S
+        while time.monotonic() < deadline_s:
+            if self.callers.open_by_entry[url] >= BUSY_REQUESTS:
+                return
+            await asyncio.sleep(BUSY_POLL_S)
+
     async def _let_engine_leave(self) -> None:
         say(f"upstream {LEAVING_ENGINE} is leaving")
         url = self.fleet.topology.upstream_url(LEAVING_ENGINE)
@@ -147,6 +160,7 @@
         )
 
     async def _stop_entry(self) -> None:
+        await self._wait_busy(STOPPED_ENTRY)
         say(f"stopping entry {STOPPED_ENTRY} gracefully")
         code = await asyncio.to_thread(
             self.fleet.processes.terminate, STOPPED_ENTRY
--- a/src/shallotfold/_entry/process.py
+++ b/src/shallotfold/_entry/process.py
@@ -167,7 +167,6 @@
     return [
         *make_fleet_parts(shell, settings),
         *make_store_parts(shell, settings, exchanges),
-        *make_fleet_parts(shell, settings),
         *_make_watch_parts(shell),
     ]
 
