Prove the fence on the controller binary, each safeguard on and off

Cause: in-process tests have nothing in flight, so they can't show that no order of a former holder arrives late.

Found by the first run of the binary: transports of uvloop are no subclasses of asyncio.Transport, so every order failed with an unknown outcome; the check was too strict and is gone.

Stale fencing numbers are counted instead. A freeze between the clock check and aiohttp's write is caught by the total timeout even without the timer, so the freeze is now right before the write.

Not run: longer random freezes, faults in pairs. Seen once: connect() of the test's own reader failed with ENOENT on loopback; the reader tries again, the cause is not known.

--- a/src/shallotfold/_platform/fenced_http.py
+++ b/src/shallotfold/_platform/fenced_http.py
@@ -136,7 +136,8 @@
 
 
 def _transport_of(connection: Any) -> asyncio.Transport:
-    transport = connection.transport
-    if not isinstance(transport, asyncio.Transport):
+    # The transports of uvloop are no subclasses of asyncio.Transport.
+    transport: asyncio.Transport | None = connection.transport
+    if transport is None:
         raise ValueError("the connection was lost before the request")
     return transport
--- /dev/null
+++ b/tests/controller/launcher.py
@@ -0,0 +1,75 @@
+"""Start the controller binary with a safeguard off, or with a freeze.
+
+Usage: launcher.py SETTINGS [no-timer] [no-user-timeout] [no-linger]
+[freeze-before-send] [pad]. Only tests run this; the product has no such
+switch. `pad` makes requests longer than the receive buffer of a relay that
+does not read, so that their end stays in the socket of the sender. Plans come
+often, so that there is always an order to send.
+"""
+
+import os
+import signal
+import sys
+from typing import Any
+
+from aiohttp.http_writer import StreamWriter
+
+from shallotfold._cli import controller_main
+from shallotfold._controller import orders
+from shallotfold._controller.lease_fence import LeaseFence
+from shallotfold._platform import fenced_http
+from shallotfold._platform.fenced_http import FencedHttpClient
+
+FREEZE_AT_ORDER = 2
+PLAN_PERIOD_S = 1.0
+PADDING = "x" * 8000
+
+
+def main() -> int:
+    settings, *switches = sys.argv[1:]
+    if "pad" in switches:
+        pad_requests()
+    replace(orders, "PLAN_PERIOD_S", PLAN_PERIOD_S)
+    if "no-timer" in switches:
+        replace(LeaseFence, "arm", lambda *_: None)
+    if "no-user-timeout" in switches:
+        replace(fenced_http, "MS_PER_S", 1_000_000)
+    if "no-linger" in switches:
+        nothing = bytes(len(fenced_http.LINGER_RESET))
+        replace(fenced_http, "LINGER_RESET", nothing)
+    if "freeze-before-send" in switches:
+        freeze_between_check_and_send()
+    return controller_main.main(["--settings", settings])
+
+
+def replace(owner: Any, name: str, value: Any) -> None:
+    setattr(owner, name, value)
+
+
+def pad_requests() -> None:
+    exchange = FencedHttpClient._exchange
+
+    async def exchange_padded(self: Any, session: Any, *given: Any) -> Any:
+        session.headers["X-Padding"] = PADDING
+        return await exchange(self, session, *given)
+
+    replace(FencedHttpClient, "_exchange", exchange_padded)
+
+
+def freeze_between_check_and_send() -> None:
+    """Stop this process right before the system call that sends an order."""
+    write_lines = StreamWriter._writelines
+    seen: list[object] = []
+
+    def freeze_and_write(self: Any, chunks: Any) -> None:
+        if b"POST /v1/orders/" in b"".join(chunks):
+            seen.append(chunks)
+            if len(seen) == FREEZE_AT_ORDER:
+                os.kill(os.getpid(), signal.SIGSTOP)
+        write_lines(self, chunks)
+
+    replace(StreamWriter, "_writelines", freeze_and_write)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/controller/processes.py
@@ -0,0 +1,361 @@
+"""Run the controller binary against the stand-in platform on loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from collections.abc import Sequence
+import contextlib
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+from typing import Any
+
+import aiohttp
+import attrs
+
+from shallotfold._errors import PlatformError
+from shallotfold._fleet.configuration_store import ConfigurationStore
+from shallotfold._fleet.duties import ranked_hosts
+from shallotfold._fleet.usage_flush import ModelDemand
+from shallotfold._fleet.usage_flush import UsageFlush
+from shallotfold._fleet.usage_flush import encode_flush
+from shallotfold._fleet.usage_flush import flush_key
+from shallotfold._model.configuration import Configuration
+from shallotfold._model.configuration import Offer
+from shallotfold._model.configuration import RequestClass
+from shallotfold._model.serialization import dump_configuration
+from shallotfold._platform.http_store import HttpStore
+
+LOOPBACK = "127.77.41.1"
+LAUNCHER = pathlib.Path(__file__).with_name("launcher.py")
+WAIT_S = 40.0
+LEASE_TTL_S = 2.5
+TAKEOVER_WAIT_S = 1.0
+DUTY = "orders/west"
+HOSTS = ranked_hosts(DUTY, ("c1", "c2"))
+OFFER = "small"
+SPARES = 150
+DEMAND_STEP_TOKENS_PER_S = 60.0
+SMALL_BUFFER_BYTES = 2048
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+async def wait_for(condition: Callable[[], Any]) -> Any:
+    """Poll a condition that may be a coroutine function until it holds."""
+
+    async def poll() -> Any:
+        while True:
+            found = condition()
+            if asyncio.iscoroutine(found):
+                found = await found
+            if found:
+                return found
+            await asyncio.sleep(0.05)
+
+    return await asyncio.wait_for(poll(), WAIT_S)
+
+
+def first_byte(connection: socket.socket) -> bytes:
+    """Look at what came first without taking it; empty before it came."""
+    try:
+        return connection.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return b""
+
+
+@attrs.define
+class Relay:
+    """Forward bytes between the controller and the platform.
+
+    While it is cut it reads nothing: what is sent stays in the sender's
+    socket, as behind a cut cable.
+
+    Attributes:
+        target_port: Port of the platform.
+        port: Its own port.
+        trap: Whether to cut as soon as the first byte of a POST is there.
+        held: Number of requests cut like this.
+    """
+
+    target_port: int
+    port: int = 0
+    trap: bool = False
+    held: int = 0
+    _resumed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _listener: socket.socket | None = None
+    _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+
+    async def start(self) -> None:
+        self._resumed.set()
+        self._listener = socket.socket()
+        self._listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
+        )
+        self._listener.bind((LOOPBACK, 0))
+        self._listener.listen(64)
+        self._listener.setblocking(False)
+        self.port = self._listener.getsockname()[1]
+        self._spawn(self._accept(self._listener))
+
+    async def close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._listener is not None:
+            self._listener.close()
+
+    def cut(self) -> None:
+        self._resumed.clear()
+
+    def heal(self) -> None:
+        self.trap = False
+        self._resumed.set()
+
+    async def _accept(self, listener: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            client, _ = await loop.sock_accept(listener)
+            self._spawn(self._serve(client))
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, client: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        client.setblocking(False)
+        if self.trap and await wait_for(lambda: first_byte(client)) == b"P":
+            self.cut()
+            self.held += 1
+        await self._resumed.wait()
+        server = socket.socket()
+        server.setblocking(False)
+        try:
+            await loop.sock_connect(server, (LOOPBACK, self.target_port))
+            await asyncio.gather(
+                self._pump(client, server), self._pump(server, client)
+            )
+        except OSError:
+            pass
+        finally:
+            client.close()
+            server.close()
+
+    async def _pump(self, source: socket.socket, sink: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while data := await loop.sock_recv(source, 65536):
+            await self._resumed.wait()
+            await loop.sock_sendall(sink, data)
+        with contextlib.suppress(OSError):
+            sink.shutdown(socket.SHUT_WR)
+
+
+@attrs.define
+class Fleet:
+    """A platform and two controllers; the first ranks first for `DUTY`.
+
+    Attributes:
+        directory: Where settings and logs go.
+        switches: What the launcher of the first controller switches off.
+    """
+
+    directory: pathlib.Path
+    switches: Sequence[str] = ()
+    processes: list[subprocess.Popen[bytes]] = attrs.field(factory=list)
+    controllers: dict[str, subprocess.Popen[bytes]] = attrs.field(factory=dict)
+    platform_port: int = attrs.field(factory=free_port)
+    orders_relay: Relay = attrs.field(init=False)
+    store_relay: Relay = attrs.field(init=False)
+    _demand: asyncio.Task[None] | None = None
+
+    @property
+    def url(self) -> str:
+        return f"http://{LOOPBACK}:{self.platform_port}"
+
+    async def start(self) -> None:
+        self._start_platform()
+        self.orders_relay = Relay(self.platform_port)
+        self.store_relay = Relay(self.platform_port)
+        await self.orders_relay.start()
+        await self.store_relay.start()
+        await self.ask("/stats")
+        await self._submit_configuration()
+        first, second = HOSTS
+        self.start_controller(first, self.orders_relay, self.store_relay)
+        await wait_for(lambda: self.holder_of(DUTY))
+        self.start_controller(second)
+        self._demand = asyncio.ensure_future(self._raise_demand())
+
+    async def close(self) -> None:
+        if self._demand is not None:
+            self._demand.cancel()
+            await asyncio.gather(self._demand, return_exceptions=True)
+        for process in self.processes:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait(10)
+        await self.orders_relay.close()
+        await self.store_relay.close()
+
+    def start_controller(
+        self,
+        host: str,
+        orders: Relay | None = None,
+        store: Relay | None = None,
+    ) -> None:
+        orders_port = orders.port if orders else self.platform_port
+        store_port = store.port if store else self.platform_port
+        orders_url = f"http://{LOOPBACK}:{orders_port}"
+        settings = self.directory / f"{host}.toml"
+        settings.write_text(
+            f'host = "{host}"\ndata_centre = "west"\n'
+            f"lease_ttl_s = {LEASE_TTL_S}\n"
+            f"takeover_wait_s = {TAKEOVER_WAIT_S}\norder_timeout_s = 1.0\n"
+            "[platform]\n"
+            f'store_url = "http://{LOOPBACK}:{store_port}"\n'
+            f'hosts_url = "{self.url}"\n'
+            f'orders_url = "{orders_url}"\nusage_url = "{self.url}"\n'
+        )
+        switches = self.switches if orders else ()
+        self.controllers[host] = self._spawn(
+            [sys.executable, str(LAUNCHER), str(settings), *switches],
+            f"{host}.log",
+        )
+
+    def _start_platform(self) -> None:
+        spares = ", ".join(
+            f'{{data_centre = "west", offer = "{OFFER}", '
+            f'url = "http://{LOOPBACK}:{number}"}}'
+            for number in range(1, SPARES + 1)
+        )
+        hosts = ", ".join(
+            f'{{name = "{name}", role = "entry", data_centre = "west", '
+            f'address = "{LOOPBACK}:1"}}'
+            for name in HOSTS
+        )
+        settings = self.directory / "platform.toml"
+        settings.write_text(
+            f'address = "{LOOPBACK}:{self.platform_port}"\n'
+            'data_centres = ["west"]\nunfenced_data_centres = ["west"]\n'
+            f"host_list_lag_s = 0.0\nhosts = [{hosts}]\n"
+            f"spare_engines = [{spares}]\n"
+        )
+        binary = pathlib.Path(sys.executable).with_name("shallotfold-standin")
+        self._spawn(
+            [str(binary), "platform", "--settings", str(settings)],
+            "platform.log",
+        )
+
+    def _spawn(
+        self,
+        command: Sequence[str],
+        log: str,
+    ) -> subprocess.Popen[bytes]:
+        with (self.directory / log).open("wb") as output:
+            process = subprocess.Popen(command, stdout=output, stderr=output)
+        self.processes.append(process)
+        return process
+
+    async def ask(self, path: str) -> Any:
+        """Read from the platform; a failed connection is tried again."""
+        return await wait_for(lambda: self._try_to_ask(path))
+
+    async def _try_to_ask(self, path: str) -> Any:
+        try:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(self.url + path) as response,
+            ):
+                return await response.json()
+        except aiohttp.ClientConnectorError:
+            return None
+
+    async def _submit_configuration(self) -> None:
+        configuration = Configuration(
+            data_centres=("west",),
+            classes_by_name={"chat": RequestClass(name="chat", tier=1)},
+            offers_by_name={
+                OFFER: Offer(
+                    name=OFFER,
+                    data_centre="west",
+                    model="small",
+                    tokens_per_s=100.0,
+                    start_s=0.0,
+                    max_count=SPARES,
+                )
+            },
+        )
+        async with self.open_store() as store:
+            await ConfigurationStore(store).submit(
+                dump_configuration(configuration), 0, "test", "start"
+            )
+
+    @contextlib.asynccontextmanager
+    async def open_store(self) -> AsyncIterator[HttpStore]:
+        store = HttpStore(self.url)
+        await store.start()
+        try:
+            yield store
+        finally:
+            await store.close()
+
+    async def holder_of(self, duty: str) -> str:
+        async with self.open_store() as store:
+            stored = await store.get(f"duties/{duty}")
+        return json.loads(stored.value)["holder"] if stored else ""
+
+    async def _raise_demand(self) -> None:
+        """Flush demand that rises for ever, so that each plan has orders."""
+        asked, rate = 0.0, 0.0
+        async with self.open_store() as store:
+            while True:
+                rate += DEMAND_STEP_TOKENS_PER_S / 4
+                asked += rate / 4
+                demand = ModelDemand(
+                    model="small", class_name="chat", asked_tokens=int(asked)
+                )
+                flush = UsageFlush(source="e-1", demand=(demand,))
+                with contextlib.suppress(PlatformError):
+                    found = await store.get(flush_key("e-1"))
+                    await store.compare_and_swap(
+                        flush_key("e-1"),
+                        found.revision if found else 0,
+                        encode_flush(flush),
+                    )
+                await asyncio.sleep(0.25)
+
+    async def fencings(self) -> list[int]:
+        """Return the fencing numbers of the orders, as they arrived."""
+        answer = await self.ask("/v1/orders/west")
+        return [order["fencing"] for order in answer["orders"]]
+
+    async def ordered_by_two(self) -> bool:
+        return len(set(await self.fencings())) > 1
+
+
+def is_stopped(process: subprocess.Popen[bytes]) -> bool:
+    stat = pathlib.Path(f"/proc/{process.pid}/stat").read_text()
+    return stat.rpartition(")")[2].split()[0] == "T"
+
+
+@contextlib.asynccontextmanager
+async def running_fleet(
+    directory: pathlib.Path, *switches: str
+) -> AsyncIterator[Fleet]:
+    fleet = Fleet(directory, switches)
+    try:
+        await fleet.start()
+        yield fleet
+    finally:
+        await fleet.close()
