--- a/benchmarks/policy_model/checker.py
+++ b/benchmarks/policy_model/checker.py
@@ -15,6 +15,7 @@
 from benchmarks.policy_model.simulation import Simulation
 from shallotfold._entry.estimates import cost_of
 from shallotfold._model.configuration import RequestClass
+from shallotfold._model.requests import Outcome
 
 CAPACITY_REFUSALS = frozenset(
     {"target_missed", "overloaded", "preempted", "no_upstream"}
@@ -35,6 +36,7 @@
     upstream: str
     started_s: float
     stopped_s: float = float("inf")
+    whole: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -133,6 +135,7 @@
         elif life.attempts:
             last = life.attempts[-1]
             last.stopped_s = min(last.stopped_s, record.at_s)
+            last.whole |= record.detail == Outcome.RAN.value
 
     def _is_good(self, life: Life) -> bool:
         if life.finished_s < 0.0 or life.left:
@@ -267,7 +270,7 @@
             ends = [a.started_s for a in life.attempts[1:]]
             ends.append(max(life.refused_s, life.finished_s))
             for attempt, next_s in zip(life.attempts, ends, strict=True):
-                if attempt.stopped_s >= next_s:
+                if attempt.whole or attempt.stopped_s >= next_s:
                     continue
                 found += self._exceeds_floors(
                     life, self._peaks_between(attempt.stopped_s, next_s)
--- a/benchmarks/policy_model/simulation.py
+++ b/benchmarks/policy_model/simulation.py
@@ -328,7 +328,7 @@
         outcome: Outcome,
         job: Job | None = None,
     ) -> None:
-        self._note("stopped", request_id, attempt)
+        self._note("stopped", request_id, attempt, outcome.value)
         output = int(job.done + 1e-9) if job is not None else 0
         kept = self._tokens_by_request.get(request_id, 0)
         if job is not None and job.streaming:
