--- /dev/null
+++ b/tests/entry/test_pools.py
@@ -0,0 +1,198 @@
+import attrs
+
+from shallotfold._entry import effects
+from shallotfold._entry import events
+from shallotfold._entry.fair_share import FairShare
+from shallotfold._entry.limits import SlidingCount
+from shallotfold._entry.ownership import rendezvous
+from shallotfold._entry.prefix_index import PrefixIndex
+from shallotfold._entry.upstream_health import UpstreamHealth
+from shallotfold._entry.upstream_health import eject_stragglers
+from shallotfold._model.requests import Outcome
+from shallotfold._model.requests import RefusalCode
+from shallotfold._model.upstreams import HostRecord
+from shallotfold._model.upstreams import HostRole
+from shallotfold._model.upstreams import HostState
+from shallotfold._model.upstreams import UpstreamLoad
+from tests.entry.reducing import CONFIGURATION
+from tests.entry.reducing import Entry
+from tests.entry.reducing import make_entry
+from tests.entry.reducing import refusals
+from tests.entry.reducing import started
+
+
+def test_higher_tier_goes_first() -> None:
+    entry = make_entry()
+    entry.arrive("running")
+    entry.arrive("low", class_name="tags")
+    entry.arrive("high")
+    assert started(entry.end("running", Outcome.RAN)) == ["high"]
+
+
+def test_lower_tier_is_preempted_before_a_higher_one_is_refused() -> None:
+    entry = make_entry()
+    entry.arrive("low", class_name="tags")
+    entry.arrive("high")
+    found = entry.wait(1.5)
+    assert effects.CancelAttempt(request_id="low", attempt=1) in found
+    assert started(found) == ["high"]
+    assert refusals(found) == []
+
+
+def test_request_that_can_not_start_in_time_is_refused_as_not_run() -> None:
+    entry = make_entry()
+    entry.arrive("first")
+    entry.arrive("second")
+    refused = refusals(entry.wait(1.5))
+    assert [e.request_id for e in refused] == ["second"]
+    assert refused[0].refusal.code is RefusalCode.TARGET_MISSED
+    assert refused[0].refusal.outcome is Outcome.NOT_RUN
+    assert refused[0].refusal.retry_after_s
+
+
+def make_entry_with_floor() -> Entry:
+    classes = dict(CONFIGURATION.classes_by_name)
+    classes["tags"] = attrs.evolve(classes["tags"], floor_share=0.1)
+    return make_entry(attrs.evolve(CONFIGURATION, classes_by_name=classes))
+
+
+def test_floor_goes_ahead_of_a_busy_higher_tier_once() -> None:
+    entry = make_entry_with_floor()
+    entry.arrive("high-0")
+    entry.arrive("low-0", class_name="tags")
+    entry.arrive("low-1", class_name="tags")
+    entry.arrive("high-1")
+    entry.arrive("high-2")
+    ended = entry.end("high-0", Outcome.RAN, output_tokens=200)
+    assert started(ended) == ["low-0"]
+    ended = entry.end("low-0", Outcome.RAN, output_tokens=200)
+    assert started(ended) == ["high-1"]
+
+
+def test_floor_attempt_is_not_preempted() -> None:
+    entry = make_entry_with_floor()
+    entry.arrive("low", class_name="tags")
+    entry.arrive("high")
+    found = entry.wait(1.5)
+    assert [e for e in found if isinstance(e, effects.CancelAttempt)] == []
+    assert [e.request_id for e in refusals(found)] == ["high"]
+
+
+def test_workspaces_take_turns_by_cost() -> None:
+    entry = make_entry()
+    entry.arrive("running")
+    for number in range(3):
+        entry.arrive(f"north-{number}", prompt_tokens=100)
+    entry.arrive("south-0", key_sha256="south", prompt_tokens=100)
+    order = []
+    for _ in range(3):
+        current = next(
+            id_
+            for id_, opened in entry.state.requests.open_by_id.items()
+            if opened.phase.value == "running"
+        )
+        order += started(entry.end(current, Outcome.RAN, output_tokens=50))
+    assert order.index("south-0") < 2
+
+
+def test_queued_work_of_a_caller_who_left_is_never_started() -> None:
+    entry = make_entry()
+    entry.arrive("running")
+    entry.arrive("gone")
+    entry.feed(events.CallerLeft(now_s=entry.now_s, request_id="gone"))
+    assert started(entry.end("running", Outcome.RAN)) == []
+
+
+def test_leaving_upstream_gets_nothing_new() -> None:
+    entry = make_entry()
+    for name in ("a1", "a2"):
+        load = UpstreamLoad(running=0, queued=0, slots=1, leaving=name == "a1")
+        entry.feed(
+            events.LoadReported(now_s=entry.now_s, upstream=name, load=load)
+        )
+    entry.arrive("r1", model="two")
+    assert entry.state.requests.open_by_id["r1"].upstream == "a2"
+
+
+def test_upstream_that_the_host_list_calls_leaving_gets_nothing() -> None:
+    entry = make_entry()
+    record = HostRecord(
+        name="m1",
+        role=HostRole.UPSTREAM,
+        state=HostState.LEAVING,
+        data_centre="a",
+        address="",
+    )
+    entry.feed(events.HostsListed(now_s=entry.now_s, hosts=[record]))
+    entry.feed(
+        events.VersionConfirmed(
+            now_s=entry.now_s, version=1, read_started_s=entry.now_s
+        )
+    )
+    assert started(entry.arrive("r1")) == []
+
+
+def test_workspace_is_held_to_its_limit() -> None:
+    entry = make_entry()
+    entry.arrive("r1", key_sha256="small")
+    entry.arrive("r2", key_sha256="small")
+    refusal = refusals(entry.arrive("r3", key_sha256="small"))[0].refusal
+    assert refusal.code is RefusalCode.RATE_LIMITED
+    assert refusal.outcome is Outcome.NOT_RUN
+
+
+def test_sliding_count_forgets_after_a_minute() -> None:
+    count = SlidingCount()
+    count.add(10.0, 30.0)
+    assert count.total(59.0) == 10.0
+    assert 0.0 < count.total(90.0) < 10.0
+    assert count.total(180.0) == 0.0
+
+
+def test_idle_name_earns_no_credit() -> None:
+    share = FairShare()
+    share.join("busy")
+    for _ in range(10):
+        share.serve("busy", 10.0, 1.0)
+    share.join("idle")
+    share.serve("idle", 10.0, 1.0)
+    share.serve("idle", 10.0, 1.0)
+    assert share.order(["busy", "idle"]) == ["busy", "idle"]
+
+
+def test_few_pools_move_when_an_entry_leaves() -> None:
+    hosts = tuple(f"e{index}" for index in range(9))
+    pools = [f"pool-{index}" for index in range(200)]
+    moved = [
+        pool
+        for pool in pools
+        if rendezvous(pool, hosts) != rendezvous(pool, hosts[1:])
+    ]
+    assert all(rendezvous(pool, hosts) == "e0" for pool in moved)
+
+
+def test_only_part_of_a_pool_is_ejected_as_slow() -> None:
+    healths = [UpstreamHealth(gap_s=0.02) for _ in range(3)]
+    healths += [UpstreamHealth(gap_s=0.2) for _ in range(3)]
+    assert len(eject_stragglers(healths, 6, 0.0)) == 2
+
+
+def test_straggler_is_probed_and_readmitted() -> None:
+    healths = [UpstreamHealth(gap_s=0.02) for _ in range(3)]
+    slow = UpstreamHealth(gap_s=0.2)
+    eject_stragglers([*healths, slow], 4, 0.0)
+    assert slow.limit(8, 0.5) == 0
+    assert slow.limit(8, 2.0) == 1
+    slow.gap_s = 0.02
+    eject_stragglers([*healths, slow], 4, 2.0)
+    assert slow.limit(8, 2.0) == 8
+
+
+def test_prefix_index_forgets_the_least_recently_used() -> None:
+    index = PrefixIndex()
+    index.hold("m1", ["a", "ab"])
+    assert index.hit_ratio("m1", ("a", "ab", "abc", "abcd")) == 0.5
+    index.drop("m1", ["ab"])
+    assert index.hit_ratio("m1", ("a", "ab", "abc", "abcd")) == 0.25
+    index.replace("m1", ["x"])
+    assert index.hit_ratio("m1", ("a", "ab")) == 0.0
--- /dev/null
+++ b/tests/entry/test_requests.py
@@ -0,0 +1,170 @@
+from shallotfold._entry import effects
+from shallotfold._entry import events
+from shallotfold._entry import retry_budget
+from shallotfold._model.requests import Outcome
+from shallotfold._model.requests import RecordedAnswer
+from shallotfold._model.requests import RefusalCode
+from shallotfold._wire import grant_messages
+from tests.entry.reducing import Entry
+from tests.entry.reducing import make_entry
+from tests.entry.reducing import refusals
+from tests.entry.reducing import started
+
+
+def claim(entry: Entry, request_id: str) -> list[effects.Effect]:
+    return entry.feed(
+        events.ClaimSucceeded(now_s=entry.now_s, request_id=request_id)
+    )
+
+
+def test_failed_idempotent_request_moves_to_another_upstream() -> None:
+    entry = make_entry()
+    first = entry.arrive("r1", model="two")
+    again = entry.end("r1", Outcome.UNKNOWN)
+    used = {
+        e.upstream for e in first + again if isinstance(e, effects.StartAttempt)
+    }
+    assert used == {"a1", "a2"}
+
+
+def test_order_that_may_have_run_is_not_sent_again() -> None:
+    entry = make_entry()
+    entry.order("r1")
+    ended = entry.end("r1", Outcome.UNKNOWN)
+    assert started(ended) == []
+    assert refusals(ended)[0].refusal.outcome is Outcome.UNKNOWN
+
+
+def test_order_that_did_not_run_is_sent_to_another_upstream() -> None:
+    entry = make_entry()
+    entry.order("r1")
+    assert started(entry.end("r1", Outcome.NOT_RUN)) == ["r1"]
+
+
+def test_retries_end_when_the_budget_is_spent() -> None:
+    entry = make_entry()
+    entry.state.requests.retry_budget = retry_budget.RetryBudget(saved=0.0)
+    entry.arrive("r1", model="two")
+    assert started(entry.end("r1", Outcome.NOT_RUN)) == []
+    assert refusals(entry.seen)[0].refusal.outcome is Outcome.NOT_RUN
+
+
+def test_broken_stream_resumes_after_the_tokens_of_the_caller() -> None:
+    entry = make_entry()
+    entry.arrive("r1", model="two", streaming=True)
+    entry.feed(
+        events.TokensForwarded(
+            now_s=entry.now_s, request_id="r1", attempt=1, count=7
+        )
+    )
+    resumed = entry.end("r1", Outcome.UNKNOWN, answer_started=True)
+    starts = [e for e in resumed if isinstance(e, effects.StartAttempt)]
+    assert [e.resume for e in starts] == [True]
+
+
+def test_end_of_an_earlier_attempt_is_ignored() -> None:
+    entry = make_entry()
+    entry.arrive("r1", model="two")
+    entry.end("r1", Outcome.UNKNOWN)
+    late = events.AttemptEnded(
+        now_s=entry.now_s, request_id="r1", attempt=1, outcome=Outcome.RAN
+    )
+    assert entry.feed(late) == []
+    assert "r1" in entry.state.requests.open_by_id
+
+
+def test_silent_stream_is_cancelled_and_tried_elsewhere() -> None:
+    entry = make_entry()
+    entry.arrive("r1", model="two", streaming=True)
+    found = entry.wait(3.0)
+    assert effects.CancelAttempt(request_id="r1", attempt=1) in found
+    assert started(found) == ["r1"]
+
+
+def test_order_waits_for_its_claim() -> None:
+    entry = make_entry()
+    found = entry.order("r1", idempotency_key="k")
+    assert started(found) == []
+    assert started(claim(entry, "r1")) == ["r1"]
+    ended = entry.end("r1", Outcome.RAN)
+    assert effects.SettleClaim(request_id="r1", outcome=Outcome.RAN) in ended
+
+
+def test_claim_of_a_caller_who_left_is_freed() -> None:
+    entry = make_entry()
+    entry.order("r1", idempotency_key="k")
+    entry.feed(events.CallerLeft(now_s=entry.now_s, request_id="r1"))
+    freed = effects.SettleClaim(request_id="r1", outcome=Outcome.NOT_RUN)
+    assert freed in claim(entry, "r1")
+    assert claim(entry, "r1") == [], "a repeated answer frees nothing"
+
+
+def test_claim_that_never_ends_is_refused_as_not_run() -> None:
+    entry = make_entry()
+    entry.order("r1", idempotency_key="k")
+    refusal = refusals(entry.wait(6.0))[0].refusal
+    assert refusal.code is RefusalCode.STORE_UNAVAILABLE
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert refusal.retry_after_s
+
+
+def test_failed_claim_replays_the_recorded_answer() -> None:
+    entry = make_entry()
+    entry.order("r1", idempotency_key="k")
+    answer = RecordedAnswer(status=201, content_type="text/plain", body=b"x")
+    found = entry.feed(
+        events.ClaimFailed(
+            now_s=entry.now_s,
+            request_id="r1",
+            reason="IN_PROGRESS",
+            answer=answer,
+        )
+    )
+    assert effects.ReplayAnswer(request_id="r1", answer=answer) in found
+
+
+def test_unknown_first_run_is_said_as_unknown() -> None:
+    entry = make_entry()
+    entry.order("r1", idempotency_key="k")
+    found = entry.feed(
+        events.ClaimFailed(
+            now_s=entry.now_s, request_id="r1", reason="UPSTREAM_FAILED"
+        )
+    )
+    assert refusals(found)[0].refusal.outcome is Outcome.UNKNOWN
+
+
+def test_draining_entry_refuses_new_requests_and_finishes_open_ones() -> None:
+    entry = make_entry()
+    entry.arrive("r1")
+    entry.feed(events.ShutdownRequested(now_s=entry.now_s))
+    refusal = refusals(entry.arrive("r2"))[0].refusal
+    assert refusal.code is RefusalCode.SHUTTING_DOWN
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert effects.ExitProcess() not in entry.wait(1.0)
+    entry.end("r1", Outcome.RAN)
+    assert effects.ExitProcess() not in entry.wait(1.0), "usage is not safe"
+    for _ in range(3):
+        flushes = [e for e in entry.seen if isinstance(e, effects.FlushUsage)]
+        sequence = flushes[-1].sequence
+        flushed = events.UsageFlushed(now_s=entry.now_s, sequence=sequence)
+        entry.feed(flushed)
+        entry.wait(1.0)
+    assert effects.ExitProcess() in entry.seen
+
+
+def test_late_grant_is_given_back() -> None:
+    entry = make_entry()
+    found = entry.feed(
+        events.PeerMessageReceived(
+            now_s=entry.now_s,
+            host="e2",
+            message=grant_messages.Grant(
+                request_id="gone", attempt=1, upstream="m1", priority=1
+            ),
+        )
+    )
+    sent = [e for e in found if isinstance(e, effects.SendToPeer)]
+    assert [e.host for e in sent] == ["e2"]
+    assert isinstance(sent[0].message, grant_messages.GrantReleased)
+    assert sent[0].message.outcome is Outcome.NOT_RUN
