Pass a token on before the reducer hears of it

Ruled out: telling the reducer only after the write; a write cancelled while the caller is slow would lose its count, so tokens are counted before it.

--- a/src/shallotfold/_entry/exchange.py
+++ b/src/shallotfold/_entry/exchange.py
@@ -139,12 +139,15 @@
         except (ConnectionError, TimeoutError) as error:
             raise CallerGoneError from error
 
-    def count_tokens(
-        self, count: int, deliver: Callable[[events.Event], None]
-    ) -> None:
-        """Count tokens at the caller; tell the reducer now and then."""
+    def count_tokens(self, count: int) -> None:
+        """Count tokens that are about to be written to the caller."""
         self.tokens += count
         self._unreported_tokens += count
+
+    def report_tokens_if_due(
+        self, deliver: Callable[[events.Event], None]
+    ) -> None:
+        """Tell the reducer about new tokens, but not about each one."""
         if time.monotonic() - self._reported_s >= TOKENS_REPORT_INTERVAL_S:
             self.report_tokens(deliver)
 
--- a/src/shallotfold/_entry/sse.py
+++ b/src/shallotfold/_entry/sse.py
@@ -10,6 +10,8 @@
 
 END_DATA = b"[DONE]"
 END_EVENT = b"data: [DONE]\n\n"
+# `json.loads` would look for the encoding again at each token.
+_decode = json.JSONDecoder().decode
 _PLAIN_DELTA_KEYS = frozenset({"role", "content", "refusal"})
 
 
@@ -89,7 +91,7 @@
         StreamError: The data is no chunk, or an error of the engine.
     """
     try:
-        content = json.loads(data)
+        content = _decode(data.decode())
     except (ValueError, RecursionError) as error:
         raise StreamError("a chunk of the stream is no JSON") from error
     if not isinstance(content, dict) or "error" in content:
--- a/src/shallotfold/_entry/stream_relay.py
+++ b/src/shallotfold/_entry/stream_relay.py
@@ -87,10 +87,12 @@
             exchange.resumable = exchange.resumable and chunk.resumable
             exchange.add_text(chunk.text)
             tokens += chunk.has_token
-        if tokens:
-            exchange.count_tokens(tokens, self._deliver)
-        if ready:
-            await exchange.write(b"".join(ready))
+        if not ready:
+            return
+        # Counted first, since a cancelled write may have passed them on.
+        exchange.count_tokens(tokens)
+        await exchange.write(b"".join(ready))
+        exchange.report_tokens_if_due(self._deliver)
 
     def _note(self, chunk: Chunk) -> None:
         self.received_tokens += chunk.has_token
