Test withdrawn keys, streams that can't resume, entries with peers

Cause: the shell's side of a withdrawal and of a stream with tool calls had no test, nor had a whole entry with a peer port.

--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -2,6 +2,7 @@
 import base64
 import json
 import pathlib
+import socket
 
 from aiohttp import web
 from loguru import logger
@@ -9,11 +10,19 @@
 import yarl
 
 from shallotfold._runtime.logs import configure_logs
+from shallotfold._settings.addresses import Address
 from shallotfold._settings.common import LogSettings
 from shallotfold._settings.entry import CallerSettings
 from tests.entry import serving as s
 
 
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
 async def answer_plain(request: web.Request) -> web.StreamResponse:
     return web.Response(
         text="booked",
@@ -271,3 +280,22 @@
             assert await served.entry.wait_stopped() == 1
 
     s.run(main())
+
+
+def test_entry_with_a_peer_port_serves(tmp_path: pathlib.Path) -> None:
+    async def main() -> None:
+        async with (
+            s.upstreams(s.answer_whole) as [fake],
+            s.serving(
+                tmp_path,
+                {"m1": fake.url},
+                peer_address=Address("127.0.0.1", free_port()),
+                fleet_secret="fleet",
+            ) as served,
+            served.client.post(
+                f"{served.url}/v1/chat/completions", json=s.CHAT
+            ) as response,
+        ):
+            assert response.status == 200
+
+    s.run(main())
--- a/tests/entry/test_upstream_client.py
+++ b/tests/entry/test_upstream_client.py
@@ -1,8 +1,10 @@
 import asyncio
 import json
 import pathlib
+import time
 
 from aiohttp import web
+import attrs
 import pytest
 
 from shallotfold._entry import events
@@ -281,3 +283,67 @@
             response.close()
 
     s.run(main())
+
+
+def test_stream_that_text_cannot_resume_ends_with_an_error(
+    tmp_path: pathlib.Path,
+) -> None:
+    call = {"id": "c1", "choices": [{"delta": {"tool_calls": [{"index": 0}]}}]}
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        response = await s.begin_stream(request)
+        await response.write(b"data: %s\n\n" % json.dumps(call).encode())
+        return response
+
+    async def main() -> None:
+        async with (
+            s.upstreams(answer, answer) as [one, two],
+            s.serving(tmp_path, {"m1": one.url, "m2": two.url}) as served,
+            served.client.post(chat_url(served), json=s.STREAM) as response,
+        ):
+            events_seen = (await response.text()).split("\n\n")
+            error = json.loads(events_seen[1][6:])["error"]
+            assert error["code"] == "upstream_failed"
+            assert error["unknown"] is True
+            assert "[DONE]" not in "".join(events_seen)
+            assert len(one.requests) + len(two.requests) == 1
+
+    s.run(main())
+
+
+def test_withdrawn_key_ends_a_connected_stream(tmp_path: pathlib.Path) -> None:
+    cancelled = asyncio.Event()
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        response = await s.begin_stream(request)
+        await response.write(s.token("one "))
+        try:
+            await asyncio.Event().wait()
+        finally:
+            cancelled.set()
+        return response
+
+    async def main() -> None:
+        async with (
+            s.upstreams(answer) as [fake],
+            s.serving(tmp_path, {"m1": fake.url}) as served,
+            served.client.post(chat_url(served), json=s.STREAM) as response,
+        ):
+            await response.content.readany()
+            configuration = s.configuration_of({"m1": fake.url})
+            served.entry.shell.deliver(
+                events.ConfigurationRead(
+                    now_s=time.monotonic(),
+                    version=2,
+                    configuration=attrs.evolve(
+                        configuration, workspaces_by_name={}
+                    ),
+                    document=b"",
+                    sha256="",
+                )
+            )
+            rest = (await response.text()).strip()
+            assert json.loads(rest[6:])["error"]["code"] == "key_withdrawn"
+            await cancelled.wait()
+
+    s.run(main())
