--- a/src/shallotfold/_entry/process.py
+++ b/src/shallotfold/_entry/process.py
@@ -165,8 +165,8 @@
     callers' port opens.
     """
     return [
-        *make_store_parts(shell, settings, exchanges),
         *make_fleet_parts(shell, settings),
+        *make_store_parts(shell, settings, exchanges),
         *_make_watch_parts(shell),
     ]
 
--- a/tests/controller/test_usage.py
+++ b/tests/controller/test_usage.py
@@ -79,7 +79,7 @@
     assert fleet.reported() == fleet.counted
 
 
-async def test_frozen_entry_reports_late_usage_in_a_later_window() -> None:
+async def test_peer_reports_in_time_for_a_frozen_entry() -> None:
     fleet = await make_fleet()
     await serve(fleet, 8)
     fleet.answer("e0", "north")
@@ -91,6 +91,24 @@
     await fleet.run(SETTLE_S)
     assert fleet.reported() == fleet.counted
     records = await read_records(fleet.store, AuditFilter(kind="usage"))
+    assert all(
+        record.change.after.endswith(" 0 of them late") for record in records
+    )
+
+
+async def test_frozen_entries_report_late_usage_in_a_later_window() -> None:
+    fleet = await make_fleet()
+    await serve(fleet, 8)
+    fleet.answer("e0", "north")
+    for entry in fleet.entries.values():
+        entry.frozen = True
+    await fleet.run(100)
+    for entry in fleet.entries.values():
+        entry.frozen = False
+    await serve(fleet, 5)
+    await fleet.run(SETTLE_S)
+    assert fleet.reported() == fleet.counted
+    records = await read_records(fleet.store, AuditFilter(kind="usage"))
     assert any(
         not record.change.after.endswith(" 0 of them late")
         for record in records
