--- a/benchmarks/entry_latency.py
+++ b/benchmarks/entry_latency.py
@@ -1,14 +1,15 @@
 """Measure what an entry adds to latency, and its requests a second per core.
 
-Sends the same streams in turn to an engine stand-in directly and through one
-entry. Each token carries the time at which the engine sent it, so that the
-time on its way is known. Then sends small requests from many callers at once
-and divides their number by the processor time of the entry. Prints one JSON
-object.
+Sends the same streams in turn to an engine stand-in directly, through a bare
+aiohttp relay and through one entry. Each token carries the time at which the
+engine sent it, so that the time on its way is known. Then sends small requests
+from many callers at once and divides their number by the processor time of the
+entry. Prints one JSON object.
 """
 
 import argparse
 import asyncio
+from collections.abc import Mapping
 from collections.abc import Sequence
 import json
 import pathlib
@@ -21,9 +22,11 @@
 import aiohttp
 import attrs
 
+from benchmarks.bare_relay import READY_PATH
 from benchmarks.declaration import MODEL
 from benchmarks.fleet import Fleet
 from benchmarks.proc_usage import read_usage
+from benchmarks.processes import Command
 from benchmarks.processes import Processes
 from benchmarks.topology import CREDENTIAL
 from benchmarks.topology import Topology
@@ -33,6 +36,7 @@
 ENGINE_SLOTS = 256
 ENGINE_TOKENS_PER_S = 25_600.0
 WARM_UP_STREAMS = 20
+RELAY_PORT = 8090
 
 
 @attrs.frozen
@@ -118,24 +122,29 @@
 
 
 async def measure_latency(
-    session: aiohttp.ClientSession, direct: Target, entry: Target, rounds: int
+    session: aiohttp.ClientSession,
+    targets_by_name: Mapping[str, Target],
+    rounds: int,
 ) -> dict[str, Any]:
-    """Send the same requests to both targets in turn."""
+    """Send the same requests to all targets in turn; `direct` is one."""
     for number in range(WARM_UP_STREAMS):
-        await send_stream(session, entry, number, Samples())
-        await send_stream(session, direct, number, Samples())
-    direct_samples, entry_samples = Samples(), Samples()
+        for target in targets_by_name.values():
+            await send_stream(session, target, number, Samples())
+    samples_by_name = {name: Samples() for name in targets_by_name}
     for number in range(rounds):
-        for target, samples in (
-            (direct, direct_samples),
-            (entry, entry_samples),
-        ):
-            await send_stream(session, target, number, samples)
-            await send_whole(session, target, number, samples)
-    direct_ms = direct_samples.medians_ms()
-    entry_ms = entry_samples.medians_ms()
-    added_ms = {k: round(entry_ms[k] - direct_ms[k], 3) for k in entry_ms}
-    return {"direct": direct_ms, "entry": entry_ms, "added": added_ms}
+        for name, target in targets_by_name.items():
+            await send_stream(session, target, number, samples_by_name[name])
+            await send_whole(session, target, number, samples_by_name[name])
+    medians_by_name = {
+        name: samples.medians_ms() for name, samples in samples_by_name.items()
+    }
+    direct_ms = medians_by_name["direct"]
+    added_by_name = {
+        name: {k: round(ms[k] - direct_ms[k], 3) for k in ms}
+        for name, ms in medians_by_name.items()
+        if name != "direct"
+    }
+    return {"medians": medians_by_name, "added": added_by_name}
 
 
 async def measure_throughput(
@@ -176,6 +185,21 @@
     }
 
 
+async def start_relay(topology: Topology, processes: Processes) -> Target:
+    """Start the bare relay in front of the first engine."""
+    address = f"{topology.network}.0.2:{RELAY_PORT}"
+    upstream = topology.upstream_url("engine-1")
+    url = f"http://{address}"
+    command = Command(
+        name="relay",
+        binary=("python", "-m", "benchmarks.bare_relay"),
+        settings=f'address = "{address}"\nupstream = "{upstream}"\n',
+        ready_url=url + READY_PATH,
+    )
+    await processes.start_all([command])
+    return Target(url, CREDENTIAL)
+
+
 async def run(
     directory: pathlib.Path, rounds: int, callers: int, duration_s: float
 ) -> dict[str, Any]:
@@ -195,7 +219,13 @@
             key = topology.keys_by_workspace["agency"].secret
             entry = Target(topology.entry_url(ENTRY), key)
             direct = Target(topology.upstream_url("engine-1"), CREDENTIAL)
-            latency = await measure_latency(session, direct, entry, rounds)
+            relay = await start_relay(topology, processes)
+            targets_by_name = {
+                "direct": direct,
+                "relay": relay,
+                "entry": entry,
+            }
+            latency = await measure_latency(session, targets_by_name, rounds)
             pid = processes.running_by_name[ENTRY].pid
             throughput = {
                 name: await measure_throughput(
