--- a/src/shallotfold/_entry/callers.py
+++ b/src/shallotfold/_entry/callers.py
@@ -27,6 +27,7 @@
 from shallotfold._entry.intake import new_request_id
 from shallotfold._entry.refusals import error_event
 from shallotfold._entry.refusals import refusal_response
+from shallotfold._entry.shell import FAULT_REFUSAL
 from shallotfold._entry.shell import EntryShell
 from shallotfold._entry.sse import END_EVENT
 from shallotfold._model.requests import Refusal
@@ -116,6 +117,9 @@
             return await serve(web_request, request_id)
         except parsing.RejectedRequestError as rejected:
             return refusal_response(rejected.refusal, request_id)
+        except CallerGoneError:
+            # Nobody reads this; the connection is closed already.
+            return refusal_response(FAULT_REFUSAL, request_id)
 
     async def _serve_health(
         self, web_request: web.Request, request_id: str
@@ -210,6 +214,7 @@
                 )
             )
             if isinstance(gone, CallerGoneError) and exchange.response:
+                _break_connection(exchange)
                 return exchange.response
             raise
         finally:
@@ -258,6 +263,13 @@
     return True
 
 
+def _break_connection(exchange: Exchange) -> None:
+    """Close a caller's connection so that a part is not taken as whole."""
+    transport = exchange.web_request.transport
+    if transport is not None:
+        transport.abort()
+
+
 def _replay(exchange: Exchange, ending: Replayed) -> web.Response:
     answer = ending.answer
     chosen = {headers.REQUEST_ID: exchange.request_id}
--- a/src/shallotfold/_entry/headers.py
+++ b/src/shallotfold/_entry/headers.py
@@ -21,6 +21,7 @@
     "If-Unmodified-Since",
 )
 _TO_CALLER = (
+    "Allow",
     "Cache-Control",
     "Content-Disposition",
     "Content-Encoding",
@@ -28,6 +29,7 @@
     "Content-Type",
     "ETag",
     "Last-Modified",
+    "Retry-After",
 )
 _BEARER = "bearer "
 
--- a/src/shallotfold/_entry/shell.py
+++ b/src/shallotfold/_entry/shell.py
@@ -19,6 +19,11 @@
 from shallotfold._model.requests import RefusalCode
 
 TICK_INTERVAL_S = 0.05
+FAULT_REFUSAL = Refusal(
+    code=RefusalCode.UPSTREAM_FAILED,
+    message="The entry met a fault of its own; see its log.",
+    outcome=Outcome.UNKNOWN,
+)
 
 Runner = Callable[[Any], None]
 
@@ -157,9 +162,4 @@
         request_id = event.request.request_id
     if not request_id or isinstance(event, events.CallerLeft):
         return []
-    refusal = Refusal(
-        code=RefusalCode.UPSTREAM_FAILED,
-        message="The entry met a fault of its own; see its log.",
-        outcome=Outcome.UNKNOWN,
-    )
-    return [effects.RefuseRequest(request_id=request_id, refusal=refusal)]
+    return [effects.RefuseRequest(request_id=request_id, refusal=FAULT_REFUSAL)]
--- a/src/shallotfold/_entry/upstream_client.py
+++ b/src/shallotfold/_entry/upstream_client.py
@@ -28,7 +28,8 @@
 from shallotfold._settings.entry import AttemptSettings
 
 NO_CREDENTIAL = ""
-MAX_POOLED_CONNECTIONS = 1000
+# The owners of the pools bound what runs; a wait here would be unseen.
+NO_LIMIT = 0
 # The end of the body follows the end marker at once; a later one is not
 # worth a wait.
 BODY_END_TIMEOUT_S = 0.5
@@ -74,12 +75,12 @@
         """Open the connection pools."""
         self._pooled = self._open_session(
             aiohttp.TCPConnector(
-                limit=MAX_POOLED_CONNECTIONS,
+                limit=NO_LIMIT,
                 keepalive_timeout=self._settings.keepalive_s,
             )
         )
         self._fresh = self._open_session(
-            aiohttp.TCPConnector(limit=MAX_POOLED_CONNECTIONS, force_close=True)
+            aiohttp.TCPConnector(limit=NO_LIMIT, force_close=True)
         )
 
     async def close(self) -> None:
--- a/tests/entry/serving.py
+++ b/tests/entry/serving.py
@@ -178,15 +178,16 @@
     tmp_path: pathlib.Path, urls_by_name: dict[str, str], **settings: Any
 ) -> AsyncIterator[Serving]:
     """Serve an entry with its upstreams; the client sends the key."""
-    path = tmp_path / "configuration.json"
-    path.write_bytes(dump_configuration(configuration_of(urls_by_name)))
+    if "platform" not in settings:
+        path = tmp_path / "configuration.json"
+        path.write_bytes(dump_configuration(configuration_of(urls_by_name)))
+        settings["configuration_file"] = str(path)
     entry = EntryProcess(
         EntrySettings(
             host="e1",
             data_centre="a",
             caller_address=Address("127.0.0.1", 0),
             credentials={"engines": "upstream-secret"},
-            configuration_file=str(path),
             **{"shutdown_linger_s": 0.0, **settings},
         )
     )
