End the request of a caller that stops reading

Cause: the write timeout cancelled the attempt, but the caller's handler went on waiting for an ending that never came (test_caller_that_stops_reading..., red by its timeout before this change, green after). Also: the callers' port serves without an application and a router.

--- a/src/shallotfold/_entry/callers.py
+++ b/src/shallotfold/_entry/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import time
+from typing import Any
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
@@ -55,7 +56,7 @@
         self._shell = shell
         self._exchanges = exchanges
         self._intake = Intake(settings.callers, shell.state)
-        self._runner: web.AppRunner | None = None
+        self._runner: web.ServerRunner | None = None
         self._handlers_by_path = {
             CHAT_PATH: self._serve_model,
             COMPLETION_PATH: self._serve_model,
@@ -79,13 +80,13 @@
             OSError: The address can't be used.
         """
         bounds = self._settings.callers
-        app = web.Application(client_max_size=bounds.max_body_bytes)
-        app.router.add_route("*", "/{path:.*}", self._serve)
         quiet = logging.getLogger(_HTTP_LOGGER)
         quiet.setLevel(logging.ERROR)
         quiet.addFilter(_without_quotes)
-        self._runner = web.AppRunner(
-            app,
+        # One handler for all paths needs no application and no router.
+        server = web.Server(
+            self._serve,
+            request_factory=self._make_request,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
@@ -93,7 +94,9 @@
             logger=quiet,
             max_line_size=bounds.max_header_bytes,
             max_field_size=bounds.max_header_bytes,
-            shutdown_timeout=CLOSE_TIMEOUT_S,
+        )
+        self._runner = web.ServerRunner(
+            server, shutdown_timeout=CLOSE_TIMEOUT_S
         )
         await self._runner.setup()
         listen = self._settings.caller_address
@@ -107,10 +110,28 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def _make_request(
+        self,
+        message: Any,
+        payload: Any,
+        protocol: Any,
+        writer: Any,
+        task: Any,
+    ) -> web.BaseRequest:
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=self._settings.callers.max_body_bytes,
+        )
+
     def _set_ready(self, effect: effects.SetReady) -> None:
         self.ready = effect.ready
 
-    async def _serve(self, web_request: web.Request) -> web.StreamResponse:
+    async def _serve(self, web_request: web.BaseRequest) -> web.StreamResponse:
         serve = self._handlers_by_path.get(web_request.path, self._serve_plain)
         request_id = new_request_id()
         try:
@@ -122,13 +143,13 @@
             return refusal_response(FAULT_REFUSAL, request_id)
 
     async def _serve_health(
-        self, web_request: web.Request, request_id: str
+        self, web_request: web.BaseRequest, request_id: str
     ) -> web.Response:
         del web_request, request_id
         return web.json_response({"alive": True})
 
     async def _serve_readiness(
-        self, web_request: web.Request, request_id: str
+        self, web_request: web.BaseRequest, request_id: str
     ) -> web.Response:
         del web_request, request_id
         state = self._shell.state
@@ -142,7 +163,7 @@
         )
 
     async def _serve_models(
-        self, web_request: web.Request, request_id: str
+        self, web_request: web.BaseRequest, request_id: str
     ) -> web.Response:
         digest = digest_of_key(headers.bearer_key(web_request.headers))
         state = self._shell.state
@@ -165,7 +186,7 @@
         )
 
     async def _serve_model(
-        self, web_request: web.Request, request_id: str
+        self, web_request: web.BaseRequest, request_id: str
     ) -> web.StreamResponse:
         if web_request.method != "POST":
             parsing.reject("Use POST for this path.")
@@ -176,7 +197,7 @@
         return await self._serve_exchange(exchange)
 
     async def _serve_plain(
-        self, web_request: web.Request, request_id: str
+        self, web_request: web.BaseRequest, request_id: str
     ) -> web.StreamResponse:
         self._check_ready()
         exchange = await self._intake.read_plain_request(
--- a/src/shallotfold/_entry/exchange.py
+++ b/src/shallotfold/_entry/exchange.py
@@ -70,7 +70,7 @@
         upstream_headers: Headers for the upstream.
         body: Body for the upstream.
         write_timeout_s: Longest wait for the caller to take bytes.
-        ended: Set once to the final ending.
+        ended: Set once to the final ending; raises `CallerGoneError`.
         attempt: Task of the running attempt.
         response: The streamed answer; `None` before its first byte.
         answer: The answer held back; `None` before it is whole.
@@ -81,7 +81,7 @@
     """
 
     request: CallerRequest
-    web_request: web.Request
+    web_request: web.BaseRequest
     path: str
     upstream_headers: dict[str, str]
     body: bytes
@@ -115,6 +115,11 @@
         if not self.ended.done():
             self.ended.set_result(ending)
 
+    def abandon(self, gone: CallerGoneError) -> None:
+        """Wake whoever waits for the ending with the caller's leaving."""
+        if not self.ended.done():
+            self.ended.set_exception(gone)
+
     def add_text(self, text: str) -> None:
         """Remember text that is about to be written to the caller."""
         self._text_characters += len(text)
--- a/src/shallotfold/_entry/intake.py
+++ b/src/shallotfold/_entry/intake.py
@@ -53,7 +53,7 @@
         self._held_bytes = 0
 
     async def read_model_request(
-        self, web_request: web.Request, request_id: str
+        self, web_request: web.BaseRequest, request_id: str
     ) -> Exchange:
         """Read a chat or plain completion.
 
@@ -91,7 +91,7 @@
         )
 
     async def read_plain_request(
-        self, web_request: web.Request, request_id: str
+        self, web_request: web.BaseRequest, request_id: str
     ) -> Exchange:
         """Read a request for a plain service.
 
@@ -127,7 +127,11 @@
         self._held_bytes -= len(exchange.body)
 
     def _describe(
-        self, web_request: web.Request, request_id: str, key: str, body: bytes
+        self,
+        web_request: web.BaseRequest,
+        request_id: str,
+        key: str,
+        body: bytes,
     ) -> CallerRequest:
         return CallerRequest(
             request_id=request_id,
@@ -155,7 +159,7 @@
 
     def _open(
         self,
-        web_request: web.Request,
+        web_request: web.BaseRequest,
         request: CallerRequest,
         *,
         path: str,
@@ -183,7 +187,7 @@
             )
         return routes[max(prefixes, key=len)]
 
-    async def _read_body(self, web_request: web.Request) -> bytes:
+    async def _read_body(self, web_request: web.BaseRequest) -> bytes:
         if not web_request.body_exists:
             return b""
         announced = web_request.content_length or 0
@@ -218,7 +222,7 @@
         )
 
 
-def _check_content_type(web_request: web.Request) -> None:
+def _check_content_type(web_request: web.BaseRequest) -> None:
     encoding = web_request.headers.get("Content-Encoding", "identity")
     if encoding != "identity":
         parsing.reject("Send the body without Content-Encoding.")
--- a/src/shallotfold/_entry/upstream_client.py
+++ b/src/shallotfold/_entry/upstream_client.py
@@ -95,12 +95,8 @@
         """Run one attempt and deliver how it ended."""
         try:
             ended = await self._try(exchange, start)
-        except CallerGoneError:
-            self._deliver(
-                events.CallerLeft(
-                    now_s=time.monotonic(), request_id=start.request_id
-                )
-            )
+        except CallerGoneError as gone:
+            exchange.abandon(gone)
             return
         if ended is not None:
             self._tell(exchange, start, ended)
--- a/tests/entry/test_upstream_client.py
+++ b/tests/entry/test_upstream_client.py
@@ -3,12 +3,15 @@
 import pathlib
 import time
 
+import aiohttp
 from aiohttp import web
 import attrs
 import pytest
 
 from shallotfold._entry import events
 from shallotfold._model.requests import Outcome
+from shallotfold._settings.entry import AttemptSettings
+from shallotfold._settings.entry import CallerSettings
 from tests.entry import serving as s
 
 
@@ -347,3 +350,59 @@
             await cancelled.wait()
 
     s.run(main())
+
+
+def test_caller_that_stops_reading_has_left(tmp_path: pathlib.Path) -> None:
+    cancelled = asyncio.Event()
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        response = await s.begin_stream(request)
+        try:
+            while True:
+                await response.write(s.token("x" * 1000) * 16)
+        finally:
+            cancelled.set()
+
+    async def main() -> None:
+        async with (
+            s.upstreams(answer) as [fake],
+            s.serving(
+                tmp_path,
+                {"m1": fake.url},
+                callers=CallerSettings(write_timeout_s=0.2),
+            ) as served,
+            served.client.post(chat_url(served), json=s.STREAM) as response,
+        ):
+            await cancelled.wait()
+            assert not served.entry.shell.state.requests.open_by_id
+            # What the caller got must not look like a whole answer.
+            with pytest.raises(aiohttp.ClientError):
+                await response.read()
+
+    s.run(main())
+
+
+def test_silent_upstream_is_left_and_its_stream_resumed(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def answer(request: web.Request) -> web.StreamResponse:
+        response = await s.begin_stream(request)
+        if "resume" not in await request.json():
+            await response.write(s.token("one "))
+            await asyncio.Event().wait()
+        await response.write(s.token("two ") + s.LAST + s.DONE)
+        return response
+
+    async def main() -> None:
+        async with (
+            s.upstreams(answer, answer) as [one, two],
+            s.serving(
+                tmp_path,
+                {"m1": one.url, "m2": two.url},
+                attempts=AttemptSettings(idle_timeout_s=0.2),
+            ) as served,
+            served.client.post(chat_url(served), json=s.STREAM) as response,
+        ):
+            assert "".join(texts_of(await response.text())) == "one two "
+
+    s.run(main())
