Answer the last connections of a draining entry

A connection that was accepted but had not sent its request when the reducer had drained was closed unanswered. Answers of a draining entry now carry Connection: close, and after the listener has closed what is connected may still send and is refused truthfully for 0.3 s. Two-step proof: without the wait test_last_connections_are_answered... fails. A connection still in the kernel's backlog when the listener closes is reset as before.

--- a/src/shallotfold/_entry/callers.py
+++ b/src/shallotfold/_entry/callers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import logging
 import time
 from typing import Any
@@ -38,6 +40,8 @@
 
 KEEPALIVE_TIMEOUT_S = 75.0
 CLOSE_TIMEOUT_S = 1.0
+LAST_REQUESTS_S = 0.3
+Serve = Callable[[web.BaseRequest, str], Awaitable[web.StreamResponse]]
 _HTTP_LOGGER = "shallotfold.callers"
 
 
@@ -107,8 +111,14 @@
 
     async def close(self) -> None:
         """Stop listening and end what is left."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._runner is None:
+            return
+        for site in list(self._runner.sites):
+            await site.stop()
+        if self._shell.state.draining:
+            # Connections that were just accepted bring their request yet.
+            await asyncio.sleep(LAST_REQUESTS_S)
+        await self._runner.cleanup()
 
     def _make_request(
         self,
@@ -134,6 +144,14 @@
     async def _serve(self, web_request: web.BaseRequest) -> web.StreamResponse:
         serve = self._handlers_by_path.get(web_request.path, self._serve_plain)
         request_id = new_request_id()
+        response = await self._respond(serve, web_request, request_id)
+        if self._shell.state.draining and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _respond(
+        self, serve: Serve, web_request: web.BaseRequest, request_id: str
+    ) -> web.StreamResponse:
         try:
             return await serve(web_request, request_id)
         except parsing.RejectedRequestError as rejected:
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -299,3 +299,28 @@
             assert response.status == 200
 
     s.run(main())
+
+
+def test_last_connections_are_answered_at_shutdown(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def main() -> None:
+        async with s.serving(tmp_path, {}) as served:
+            address = served.entry.callers.address
+            reader, writer = await asyncio.open_connection(
+                address.ip, address.port
+            )
+            served.entry.request_shutdown()
+            assert await served.entry.wait_stopped() == 0
+            closing = asyncio.create_task(served.entry.callers.close())
+            await asyncio.sleep(0)
+            writer.write(b"POST /booking/a HTTP/1.1\r\nHost: x\r\n")
+            writer.write(b"Content-Length: 0\r\n\r\n")
+            answer = (await reader.read()).decode()
+            assert answer.startswith("HTTP/1.1 ")
+            assert "\r\nConnection: close\r\n" in answer
+            assert '"not_run": true' in answer
+            writer.close()
+            await closing
+
+    s.run(main())
