Keep streams that can't be resumed from being moved, test fleet-wide limits

Cause: an answer with tool calls can't go on elsewhere; a preemption or a stall would have cancelled it. TokensForwarded now says so (field with a default; the exchange fills it). Two-step proof: without taking the field over, test_stream_with_tool_calls_is_neither_resumed_nor_preempted fails. Limits are tested over four entries, also with each entry lost, the ledger included.

--- a/src/shallotfold/_entry/attempts.py
+++ b/src/shallotfold/_entry/attempts.py
@@ -100,6 +100,7 @@
 ) -> bool:
     """Whether an ended attempt may be followed by another one."""
     request = opened.request
+    opened.text_resumable = opened.text_resumable and event.resumable
     if event.answer_started and not (
         event.resumable and opened.resumable and request.streaming
     ):
@@ -111,6 +112,8 @@
     """Whether a further attempt is safe and within the budget."""
     if opened.maybe_ran and not opened.request.idempotent:
         return False
+    if opened.output_tokens and not opened.resumable:
+        return False
     if opened.failures >= MAX_FAILURES:
         return False
     return state.requests.retry_budget.take()
--- a/src/shallotfold/_entry/events.py
+++ b/src/shallotfold/_entry/events.py
@@ -58,11 +58,19 @@
 
 @attrs.frozen(kw_only=True)
 class TokensForwarded(Event):
-    """Tokens of an attempt were written to the caller."""
+    """Tokens of an attempt were written to the caller.
+
+    Attributes:
+        request_id: Id of the request.
+        attempt: Number of the attempt.
+        count: New tokens.
+        resumable: Whether a further attempt can go on after them.
+    """
 
     request_id: str
     attempt: int
     count: int
+    resumable: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_entry/exchange.py
+++ b/src/shallotfold/_entry/exchange.py
@@ -161,6 +161,7 @@
                 request_id=self.request_id,
                 attempt=self.attempt_number,
                 count=count,
+                resumable=self.resumable,
             )
         )
 
--- a/src/shallotfold/_entry/open_requests.py
+++ b/src/shallotfold/_entry/open_requests.py
@@ -59,6 +59,8 @@
         maybe_ran: Whether an earlier attempt may have run.
         redirects: How often the grant request was passed on.
         charged_tokens: Tokens charged to the workspace's limits.
+        text_resumable: Whether the tokens so far tell an upstream how to go
+            on; an answer with tool calls can't be resumed.
         answered: Whether the owner has shown life since it was asked.
     """
 
@@ -83,6 +85,7 @@
     maybe_ran: bool = False
     redirects: int = 0
     charged_tokens: float = 0.0
+    text_resumable: bool = True
     answered: bool = False
 
     @property
@@ -102,7 +105,9 @@
     def resumable(self) -> bool:
         """Whether a cancelled attempt loses nothing that the caller has."""
         request = self.request
-        return request.idempotent and bool(request.model)
+        if not request.idempotent or not request.model:
+            return False
+        return self.text_resumable or not self.output_tokens
 
 
 @attrs.define(kw_only=True)
--- a/src/shallotfold/_entry/pools.py
+++ b/src/shallotfold/_entry/pools.py
@@ -310,6 +310,7 @@
         known = pool.running_by_attempt.get(key)
         if known is not None:
             known.seen_s = now_s
+            known.preemptible = attempt.preemptible
         elif key not in pool.ended_by_attempt:
             pool.queue.remove(key)
             pool.start(key, _announced(state, host, attempt, now_s))
--- a/src/shallotfold/_entry/requests.py
+++ b/src/shallotfold/_entry/requests.py
@@ -86,6 +86,7 @@
     opened = state.requests.open_by_id.get(event.request_id)
     if opened is None or not _runs(opened, event.attempt):
         return []
+    opened.text_resumable = event.resumable
     return attempts.note_tokens(state, opened, event.count, event.now_s)
 
 
--- /dev/null
+++ b/tests/entry/test_limits.py
@@ -0,0 +1,117 @@
+"""Hold a workspace to its limit over several entries."""
+
+import attrs
+import pytest
+
+from shallotfold._entry import effects
+from shallotfold._entry import events
+from shallotfold._model.configuration import Limits
+from shallotfold._model.requests import Outcome
+from tests.entry.reducing import CONFIGURATION
+from tests.entry.reducing import make_entry
+from tests.entry.reducing import make_workspace
+from tests.entry.reducing import refusals
+
+HOSTS = ("e1", "e2", "e3", "e4")
+LIMIT = 60
+
+
+class Fleet:
+    """Entries whose messages arrive at once."""
+
+    def __init__(self, limits: Limits) -> None:
+        workspaces = {"north": make_workspace("north", limits=limits)}
+        configuration = attrs.evolve(
+            CONFIGURATION, workspaces_by_name=workspaces
+        )
+        self.entries = {host: make_entry(configuration) for host in HOSTS}
+        for host, entry in self.entries.items():
+            entry.state.host = host
+            for peer in HOSTS:
+                if peer != host:
+                    entry.feed(
+                        events.PeerConnected(now_s=entry.now_s, host=peer)
+                    )
+        self.admitted = 0
+
+    def arrive(self, host: str, number: int) -> bool:
+        entry = self.entries[host]
+        found = entry.order(f"{host}-{number}")
+        self.carry(host, found)
+        if refusals(found):
+            return False
+        self.admitted += 1
+        return True
+
+    def end(self, host: str, number: int) -> None:
+        entry = self.entries[host]
+        opened = entry.state.requests.open_by_id.get(f"{host}-{number}")
+        if opened is not None and opened.phase.value == "running":
+            self.carry(host, entry.end(f"{host}-{number}", Outcome.RAN))
+
+    def carry(self, source: str, found: list[effects.Effect]) -> None:
+        for effect in found:
+            if (
+                isinstance(effect, effects.SendToPeer)
+                and effect.host in self.entries
+            ):
+                to = self.entries[effect.host]
+                event = events.PeerMessageReceived(
+                    now_s=to.now_s, host=source, message=effect.message
+                )
+                self.carry(effect.host, to.feed(event))
+
+    def wait(self, seconds: float) -> None:
+        for host, entry in list(self.entries.items()):
+            confirmed = events.VersionConfirmed(
+                now_s=entry.now_s, version=1, read_started_s=entry.now_s
+            )
+            entry.feed(confirmed)
+            self.carry(host, entry.wait(seconds))
+
+    def lose(self, host: str) -> None:
+        del self.entries[host]
+        for entry in self.entries.values():
+            entry.feed(events.PeerDisconnected(now_s=entry.now_s, host=host))
+
+
+def flood(fleet: Fleet, seconds: int, per_second: int = 5) -> None:
+    for second in range(seconds):
+        for host in list(fleet.entries):
+            for index in range(per_second):
+                number = second * per_second + index
+                fleet.arrive(host, number)
+                fleet.end(host, number)
+        fleet.wait(1.0)
+
+
+def within_the_stated_error(fleet: Fleet) -> bool:
+    first_allowance = LIMIT / len(HOSTS)
+    return fleet.admitted <= LIMIT + len(HOSTS) + first_allowance
+
+
+def test_requests_a_minute_hold_over_all_entries() -> None:
+    fleet = Fleet(Limits(requests_per_minute=LIMIT))
+    flood(fleet, 30)
+    assert fleet.admitted >= LIMIT
+    assert within_the_stated_error(fleet)
+
+
+def test_one_busy_entry_may_use_the_whole_limit() -> None:
+    fleet = Fleet(Limits(requests_per_minute=LIMIT))
+    for second in range(30):
+        for index in range(20):
+            fleet.arrive("e1", second * 20 + index)
+            fleet.end("e1", second * 20 + index)
+        fleet.wait(1.0)
+    assert fleet.admitted >= LIMIT
+    assert within_the_stated_error(fleet)
+
+
+@pytest.mark.parametrize("lost", HOSTS)
+def test_limit_holds_while_an_entry_is_lost(lost: str) -> None:
+    fleet = Fleet(Limits(requests_per_minute=LIMIT))
+    flood(fleet, 2)
+    fleet.lose(lost)
+    flood(fleet, 25, per_second=7)
+    assert within_the_stated_error(fleet)
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -62,6 +62,31 @@
     assert [e.resume for e in starts] == [True]
 
 
+def test_stream_with_tool_calls_is_neither_resumed_nor_preempted() -> None:
+    entry = make_entry()
+    entry.arrive("r1", model="two", streaming=True)
+    entry.feed(
+        events.TokensForwarded(
+            now_s=entry.now_s,
+            request_id="r1",
+            attempt=1,
+            count=7,
+            resumable=False,
+        )
+    )
+    preempted = entry.feed(
+        events.PeerMessageReceived(
+            now_s=entry.now_s,
+            host="e1",
+            message=grant_messages.GrantPreempted(request_id="r1", attempt=1),
+        )
+    )
+    assert preempted == []
+    ended = entry.end("r1", Outcome.UNKNOWN, answer_started=True)
+    assert started(ended) == []
+    assert refusals(ended)[0].refusal.outcome is Outcome.UNKNOWN
+
+
 def test_end_of_an_earlier_attempt_is_ignored() -> None:
     entry = make_entry()
     entry.arrive("r1", model="two")
