Don't take a slow caller for a silent upstream

Cause: a stream without tokens for 2 s was moved and its upstream blamed, also when only its caller took nothing. Another stream from the same upstream that makes progress now shows that the upstream is alive. Ruled out: a longer silence for all, which would hold streams of a hung engine.

--- a/src/shallotfold/_entry/attempts.py
+++ b/src/shallotfold/_entry/attempts.py
@@ -18,6 +18,8 @@
 MAX_FAILURES = 4
 MIN_STALL_S = 2.0
 STALL_FACTOR = 5.0
+ALIVE_S = 1.0
+SLOW_CALLER_S = 30.0
 WHOLE_ANSWER_STALL_S = 30.0
 
 
@@ -132,9 +134,24 @@
     else:
         expected_s = estimates.gap_s
         silent_s = now_s - opened.last_token_s
+        if silent_s < SLOW_CALLER_S and _answers_others(state, opened, now_s):
+            return False
     return silent_s > max(MIN_STALL_S, STALL_FACTOR * expected_s)
 
 
+def _answers_others(
+    state: EntryState, opened: OpenRequest, now_s: float
+) -> bool:
+    """Whether the upstream serves other streams, so that a caller is slow."""
+    return any(
+        other is not opened
+        and other.phase is Phase.RUNNING
+        and other.upstream == opened.upstream
+        and now_s - other.last_token_s < ALIVE_S
+        for other in state.requests.open_by_id.values()
+    )
+
+
 def _whole_limit_s(state: EntryState, opened: OpenRequest) -> float:
     classes = state.configuration.current.classes_by_name
     request_class = classes.get(opened.class_name)
--- a/tests/entry/reducing.py
+++ b/tests/entry/reducing.py
@@ -132,6 +132,16 @@
         )
         return self.feed(attrs.evolve(event, **values))
 
+    def progress(self, request_id: str) -> list[effects.Effect]:
+        """Forward one more token of the running attempt."""
+        event = events.TokensForwarded(
+            now_s=self.now_s,
+            request_id=request_id,
+            attempt=self.state.requests.open_by_id[request_id].attempt,
+            count=1,
+        )
+        return self.feed(event)
+
     def wait(self, seconds: float) -> list[effects.Effect]:
         """Tick until some time has passed."""
         new: list[effects.Effect] = []
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -1,3 +1,5 @@
+import attrs
+
 from shallotfold._entry import effects
 from shallotfold._entry import events
 from shallotfold._entry import retry_budget
@@ -5,8 +7,10 @@
 from shallotfold._model.requests import RecordedAnswer
 from shallotfold._model.requests import RefusalCode
 from shallotfold._wire import grant_messages
+from tests.entry.reducing import CONFIGURATION
 from tests.entry.reducing import Entry
 from tests.entry.reducing import make_entry
+from tests.entry.reducing import make_upstream
 from tests.entry.reducing import refusals
 from tests.entry.reducing import started
 
@@ -106,6 +110,19 @@
     assert started(found) == ["r1"]
 
 
+def test_slow_caller_is_not_taken_for_a_silent_upstream() -> None:
+    upstreams = {"m1": make_upstream("m1", model="one", slots=2)}
+    entry = make_entry(attrs.evolve(CONFIGURATION, upstreams_by_name=upstreams))
+    for request_id in ("slow", "quick"):
+        entry.arrive(request_id, streaming=True)
+        entry.progress(request_id)
+    for _ in range(8):
+        entry.wait(0.5)
+        entry.progress("quick")
+    stopped = [e for e in entry.seen if isinstance(e, effects.CancelAttempt)]
+    assert stopped == []
+
+
 def test_order_waits_for_its_claim() -> None:
     entry = make_entry()
     found = entry.order("r1", idempotency_key="k")
