--- /dev/null
+++ b/src/shallotfold/_entry/claiming.py
@@ -0,0 +1,96 @@
+"""Claim idempotency keys before requests are dispatched."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from shallotfold._entry import asking
+from shallotfold._entry import effects
+from shallotfold._entry import endings
+from shallotfold._entry import limits
+from shallotfold._entry.open_requests import OpenRequest
+from shallotfold._entry.open_requests import Phase
+from shallotfold._model.requests import Outcome
+from shallotfold._model.requests import Refusal
+from shallotfold._model.requests import RefusalCode
+
+if TYPE_CHECKING:
+    from shallotfold._entry import events
+    from shallotfold._entry.state import EntryState
+
+RETRY_AFTER_S = 1.0
+
+
+def on_claimed(
+    state: EntryState, event: events.ClaimSucceeded
+) -> list[effects.Effect]:
+    """Dispatch a request whose idempotency key is now ours."""
+    if event.request_id in state.requests.abandoned_claims:
+        state.requests.abandoned_claims.discard(event.request_id)
+        return [
+            effects.SettleClaim(
+                request_id=event.request_id, outcome=Outcome.NOT_RUN
+            )
+        ]
+    opened = state.requests.open_by_id.get(event.request_id)
+    if opened is None or opened.phase is not Phase.CLAIMING:
+        return []
+    return asking.ask(state, opened, event.now_s)
+
+
+def on_claim_failed(
+    state: EntryState, event: events.ClaimFailed
+) -> list[effects.Effect]:
+    """Answer a request whose idempotency key could not be claimed."""
+    state.requests.abandoned_claims.discard(event.request_id)
+    opened = state.requests.open_by_id.get(event.request_id)
+    if opened is None or opened.phase is not Phase.CLAIMING:
+        return []
+    del state.requests.open_by_id[event.request_id]
+    limits.settle(state, opened.workspace, 0.0, event.now_s)
+    if event.answer is not None:
+        return [
+            effects.ReplayAnswer(
+                request_id=event.request_id, answer=event.answer
+            )
+        ]
+    return endings.refused(event.request_id, claim_refusal(event.reason))
+
+
+def claim_or_ask(
+    state: EntryState, opened: OpenRequest, now_s: float
+) -> list[effects.Effect]:
+    """Claim the idempotency key of a request, or ask for a grant at once."""
+    if not opened.claims_key:
+        return asking.ask(state, opened, now_s)
+    opened.phase = Phase.CLAIMING
+    request = opened.request
+    return [
+        effects.ClaimIdempotencyKey(
+            request_id=request.request_id,
+            workspace=opened.workspace,
+            idempotency_key=request.idempotency_key,
+            body_sha256=request.body_sha256,
+        )
+    ]
+
+
+def claim_refusal(reason: str) -> Refusal:
+    """Return the refusal for a claim that failed."""
+    code = RefusalCode[reason]
+    if code is RefusalCode.UPSTREAM_FAILED:
+        return Refusal(
+            code=code,
+            message="The first run has an unknown outcome; check it there.",
+            outcome=Outcome.UNKNOWN,
+        )
+    if code is RefusalCode.KEY_REUSED:
+        return Refusal(
+            code=code,
+            message="The idempotency key was used with another body.",
+        )
+    return Refusal(
+        code=code,
+        message="The idempotency key can't be claimed now; repeat later.",
+        retry_after_s=RETRY_AFTER_S,
+    )
--- a/src/shallotfold/_entry/open_requests.py
+++ b/src/shallotfold/_entry/open_requests.py
@@ -109,6 +109,10 @@
             return False
         return self.text_resumable or not self.output_tokens
 
+    def runs(self, attempt: int) -> bool:
+        """Whether this attempt is the one that runs now."""
+        return self.phase is Phase.RUNNING and self.attempt == attempt
+
 
 @attrs.define(kw_only=True)
 class RequestsState:
--- a/src/shallotfold/_entry/reducer.py
+++ b/src/shallotfold/_entry/reducer.py
@@ -4,11 +4,13 @@
 from collections.abc import Sequence
 from typing import Any
 
+from shallotfold._entry import claiming
 from shallotfold._entry import configuration
 from shallotfold._entry import demand
 from shallotfold._entry import events
 from shallotfold._entry import limits
 from shallotfold._entry import membership
+from shallotfold._entry import owner_answers
 from shallotfold._entry import pools
 from shallotfold._entry import requests
 from shallotfold._entry import usage
@@ -49,11 +51,11 @@
     grant_messages.ProgressReported: pools.on_message,
     grant_messages.LimitUsed: limits.on_message,
     grant_messages.LimitTotal: limits.on_message,
-    grant_messages.Grant: requests.on_message,
-    grant_messages.GrantQueued: requests.on_message,
-    grant_messages.GrantRefused: requests.on_message,
-    grant_messages.GrantRedirected: requests.on_message,
-    grant_messages.GrantPreempted: requests.on_message,
+    grant_messages.Grant: owner_answers.on_message,
+    grant_messages.GrantQueued: owner_answers.on_message,
+    grant_messages.GrantRefused: owner_answers.on_message,
+    grant_messages.GrantRedirected: owner_answers.on_message,
+    grant_messages.GrantPreempted: owner_answers.on_message,
     **dict.fromkeys(usage_messages.MESSAGES, usage.on_message),
 }
 
@@ -83,8 +85,8 @@
         requests.on_peer_change,
     ),
     events.PeerMessageReceived: (_route_message,),
-    events.ClaimSucceeded: (requests.on_claimed,),
-    events.ClaimFailed: (requests.on_claim_failed,),
+    events.ClaimSucceeded: (claiming.on_claimed,),
+    events.ClaimFailed: (claiming.on_claim_failed,),
     events.UsageFlushed: (usage.on_flushed,),
     events.UsageFlushFailed: (usage.on_flush_failed,),
     events.HeldUsageFlushed: (usage_held.on_held_flushed,),
