Move work from silent upstreams, keep urgent requests from testing them

Attempts on an upstream that gives neither load reports nor progress are moved now and hold no floor; slots that preemption frees there no longer count as coming. Ruled out: no probes without load reports, since plain services may have none.

--- a/benchmarks/policy_model/variants.py
+++ b/benchmarks/policy_model/variants.py
@@ -62,8 +62,9 @@
     pool: Pool,
     free: list[routing.Candidate],
     waiting: QueuedGrant,
+    now_s: float,
 ) -> Upstream | None:
-    del state, pool
+    del state, pool, now_s
     fit = [c for c in free if c.upstream.name not in waiting.request.avoid]
     if not fit:
         return None
--- a/src/shallotfold/_entry/floors.py
+++ b/src/shallotfold/_entry/floors.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from shallotfold._entry import estimates
+from shallotfold._entry import routing
 from shallotfold._entry.pool_queue import QueuedGrant
 from shallotfold._entry.pool_state import Pool
 from shallotfold._model.configuration import RequestClass
@@ -25,10 +26,12 @@
         credit_by_class[name] = min(_typical_cost(state, pool, name), earned)
 
 
-def due(state: EntryState, pool: Pool, waiting: QueuedGrant) -> bool:
+def due(
+    state: EntryState, pool: Pool, waiting: QueuedGrant, now_s: float
+) -> bool:
     """Whether a waiting request may go ahead of higher tiers now."""
     name = waiting.request.class_name
-    if free_slots(state, pool, name) <= 0:
+    if free_slots(state, pool, name, now_s) <= 0:
         return False
     typical = _typical_cost(state, pool, name)
     return pool.floor_credit_by_class.get(name, typical) >= min(
@@ -42,7 +45,9 @@
     pool.floor_credit_by_class[class_name] = max(0.0, credit - cost)
 
 
-def free_slots(state: EntryState, pool: Pool, class_name: str) -> int:
+def free_slots(
+    state: EntryState, pool: Pool, class_name: str, now_s: float
+) -> int:
     """Return how many more floor grants a class may hold at once."""
     classes = state.configuration.current.classes_by_name
     request_class = classes.get(class_name)
@@ -50,8 +55,15 @@
         return 0
     upstreams = state.pools.catalog.upstreams_by_pool.get(pool.name, ())
     slots = sum(upstream.slots for upstream in upstreams)
+    silent = {
+        upstream.name
+        for upstream in upstreams
+        if routing.health_of(state, upstream.name).is_silent(now_s)
+    }
     held = sum(
-        running.floor and running.class_name == class_name
+        running.floor
+        and running.class_name == class_name
+        and running.upstream not in silent
         for running in pool.running_by_attempt.values()
     )
     return max(1, int(request_class.floor_share * slots)) - held
--- a/src/shallotfold/_entry/granting.py
+++ b/src/shallotfold/_entry/granting.py
@@ -33,7 +33,7 @@
         free = routing.free_upstreams(state, pool, now_s)
         if not free:
             break
-        chosen = _next(state, pool, free)
+        chosen = _next(state, pool, free, now_s)
         if chosen is None:
             break
         done.extend(_grant(state, pool, *chosen, now_s))
@@ -44,7 +44,11 @@
     state: EntryState, pool: Pool, now_s: float
 ) -> list[effects.Effect]:
     """Refuse requests that can no longer meet their target."""
-    grace_s = preemption.GRACE_S if preemption.pending(pool, now_s) else 0.0
+    if not pool.queue.waiting_by_attempt:
+        return []
+    grace_s = 0.0
+    if preemption.pending(state, pool, now_s):
+        grace_s = preemption.GRACE_S
     expired = [
         waiting
         for waiting in pool.queue.waiting_by_attempt.values()
@@ -82,7 +86,10 @@
 
 
 def _next(
-    state: EntryState, pool: Pool, free: list[routing.Candidate]
+    state: EntryState,
+    pool: Pool,
+    free: list[routing.Candidate],
+    now_s: float,
 ) -> tuple[QueuedGrant, Upstream, bool] | None:
     """Return the next request with its upstream, and whether it is a floor."""
     classes = pool.queue.classes()
@@ -91,13 +98,13 @@
         if pool.queue.queues_by_class[class_name].tier == top:
             continue
         head = next(pool.queue.heads(class_name))
-        if floors.due(state, pool, head):
-            upstream = routing.choose(state, pool, free, head)
+        if floors.due(state, pool, head, now_s):
+            upstream = routing.choose(state, pool, free, head, now_s)
             if upstream is not None:
                 return head, upstream, True
     for class_name in classes:
         for head in pool.queue.heads(class_name):
-            upstream = routing.choose(state, pool, free, head)
+            upstream = routing.choose(state, pool, free, head, now_s)
             if upstream is not None:
                 return head, upstream, False
     return None
--- a/src/shallotfold/_entry/pools.py
+++ b/src/shallotfold/_entry/pools.py
@@ -78,7 +78,7 @@
     if isinstance(message, grant_messages.ProgressReported):
         for sample in message.samples:
             health = routing.health_of(state, sample.upstream)
-            health.add_sample(sample.tokens, sample.busy_s)
+            health.add_sample(sample.tokens, sample.busy_s, event.now_s)
     return []
 
 
@@ -96,7 +96,7 @@
         if judge:
             _forget(state, pool, now_s)
             _judge(state, pool, now_s)
-        done.extend(preemption.move_from_stragglers(state, pool, now_s))
+        done.extend(preemption.move_from_bad_upstreams(state, pool, now_s))
         done.extend(granting.grant_waiting(state, pool, now_s))
         waiting = pool.queue.waiting_by_attempt.values()
         done.extend(preemption.preempt_for(state, pool, waiting, now_s))
@@ -108,7 +108,7 @@
     state: EntryState, event: events.LoadReported
 ) -> list[effects.Effect]:
     """Take over a load report."""
-    routing.health_of(state, event.upstream).on_load(event.load)
+    routing.health_of(state, event.upstream).on_load(event.load, event.now_s)
     return []
 
 
@@ -284,7 +284,7 @@
         health.on_failure(now_s, ran=ran, retry_after_s=message.retry_after_s)
     if message.outcome is not Outcome.RAN:
         return
-    health.on_success()
+    health.on_success(now_s)
     if message.output_tokens:
         pool.estimates.learn_output(
             running.class_name, running.workspace, message.output_tokens
--- a/src/shallotfold/_entry/preemption.py
+++ b/src/shallotfold/_entry/preemption.py
@@ -12,6 +12,7 @@
 from shallotfold._entry.pool_queue import QueuedGrant
 from shallotfold._entry.pool_state import Pool
 from shallotfold._entry.pool_state import RunningGrant
+from shallotfold._entry.upstream_health import SILENCE_S
 from shallotfold._wire import grant_messages
 
 if TYPE_CHECKING:
@@ -36,7 +37,7 @@
     if not urgent:
         return []
     victims = _victims(state, pool, urgent[0].tier, now_s)
-    needed = len(urgent) - pending(pool, now_s)
+    needed = len(urgent) - pending(state, pool, now_s)
     sent: list[effects.Effect] = []
     for request in urgent[: max(0, needed)]:
         if not victims or victims[-1][1].tier <= request.tier:
@@ -68,18 +69,62 @@
     ]
 
 
-def pending(pool: Pool, now_s: float) -> int:
-    """Return how many slots are about to become free by preemption."""
+def pending(state: EntryState, pool: Pool, now_s: float) -> int:
+    """Return how many usable slots are about to become free by preemption."""
+    usable = _usable(state, pool, now_s)
     return sum(
-        running.preempted_s >= 0.0 and now_s - running.preempted_s < REPEAT_S
+        running.preempted_s >= 0.0
+        and now_s - running.preempted_s < REPEAT_S
+        and running.upstream in usable
         for running in pool.running_by_attempt.values()
     )
 
 
-def move_from_stragglers(
+def _usable(state: EntryState, pool: Pool, now_s: float) -> set[str]:
+    """Return the upstreams that take new work."""
+    return {
+        upstream.name
+        for upstream in state.pools.catalog.upstreams_by_pool.get(pool.name, ())
+        if routing.limit_of(state, upstream, now_s)
+    }
+
+
+def move_from_bad_upstreams(
+    state: EntryState, pool: Pool, now_s: float
+) -> list[effects.Effect]:
+    """Move attempts away from silent upstreams, and from slow ones if possible.
+
+    A silent upstream does nothing for its attempts, so they wait again; those
+    of a slow one stay until slots are free elsewhere.
+    """
+    done: list[effects.Effect] = []
+    for upstream in state.pools.catalog.upstreams_by_pool.get(pool.name, ()):
+        if routing.health_of(state, upstream.name).is_silent(now_s):
+            done.extend(_leave(state, pool, upstream.name, now_s))
+    return [*done, *_move_from_stragglers(state, pool, now_s)]
+
+
+def _leave(
+    state: EntryState, pool: Pool, upstream: str, now_s: float
+) -> list[effects.Effect]:
+    """Move what had time to show progress on a silent upstream."""
+    sent: list[effects.Effect] = []
+    for key in sorted(pool.keys_by_upstream.get(upstream, ())):
+        running = pool.running_by_attempt[key]
+        tried = now_s - running.granted_s > SILENCE_S
+        if not tried or not running.preemptible:
+            continue
+        if now_s - running.preempted_s > REPEAT_S:
+            sent.extend(preempt(key, running, now_s))
+    health = routing.health_of(state, upstream)
+    if sent and now_s >= health.closed_until_s:
+        health.close(now_s)
+    return sent
+
+
+def _move_from_stragglers(
     state: EntryState, pool: Pool, now_s: float
 ) -> list[effects.Effect]:
-    """Move attempts from slow upstreams to slots that are free elsewhere."""
     catalog = state.pools.catalog
     slow = [
         upstream.name
@@ -93,7 +138,7 @@
         for candidate in routing.free_upstreams(state, pool, now_s)
         if not candidate.health.slow
     )
-    room -= len(pool.queue.waiting_by_attempt) + pending(pool, now_s)
+    room -= len(pool.queue.waiting_by_attempt) + pending(state, pool, now_s)
     movable = sorted(
         (running.tier, key)
         for name in slow
@@ -118,11 +163,7 @@
     state: EntryState, pool: Pool, tier: int, now_s: float
 ) -> list[tuple[AttemptKey, RunningGrant]]:
     """Return attempts below `tier`, the one to cancel first at the end."""
-    usable = {
-        upstream.name
-        for upstream in state.pools.catalog.upstreams_by_pool.get(pool.name, ())
-        if routing.limit_of(state, upstream, now_s)
-    }
+    usable = _usable(state, pool, now_s)
     lower = [
         (key, running)
         for key, running in pool.running_by_attempt.items()
@@ -135,7 +176,7 @@
         )
     ]
     lower.sort(key=lambda item: (item[1].tier, item[1].granted_s, item[0]))
-    _keep_floors(state, pool, lower)
+    _keep_floors(state, pool, lower, now_s)
     return [item for item in lower if not item[1].floor]
 
 
@@ -143,9 +184,10 @@
     state: EntryState,
     pool: Pool,
     lower: list[tuple[AttemptKey, RunningGrant]],
+    now_s: float,
 ) -> None:
     """Count the oldest attempt of a class as its floor where one is free."""
     for _, running in lower:
-        if floors.free_slots(state, pool, running.class_name) > 0:
+        if floors.free_slots(state, pool, running.class_name, now_s) > 0:
             running.floor = True
             floors.spend(pool, running.class_name, running.cost)
--- a/src/shallotfold/_entry/routing.py
+++ b/src/shallotfold/_entry/routing.py
@@ -79,10 +79,22 @@
     pool: Pool,
     free: list[Candidate],
     waiting: QueuedGrant,
+    now_s: float,
 ) -> Upstream | None:
-    """Return the best free upstream for a request, if one is fit."""
+    """Return the best free upstream for a request, if one is fit.
+
+    Requests that must start soon don't test a doubtful upstream, unless the
+    whole pool is doubtful.
+    """
     request = waiting.request
     fit = [c for c in free if c.upstream.name not in request.avoid]
+    if not _all_doubtful(state, pool, now_s):
+        slack_s = waiting.expires_s - now_s
+        fit = [
+            c
+            for c in fit
+            if not c.health.probing or c.health.may_probe(slack_s, now_s)
+        ]
     if not fit:
         return None
     if not request.repeatable:
@@ -102,6 +114,15 @@
     return min(fit, key=score).upstream
 
 
+def _all_doubtful(state: EntryState, pool: Pool, now_s: float) -> bool:
+    upstreams = state.pools.catalog.upstreams_by_pool.get(pool.name, ())
+    return all(
+        health_of(state, upstream.name).probing
+        or not limit_of(state, upstream, now_s)
+        for upstream in upstreams
+    )
+
+
 def _answer_s(
     state: EntryState, pool: Pool, candidate: Candidate, waiting: QueuedGrant
 ) -> float:
--- a/src/shallotfold/_entry/upstream_health.py
+++ b/src/shallotfold/_entry/upstream_health.py
@@ -11,6 +11,8 @@
 
 MAX_FAILURES_IN_A_ROW = 2
 MAX_LOAD_FAILURES = 3
+SILENCE_S = 2.0
+MIN_PROBE_SLACK_S = 5.0
 FIRST_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 15.0
 STRAGGLER_RATIO = 2.0
@@ -40,6 +42,7 @@
         batch_bound: Most requests at once that keep the gaps in the target;
             0 means no bound but the slots.
         load: Last load report.
+        alive_s: When it last made progress for anybody.
     """
 
     failures: int = 0
@@ -53,6 +56,7 @@
     sample_busy_s: float = 0.0
     batch_bound: int = 0
     load: UpstreamLoad | None = None
+    alive_s: float = 0.0
 
     @property
     def leaving(self) -> bool:
@@ -94,16 +98,31 @@
         elif not ran or self.probing or self.failures >= MAX_FAILURES_IN_A_ROW:
             self.close(now_s)
 
-    def on_success(self) -> None:
+    def is_silent(self, now_s: float) -> bool:
+        """Whether it neither reports its load nor makes progress."""
+        return (
+            self.load_failures >= MAX_LOAD_FAILURES
+            and now_s - self.alive_s > SILENCE_S
+        )
+
+    def on_success(self, now_s: float) -> None:
         """Count a whole answer."""
+        self.alive_s = now_s
         self.failures = 0
         if self.probing and not self.slow:
             self.reopen()
 
-    def on_load(self, load: UpstreamLoad) -> None:
-        """Take over a load report."""
+    def on_load(self, load: UpstreamLoad, now_s: float) -> None:
+        """Take over a load report; it reopens a failed upstream."""
         self.load = load
         self.load_failures = 0
+        if self.probing and not self.slow and now_s >= self.closed_until_s:
+            self.reopen()
+
+    def may_probe(self, slack_s: float, now_s: float) -> bool:
+        """Whether a request has the time to try an upstream under test."""
+        overdue = now_s - self.closed_until_s > MAX_BACKOFF_S
+        return slack_s >= MIN_PROBE_SLACK_S or overdue
 
     def on_load_failure(self, now_s: float) -> None:
         """Close an upstream that gives no reports any more."""
@@ -111,8 +130,9 @@
         if self.load_failures >= MAX_LOAD_FAILURES and not self.probing:
             self.close(now_s)
 
-    def add_sample(self, tokens: int, busy_s: float) -> None:
+    def add_sample(self, tokens: int, busy_s: float, now_s: float) -> None:
         """Collect progress of streams."""
+        self.alive_s = now_s
         self.sample_tokens += tokens
         self.sample_busy_s += busy_s
 
--- a/tests/entry/test_pools.py
+++ b/tests/entry/test_pools.py
@@ -105,6 +105,18 @@
     assert started(entry.end("running", Outcome.RAN)) == []
 
 
+def test_whole_answer_leaves_an_upstream_that_went_silent() -> None:
+    entry = make_entry()
+    entry.arrive("r1", model="two", class_name="tags")
+    silent = entry.state.requests.open_by_id["r1"].upstream
+    entry.wait(3.0)
+    for _ in range(3):
+        failed = events.LoadFetchFailed(now_s=entry.now_s, upstream=silent)
+        entry.feed(failed)
+    assert started(entry.wait(0.2)) == ["r1"]
+    assert entry.state.requests.open_by_id["r1"].upstream != silent
+
+
 def test_leaving_upstream_gets_nothing_new() -> None:
     entry = make_entry()
     for name in ("a1", "a2"):
