Let a new owner learn what runs before it grants what can wait

For 0.3 s it now grants only requests with less than 1 s of slack. Two-step proof: without it the new test fails. The limit test reused request ids for requests still open, which it then counted twice; ids are unique now, the bound is unchanged. Ruled out: a wait for all requests, which would cost chat its target.

--- a/src/shallotfold/_entry/granting.py
+++ b/src/shallotfold/_entry/granting.py
@@ -6,6 +6,7 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import floors
+from shallotfold._entry import ownership
 from shallotfold._entry import preemption
 from shallotfold._entry import routing
 from shallotfold._entry.pool_queue import AttemptKey
@@ -22,6 +23,8 @@
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 30.0
 HIGHEST_PRIORITY = 1
+TAKE_OVER_S = 0.3
+URGENT_S = 1.0
 
 
 def grant_waiting(
@@ -92,6 +95,8 @@
     now_s: float,
 ) -> tuple[QueuedGrant, Upstream, bool] | None:
     """Return the next request with its upstream, and whether it is a floor."""
+    if _settles(state, pool, now_s):
+        return _next_urgent(state, pool, free, now_s)
     classes = pool.queue.classes()
     top = pool.queue.queues_by_class[classes[0]].tier
     for class_name in classes:
@@ -110,6 +115,28 @@
     return None
 
 
+def _settles(state: EntryState, pool: Pool, now_s: float) -> bool:
+    """Whether announcements of what runs may still be on their way."""
+    alone = len(ownership.candidates(state)) == 1
+    return not alone and now_s - pool.taken_over_s < TAKE_OVER_S
+
+
+def _next_urgent(
+    state: EntryState,
+    pool: Pool,
+    free: list[routing.Candidate],
+    now_s: float,
+) -> tuple[QueuedGrant, Upstream, bool] | None:
+    """Return the next request that can't wait until a new owner knows all."""
+    for class_name in pool.queue.classes():
+        for head in pool.queue.heads(class_name):
+            if head.expires_s - now_s < URGENT_S:
+                upstream = routing.choose(state, pool, free, head, now_s)
+                if upstream is not None:
+                    return head, upstream, False
+    return None
+
+
 def _grant(
     state: EntryState,
     pool: Pool,
--- a/src/shallotfold/_entry/pool_state.py
+++ b/src/shallotfold/_entry/pool_state.py
@@ -60,6 +60,10 @@
         ended_by_attempt: When attempts ended that must not come back.
         floor_credit_by_class: Cost that each class may be served ahead.
         estimates: What was learned about its answers.
+        owned: Whether this entry was its owner at the last request.
+        asked_s: When the last request came; -1 before the first.
+        taken_over_s: When this entry began to grant; what other entries run
+            may not be announced yet.
     """
 
     name: str
@@ -71,6 +75,9 @@
     ended_by_attempt: dict[AttemptKey, float] = attrs.field(factory=dict)
     floor_credit_by_class: dict[str, float] = attrs.field(factory=dict)
     estimates: Estimates = attrs.field(factory=Estimates)
+    owned: bool = False
+    asked_s: float = -1.0
+    taken_over_s: float = -1.0
 
     def start(self, key: AttemptKey, running: RunningGrant) -> None:
         """Occupy a slot."""
--- a/src/shallotfold/_entry/pools.py
+++ b/src/shallotfold/_entry/pools.py
@@ -32,6 +32,7 @@
 ANNOUNCED_LATE_S = 1.0
 UNSEEN_S = 16.0
 ENDED_MEMORY_S = 20.0
+UNASKED_S = 5.0
 LOWEST_TIER = 5
 
 
@@ -92,6 +93,7 @@
     done: list[effects.Effect] = []
     for pool in state.pools.pools_by_name.values():
         if ownership.owner_of(state, pool.name) != state.host:
+            pool.owned = False
             done.extend(_hand_over(state, pool))
         if judge:
             _forget(state, pool, now_s)
@@ -190,6 +192,7 @@
     if owner != state.host and not request.redirects:
         return [_redirect(host, request, owner)]
     pool = _pool(state, request.pool)
+    _note_take_over(pool, now_s, owned=owner == state.host)
     key = (request.request_id, request.attempt)
     running = pool.running_by_attempt.get(key)
     if running is not None:
@@ -213,6 +216,14 @@
     return [queued, *granted, *preempted]
 
 
+def _note_take_over(pool: Pool, now_s: float, *, owned: bool) -> None:
+    idle = now_s - pool.asked_s > UNASKED_S
+    if pool.asked_s < 0.0 or owned > pool.owned or (idle and not owned):
+        pool.taken_over_s = now_s
+    pool.owned = owned
+    pool.asked_s = now_s
+
+
 def _queued(
     state: EntryState,
     pool: Pool,
--- a/tests/entry/test_limits.py
+++ b/tests/entry/test_limits.py
@@ -1,5 +1,7 @@
 """Hold a workspace to its limit over several entries."""
 
+import itertools
+
 import attrs
 import pytest
 
@@ -33,6 +35,7 @@
                         events.PeerConnected(now_s=entry.now_s, host=peer)
                     )
         self.admitted = 0
+        self.numbers = itertools.count()
 
     def arrive(self, host: str, number: int) -> bool:
         entry = self.entries[host]
@@ -76,10 +79,10 @@
 
 
 def flood(fleet: Fleet, seconds: int, per_second: int = 5) -> None:
-    for second in range(seconds):
+    for _ in range(seconds):
         for host in list(fleet.entries):
-            for index in range(per_second):
-                number = second * per_second + index
+            for _ in range(per_second):
+                number = next(fleet.numbers)
                 fleet.arrive(host, number)
                 fleet.end(host, number)
         fleet.wait(1.0)
--- a/tests/entry/test_pools.py
+++ b/tests/entry/test_pools.py
@@ -221,6 +221,44 @@
     assert asked or started(found) == ["r1"]
 
 
+def grants_after_request(entry: Entry, slack_s: float) -> list[str]:
+    request = grant_messages.GrantRequest(
+        pool="model/one#0",
+        request_id="r1",
+        attempt=1,
+        class_name="tags",
+        workspace="north",
+        prompt_tokens=1,
+        output_tokens=1,
+        waited_s=0.0,
+        slack_s=slack_s,
+        redirects=1,
+    )
+    found = entry.feed(
+        events.PeerMessageReceived(
+            now_s=entry.now_s, host="e2", message=request
+        )
+    )
+    return [
+        e.message.upstream
+        for e in found
+        if isinstance(e, effects.SendToPeer)
+        and isinstance(e.message, grant_messages.Grant)
+    ]
+
+
+def test_new_owner_grants_only_what_is_urgent_until_it_knows_what_runs() -> (
+    None
+):
+    for slack_s, expected in ((20.0, []), (0.5, ["m1"])):
+        entry = make_entry()
+        entry.feed(events.PeerConnected(now_s=entry.now_s, host="e2"))
+        assert grants_after_request(entry, slack_s) == expected
+        entry.wait(0.5)
+        pool = entry.state.pools.pools_by_name["model/one#0"]
+        assert list(pool.running_by_attempt) == [("r1", 1)]
+
+
 def test_few_pools_move_when_an_entry_leaves() -> None:
     hosts = tuple(f"e{index}" for index in range(9))
     pools = [f"pool-{index}" for index in range(200)]
