--- a/src/shallotfold/_entry/claiming.py
+++ b/src/shallotfold/_entry/claiming.py
@@ -84,6 +84,13 @@
             message="The first run has an unknown outcome; check it there.",
             outcome=Outcome.UNKNOWN,
         )
+    if code is RefusalCode.IN_PROGRESS:
+        return Refusal(
+            code=code,
+            message="The first run is under way; repeat for its outcome.",
+            outcome=Outcome.UNKNOWN,
+            retry_after_s=RETRY_AFTER_S,
+        )
     if code is RefusalCode.KEY_REUSED:
         return Refusal(
             code=code,
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -1,4 +1,5 @@
 import attrs
+import pytest
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
@@ -165,13 +166,12 @@
     assert effects.ReplayAnswer(request_id="r1", answer=answer) in found
 
 
-def test_unknown_first_run_is_said_as_unknown() -> None:
+@pytest.mark.parametrize("reason", ["UPSTREAM_FAILED", "IN_PROGRESS"])
+def test_unknown_first_run_is_said_as_unknown(reason: str) -> None:
     entry = make_entry()
     entry.order("r1", idempotency_key="k")
     found = entry.feed(
-        events.ClaimFailed(
-            now_s=entry.now_s, request_id="r1", reason="UPSTREAM_FAILED"
-        )
+        events.ClaimFailed(now_s=entry.now_s, request_id="r1", reason=reason)
     )
     assert refusals(found)[0].refusal.outcome is Outcome.UNKNOWN
 
