Tell callers what a failed claim means for this request

Cause: a repeat refused while the store is unavailable must not read as if the first run had not run. Only the message changes. Ruled out: saying unknown, which would be untrue for a first request.

--- a/src/shallotfold/_entry/claiming.py
+++ b/src/shallotfold/_entry/claiming.py
@@ -98,6 +98,9 @@
         )
     return Refusal(
         code=code,
-        message="The idempotency key can't be claimed now; repeat later.",
+        message=(
+            "The idempotency key can't be claimed now, so this request was "
+            "not run; repeat it with the same key."
+        ),
         retry_after_s=RETRY_AFTER_S,
     )
