Split the owner's side into granting, judging and reconciling

Moved without a change of behaviour; the state machine and the plain tests of the decisions pass (46).

--- /dev/null
+++ b/src/shallotfold/_entry/judging.py
@@ -0,0 +1,43 @@
+"""Judge the speed of a pool's upstreams by their latest progress."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from shallotfold._entry import routing
+from shallotfold._entry.pool_state import Pool
+from shallotfold._entry.upstream_health import eject_stragglers
+
+if TYPE_CHECKING:
+    from shallotfold._entry.state import EntryState
+
+
+def judge(state: EntryState, pool: Pool, now_s: float) -> None:
+    """Judge the speed of the pool's upstreams by their latest progress."""
+    upstreams = state.pools.catalog.upstreams_by_pool.get(pool.name, ())
+    sampled = []
+    for upstream in upstreams:
+        health = routing.health_of(state, upstream.name)
+        if health.take_samples():
+            sampled.append(upstream)
+    healths = [routing.health_of(state, u.name) for u in upstreams]
+    eject_stragglers(healths, len(upstreams), now_s)
+    for upstream in sampled:
+        health = routing.health_of(state, upstream.name)
+        target_s = _gap_target_s(state, pool, upstream.name)
+        running = pool.running_on(upstream.name)
+        health.adapt_bound(target_s, running, upstream.slots)
+
+
+def _gap_target_s(state: EntryState, pool: Pool, upstream: str) -> float | None:
+    classes = state.configuration.current.classes_by_name
+    names = {
+        pool.running_by_attempt[key].class_name
+        for key in pool.keys_by_upstream.get(upstream, ())
+    }
+    targets = [
+        classes[name].targets.between_tokens_s
+        for name in names
+        if name in classes
+    ]
+    return min((t for t in targets if t is not None), default=None)
--- a/src/shallotfold/_entry/pool_state.py
+++ b/src/shallotfold/_entry/pool_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
 from shallotfold._entry.catalog import Catalog
@@ -12,6 +14,12 @@
 from shallotfold._entry.upstream_health import UpstreamHealth
 from shallotfold._model.upstreams import HostRecord
 
+if TYPE_CHECKING:
+    from shallotfold._entry.state import EntryState
+
+# Tier of a class that the configuration does not know (yet).
+LOWEST_TIER = 5
+
 
 @attrs.define(kw_only=True)
 class RunningGrant:
@@ -118,3 +126,11 @@
     health_by_upstream: dict[str, UpstreamHealth] = attrs.field(factory=dict)
     prefixes: PrefixIndex = attrs.field(factory=PrefixIndex)
     judged_s: float = 0.0
+
+
+def get_pool(state: EntryState, name: str) -> Pool:
+    """Return a pool of this entry, new if it was never asked about."""
+    pool = state.pools.pools_by_name.get(name)
+    if pool is None:
+        pool = state.pools.pools_by_name[name] = Pool(name=name)
+    return pool
--- a/src/shallotfold/_entry/pools.py
+++ b/src/shallotfold/_entry/pools.py
@@ -7,17 +7,19 @@
 from shallotfold._entry import effects
 from shallotfold._entry import estimates
 from shallotfold._entry import granting
-from shallotfold._entry import membership
+from shallotfold._entry import judging
 from shallotfold._entry import ownership
 from shallotfold._entry import preemption
+from shallotfold._entry import reconciling
 from shallotfold._entry import routing
 from shallotfold._entry.catalog import Catalog
 from shallotfold._entry.catalog import build_catalog
 from shallotfold._entry.catalog import service_of
 from shallotfold._entry.pool_queue import QueuedGrant
+from shallotfold._entry.pool_state import LOWEST_TIER
 from shallotfold._entry.pool_state import Pool
 from shallotfold._entry.pool_state import RunningGrant
-from shallotfold._entry.upstream_health import eject_stragglers
+from shallotfold._entry.pool_state import get_pool
 from shallotfold._model.configuration import Upstream
 from shallotfold._model.requests import Outcome
 from shallotfold._model.upstreams import HostRole
@@ -29,11 +31,7 @@
     from shallotfold._entry.state import EntryState
 
 JUDGE_INTERVAL_S = 1.0
-ANNOUNCED_LATE_S = 1.0
-UNSEEN_S = 16.0
-ENDED_MEMORY_S = 20.0
 UNASKED_S = 5.0
-LOWEST_TIER = 5
 
 
 def catalog_of(state: EntryState) -> Catalog:
@@ -75,7 +73,7 @@
     if isinstance(message, grant_messages.GrantReleased):
         return _on_released(state, message, event.now_s)
     if isinstance(message, grant_messages.RunningAnnounced):
-        return _on_announced(state, event.host, message, event.now_s)
+        return reconciling.reconcile(state, event.host, message, event.now_s)
     if isinstance(message, grant_messages.ProgressReported):
         for sample in message.samples:
             health = routing.health_of(state, sample.upstream)
@@ -96,8 +94,8 @@
             pool.owned = False
             done.extend(_hand_over(state, pool))
         if judge:
-            _forget(state, pool, now_s)
-            _judge(state, pool, now_s)
+            reconciling.forget(state, pool, now_s)
+            judging.judge(state, pool, now_s)
         done.extend(preemption.move_from_bad_upstreams(state, pool, now_s))
         done.extend(granting.grant_waiting(state, pool, now_s))
         waiting = pool.queue.waiting_by_attempt.values()
@@ -156,7 +154,7 @@
     """Hand pools over when the set of live entries changes."""
     done: list[effects.Effect] = []
     for pool in state.pools.pools_by_name.values():
-        _forget(state, pool, event.now_s)
+        reconciling.forget(state, pool, event.now_s)
         if ownership.owner_of(state, pool.name) != state.host:
             done.extend(_hand_over(state, pool))
         done.extend(granting.grant_waiting(state, pool, event.now_s))
@@ -175,13 +173,6 @@
     return done
 
 
-def _pool(state: EntryState, name: str) -> Pool:
-    pool = state.pools.pools_by_name.get(name)
-    if pool is None:
-        pool = state.pools.pools_by_name[name] = Pool(name=name)
-    return pool
-
-
 def _on_request(
     state: EntryState,
     host: str,
@@ -191,7 +182,7 @@
     owner = ownership.owner_of(state, request.pool)
     if owner != state.host and not request.redirects:
         return [_redirect(host, request, owner)]
-    pool = _pool(state, request.pool)
+    pool = get_pool(state, request.pool)
     _note_take_over(pool, now_s, owned=owner == state.host)
     key = (request.request_id, request.attempt)
     running = pool.running_by_attempt.get(key)
@@ -306,55 +297,6 @@
         )
 
 
-def _on_announced(
-    state: EntryState,
-    host: str,
-    message: grant_messages.RunningAnnounced,
-    now_s: float,
-) -> list[effects.Effect]:
-    """Make the picture of a pool agree with what an entry says it runs."""
-    pool = _pool(state, message.pool)
-    listed = set()
-    for attempt in message.attempts:
-        key = (attempt.request_id, attempt.attempt)
-        listed.add(key)
-        known = pool.running_by_attempt.get(key)
-        if known is not None:
-            known.seen_s = now_s
-            known.preemptible = attempt.preemptible
-        elif key not in pool.ended_by_attempt:
-            pool.queue.remove(key)
-            pool.start(key, _announced(state, host, attempt, now_s))
-    for key, running in list(pool.running_by_attempt.items()):
-        late = now_s - running.granted_s > ANNOUNCED_LATE_S
-        if running.host == host and late and key not in listed:
-            pool.end(key, now_s)
-    return granting.grant_waiting(state, pool, now_s)
-
-
-def _announced(
-    state: EntryState,
-    host: str,
-    attempt: grant_messages.RunningAttempt,
-    now_s: float,
-) -> RunningGrant:
-    classes = state.configuration.current.classes_by_name
-    request_class = classes.get(attempt.class_name)
-    return RunningGrant(
-        host=host,
-        class_name=attempt.class_name,
-        tier=request_class.tier if request_class else LOWEST_TIER,
-        workspace=attempt.workspace,
-        weight=1.0,
-        upstream=attempt.upstream,
-        prompt_tokens=0,
-        cost=0.0,
-        granted_s=now_s,
-        seen_s=now_s,
-        preemptible=attempt.preemptible,
-    )
-
-
 def _redirect(
     host: str, request: grant_messages.GrantRequest, owner: str
 ) -> effects.SendToPeer:
@@ -373,48 +315,3 @@
             pool.queue.remove(key)
             sent.append(_redirect(waiting.host, waiting.request, owner))
     return sent
-
-
-def _forget(state: EntryState, pool: Pool, now_s: float) -> None:
-    """Drop what lost entries ran or waited for, and old memories."""
-    live = membership.live_entries(state)
-    for key, waiting in list(pool.queue.waiting_by_attempt.items()):
-        if waiting.host not in live:
-            pool.queue.remove(key)
-    for key, running in list(pool.running_by_attempt.items()):
-        if running.host not in live or now_s - running.seen_s > UNSEEN_S:
-            pool.end(key, now_s)
-    for key, ended_s in list(pool.ended_by_attempt.items()):
-        if now_s - ended_s > ENDED_MEMORY_S:
-            del pool.ended_by_attempt[key]
-
-
-def _judge(state: EntryState, pool: Pool, now_s: float) -> None:
-    """Judge the speed of the pool's upstreams by their latest progress."""
-    upstreams = state.pools.catalog.upstreams_by_pool.get(pool.name, ())
-    sampled = []
-    for upstream in upstreams:
-        health = routing.health_of(state, upstream.name)
-        if health.take_samples():
-            sampled.append(upstream)
-    healths = [routing.health_of(state, u.name) for u in upstreams]
-    eject_stragglers(healths, len(upstreams), now_s)
-    for upstream in sampled:
-        health = routing.health_of(state, upstream.name)
-        target_s = _gap_target_s(state, pool, upstream.name)
-        running = pool.running_on(upstream.name)
-        health.adapt_bound(target_s, running, upstream.slots)
-
-
-def _gap_target_s(state: EntryState, pool: Pool, upstream: str) -> float | None:
-    classes = state.configuration.current.classes_by_name
-    names = {
-        pool.running_by_attempt[key].class_name
-        for key in pool.keys_by_upstream.get(upstream, ())
-    }
-    targets = [
-        classes[name].targets.between_tokens_s
-        for name in names
-        if name in classes
-    ]
-    return min((t for t in targets if t is not None), default=None)
--- /dev/null
+++ b/src/shallotfold/_entry/reconciling.py
@@ -0,0 +1,84 @@
+"""Make the picture of a pool agree with what entries say they run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from shallotfold._entry import effects
+from shallotfold._entry import granting
+from shallotfold._entry import membership
+from shallotfold._entry.pool_state import LOWEST_TIER
+from shallotfold._entry.pool_state import Pool
+from shallotfold._entry.pool_state import RunningGrant
+from shallotfold._entry.pool_state import get_pool
+from shallotfold._wire import grant_messages
+
+if TYPE_CHECKING:
+    from shallotfold._entry.state import EntryState
+
+UNSEEN_S = 16.0
+ENDED_MEMORY_S = 20.0
+ANNOUNCED_LATE_S = 1.0
+
+
+def reconcile(
+    state: EntryState,
+    host: str,
+    message: grant_messages.RunningAnnounced,
+    now_s: float,
+) -> list[effects.Effect]:
+    """Make the picture of a pool agree with what an entry says it runs."""
+    pool = get_pool(state, message.pool)
+    listed = set()
+    for attempt in message.attempts:
+        key = (attempt.request_id, attempt.attempt)
+        listed.add(key)
+        known = pool.running_by_attempt.get(key)
+        if known is not None:
+            known.seen_s = now_s
+            known.preemptible = attempt.preemptible
+        elif key not in pool.ended_by_attempt:
+            pool.queue.remove(key)
+            pool.start(key, _announced(state, host, attempt, now_s))
+    for key, running in list(pool.running_by_attempt.items()):
+        late = now_s - running.granted_s > ANNOUNCED_LATE_S
+        if running.host == host and late and key not in listed:
+            pool.end(key, now_s)
+    return granting.grant_waiting(state, pool, now_s)
+
+
+def _announced(
+    state: EntryState,
+    host: str,
+    attempt: grant_messages.RunningAttempt,
+    now_s: float,
+) -> RunningGrant:
+    classes = state.configuration.current.classes_by_name
+    request_class = classes.get(attempt.class_name)
+    return RunningGrant(
+        host=host,
+        class_name=attempt.class_name,
+        tier=request_class.tier if request_class else LOWEST_TIER,
+        workspace=attempt.workspace,
+        weight=1.0,
+        upstream=attempt.upstream,
+        prompt_tokens=0,
+        cost=0.0,
+        granted_s=now_s,
+        seen_s=now_s,
+        preemptible=attempt.preemptible,
+    )
+
+
+def forget(state: EntryState, pool: Pool, now_s: float) -> None:
+    """Drop what lost entries ran or waited for, and old memories."""
+    live = membership.live_entries(state)
+    for key, waiting in list(pool.queue.waiting_by_attempt.items()):
+        if waiting.host not in live:
+            pool.queue.remove(key)
+    for key, running in list(pool.running_by_attempt.items()):
+        if running.host not in live or now_s - running.seen_s > UNSEEN_S:
+            pool.end(key, now_s)
+    for key, ended_s in list(pool.ended_by_attempt.items()):
+        if now_s - ended_s > ENDED_MEMORY_S:
+            del pool.ended_by_attempt[key]
