--- a/src/shallotfold/_entry/exchange.py
+++ b/src/shallotfold/_entry/exchange.py
@@ -169,6 +169,7 @@
                 request_id=self.request_id,
                 attempt=self.attempt_number,
                 count=count,
+                resumable=self.resumable,
             )
         )
 
