--- a/benchmarks/judging.py
+++ b/benchmarks/judging.py
@@ -11,10 +11,11 @@
 from benchmarks.disruptions import KILLED_ENGINE
 from benchmarks.fleet import Fleet
 from benchmarks.topology import DATA_CENTRES
+from benchmarks.topology import KEY_MARKER
 from benchmarks.verdict import UsageTotals
 from benchmarks.verdict import Verdict
 
-USAGE_TIMEOUT_S = 75.0
+USAGE_TIMEOUT_S = 45.0
 POLL_INTERVAL_S = 0.5
 
 
@@ -109,8 +110,17 @@
             if stats.get("wrong_resumes"):
                 resumes.append(f"{upstream.name}: {stats['wrong_resumes']}")
         self.verdict.check("no upstream sees a caller's key", marked)
+        self.verdict.check("no log holds a caller's key", self._keys_in_logs())
         self.verdict.check("streams are resumed where they broke", resumes)
 
+    def _keys_in_logs(self) -> list[str]:
+        logs = sorted(self.fleet.processes.directory.glob("*.log"))
+        return [
+            log.name
+            for log in logs
+            if KEY_MARKER in log.read_text(errors="replace")
+        ]
+
     async def _fetch_usage(self) -> Any:
         url = self.fleet.topology.platform_url
         return await self.fleet.fetch(url, "/v1/usage")
