Take the store down in the demo and judge model traffic meanwhile

Bookings met in_progress with not_run true after their entry was killed; reported to the reducer's author.

--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -5,6 +5,7 @@
 import hashlib
 import itertools
 import json
+import time
 from typing import Any
 
 import aiohttp
@@ -82,20 +83,26 @@
         self.exchanges.append(exchange)
         body = _make_body(workload, exchange.number)
         exchange.body_sha256 = hashlib.sha256(body).hexdigest()
-        started_s = asyncio.get_running_loop().time()
+        exchange.started_s = time.monotonic()
+        last_url = ""
         while exchange.tries < self.max_tries:
             exchange.tries += 1
-            if not await self._try_at(self._next_entry(), exchange, body):
+            entry_url = self._next_entry(last_url)
+            last_url = entry_url
+            if not await self._try_at(entry_url, exchange, body):
                 break
             await asyncio.sleep(RETRY_PAUSE_S)
-        exchange.whole_s = asyncio.get_running_loop().time() - started_s
+        exchange.whole_s = time.monotonic() - exchange.started_s
         return exchange
 
     async def _send(self, workload: Workload) -> None:
         await self.send_one(workload)
 
-    def _next_entry(self) -> str:
-        return self.entry_urls[next(self._turns) % len(self.entry_urls)]
+    def _next_entry(self, last_url: str) -> str:
+        """Return the entry whose turn it is, but not the last one again."""
+        others = [url for url in self.entry_urls if url != last_url]
+        urls = others or self.entry_urls
+        return urls[next(self._turns) % len(urls)]
 
     async def _try_at(
         self, entry_url: str, exchange: Exchange, body: bytes
--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -2,9 +2,10 @@
 
 Starts every process on its own loopback address, submits a configuration,
 sends mixed traffic, kills one upstream and one entry, lets an upstream leave,
-loses answers of the store, withdraws a key, stops one entry gracefully, and
-prints what the callers saw. Exit code 0 means that every promise that the run
-can see held; 1 that one was broken; 2 that a process could not be started.
+loses answers of the store and takes it down, withdraws a key, stops one entry
+gracefully, and prints what the callers saw. Exit code 0 means that every
+promise that the run can see held; 1 that one was broken; 2 that a process
+could not be started.
 """
 
 import argparse
@@ -62,6 +63,7 @@
         group.create_task(disruptions.run())
     await callers.drain()
     await disruptions.judge_leaving()
+    disruptions.judge_store_outage()
     say("traffic has ended; waiting for the usage reports")
     await Judge(fleet, callers, verdict).judge()
     print(verdict.render())
--- a/benchmarks/disruptions.py
+++ b/benchmarks/disruptions.py
@@ -16,7 +16,9 @@
 KILL_ENTRY_AT_S = 6.0
 RESTART_ENTRY_AT_S = 8.5
 LEAVE_AT_S = 10.0
-LOSE_ANSWERS_AT_S = 12.0
+LOSE_ANSWERS_AT_S = 11.0
+STORE_DOWN_AT_S = 12.0
+STORE_DOWN_S = 2.0
 WITHDRAW_KEY_AT_S = 15.0
 STOP_ENTRY_AT_S = 19.0
 WITHDRAWAL_LIMIT_S = 5.0
@@ -41,12 +43,14 @@
         verdict: Where the outcome of each disruption is recorded.
         refused_by_leaving: Requests that the leaving upstream refused within
             the allowed time.
+        store_down: Monotonic times between which the store was down.
     """
 
     fleet: Fleet
     callers: Callers
     verdict: Verdict
     refused_by_leaving: int = 0
+    store_down: tuple[float, float] = (0.0, 0.0)
 
     async def run(self) -> None:
         """Break everything in turn."""
@@ -74,9 +78,10 @@
             store="lose_answers",
             count=LOST_ANSWERS,
         )
+        await wait_for(STORE_DOWN_AT_S)
+        await self._take_store_down()
         await wait_for(WITHDRAW_KEY_AT_S)
         await leaving
-        await self.fleet.switch(self.fleet.topology.platform_url, store="ok")
         await self._withdraw_key()
         await wait_for(STOP_ENTRY_AT_S)
         await self._stop_entry()
@@ -90,6 +95,27 @@
                 return
             await asyncio.sleep(BUSY_POLL_S)
 
+    async def _take_store_down(self) -> None:
+        say(f"the store is down for {STORE_DOWN_S:.0f} s")
+        platform_url = self.fleet.topology.platform_url
+        await self.fleet.switch(platform_url, store="down")
+        down_s = time.monotonic()
+        await asyncio.sleep(STORE_DOWN_S)
+        await self.fleet.switch(platform_url, store="ok")
+        self.store_down = (down_s, time.monotonic())
+
+    def judge_store_outage(self) -> None:
+        """Judge, at the end, the model traffic during the store's outage."""
+        start_s, end_s = self.store_down
+        faults = [
+            f"{e.workload.class_name} {e.number}: {e.detail}"
+            for e in self.callers.exchanges
+            if start_s <= e.started_s <= end_s
+            and not e.workload.booking
+            and e.result is not Result.ANSWERED
+        ]
+        self.verdict.check("models are served while the store is down", faults)
+
     async def _let_engine_leave(self) -> None:
         say(f"upstream {LEAVING_ENGINE} is leaving")
         url = self.fleet.topology.upstream_url(LEAVING_ENGINE)
--- a/benchmarks/exchanges.py
+++ b/benchmarks/exchanges.py
@@ -56,6 +56,7 @@
     Attributes:
         workload: Kind of the request.
         number: Number of the request in the run.
+        started_s: Monotonic time of the first sending.
         result: How it ended.
         code: Error code of the last refusal.
         not_run: Whether the last refusal said that it did not run.
@@ -71,6 +72,7 @@
 
     workload: Workload
     number: int
+    started_s: float = 0.0
     result: Result = Result.FAILED
     code: str = ""
     not_run: bool = False
