List the demo's upstreams at the platform and offer a spare engine

Six engines as before, one of them a spare that an order may bring into service, in the data centre that ignores fencing numbers. Killed and leaving upstreams leave the platform's list as they would in earnest.

--- a/benchmarks/declaration.py
+++ b/benchmarks/declaration.py
@@ -9,6 +9,8 @@
 BOOKING_SERVICE = "booking"
 BOOKING_PREFIX = "/booking/"
 USAGE_WINDOW_S = 10
+SPARE_PRICE_PER_HOUR = 0.4
+SPARE_START_S = 1.0
 
 TARGETS_BY_CLASS = {
     "chat": operator.Targets(first_token_s=0.5, between_tokens_s=0.1),
@@ -20,14 +22,21 @@
 EXPECTED_TOKENS_BY_CLASS = {"chat": 40, "drafting": 150, "tagging": 12}
 
 
+def offer_name(spare: operator.Upstream) -> str:
+    """Return the name of the offer under which a spare can be ordered."""
+    return f"cheap-{spare.data_centre}"
+
+
 def declare(
     upstreams: Iterable[operator.Upstream],
+    spares: Iterable[operator.Upstream],
     keys_by_workspace: Mapping[str, Iterable[operator.KeyDigest]],
 ) -> operator.Configuration:
     """Return the checked configuration of the demo.
 
     Args:
         upstreams: Model and plain upstreams.
+        spares: Engines that may be ordered, each under an offer of its own.
         keys_by_workspace: Keys in force.
     """
     builder = operator.ConfigurationBuilder(usage_window_s=USAGE_WINDOW_S)
@@ -36,6 +45,18 @@
         BOOKING_PREFIX, service=BOOKING_SERVICE, request_class=classes[1]
     )
     _add_upstreams(builder, list(upstreams))
+    for spare in spares:
+        builder.add_offer(
+            offer_name(spare),
+            data_centre=operator.DataCentre(spare.data_centre),
+            model=spare.model,
+            slots=spare.slots,
+            tokens_per_s=spare.tokens_per_s,
+            price_per_hour=SPARE_PRICE_PER_HOUR,
+            reclaimable=spare.reclaimable,
+            start_s=SPARE_START_S,
+            max_count=1,
+        )
     for name, keys in keys_by_workspace.items():
         builder.add_workspace(
             name, keys=keys, classes=classes, routes=[bookings]
--- a/benchmarks/disruptions.py
+++ b/benchmarks/disruptions.py
@@ -28,7 +28,7 @@
 BUSY_POLL_S = 0.01
 LOST_ANSWERS = 8
 KILLED_ENGINE = "engine-1"
-LEAVING_ENGINE = "engine-5"
+LEAVING_ENGINE = "engine-4"
 KILLED_ENTRY = "entry-1"
 STOPPED_ENTRY = "entry-3"
 
@@ -62,6 +62,8 @@
         await wait_for(KILL_ENGINE_AT_S)
         say(f"killing upstream {KILLED_ENGINE}")
         self.fleet.processes.kill(KILLED_ENGINE)
+        platform_url = self.fleet.topology.platform_url
+        await self.fleet.switch(platform_url, removed_hosts=[KILLED_ENGINE])
         await wait_for(KILL_ENTRY_AT_S)
         await self._wait_busy(KILLED_ENTRY)
         say(f"killing entry {KILLED_ENTRY}")
@@ -120,6 +122,9 @@
         say(f"upstream {LEAVING_ENGINE} is leaving")
         url = self.fleet.topology.upstream_url(LEAVING_ENGINE)
         await self.fleet.switch(url, leaving=True)
+        await self.fleet.switch(
+            self.fleet.topology.platform_url, leaving_hosts=[LEAVING_ENGINE]
+        )
         await asyncio.sleep(LEAVING_LIMIT_S)
         self.refused_by_leaving = (await self.fleet.fetch(url, "/stats"))[
             "refused"
--- a/benchmarks/judging.py
+++ b/benchmarks/judging.py
@@ -85,6 +85,8 @@
             orders = await self.fleet.fetch(
                 self.fleet.topology.platform_url, f"/v1/orders/{name}"
             )
+            for order in orders["orders"]:
+                print(f"order in {name}: {order['action']} {order['upstream']}")
             numbers = [order["fencing"] for order in orders["orders"]]
             if numbers != sorted(numbers):
                 faults.append(f"{name} took orders {numbers}")
@@ -101,7 +103,8 @@
 
     async def _judge_upstreams(self) -> None:
         marked, resumes = [], []
-        for upstream in self.fleet.topology.upstreams():
+        topology = self.fleet.topology
+        for upstream in (*topology.upstreams(), *topology.spares()):
             if upstream.name == KILLED_ENGINE:
                 continue
             stats = await self.fleet.fetch(upstream.url, "/stats")
--- a/benchmarks/topology.py
+++ b/benchmarks/topology.py
@@ -12,7 +12,8 @@
 
 DATA_CENTRES = ("westlands", "industrial-area", "upper-hill", "embakasi")
 ENTRY_COUNT = 3
-ENGINE_COUNT = 6
+ENGINE_COUNT = 5
+SPARE_COUNT = 1
 SERVICE_COUNT = 4
 CALLER_PORT = 8080
 PEER_PORT = 8081
@@ -102,7 +103,6 @@
                 slots=self.engine_slots,
                 tokens_per_s=self.engine_tokens_per_s,
                 credential="upstream",
-                reclaimable=index >= len(DATA_CENTRES),
             )
             for index in range(ENGINE_COUNT)
         ]
@@ -118,6 +118,24 @@
         ]
         return (*engines, *services)
 
+    def spares(self) -> tuple[operator.Upstream, ...]:
+        """Return the engines that orders may bring into service.
+
+        They are in the data centre that ignores fencing numbers.
+        """
+        return tuple(
+            operator.Upstream(
+                name=f"spare-{index + 1}",
+                url=f"http://{self.network}.2.{101 + index}:{UPSTREAM_PORT}",
+                data_centre=DATA_CENTRES[-1],
+                model=declaration.MODEL,
+                slots=self.engine_slots,
+                tokens_per_s=self.engine_tokens_per_s,
+                reclaimable=True,
+            )
+            for index in range(SPARE_COUNT)
+        )
+
     def upstream_url(self, name: str) -> str:
         """Return the base URL of an upstream."""
         return next(u.url for u in self.upstreams() if u.name == name)
@@ -131,7 +149,9 @@
         if with_spare_key:
             visitor_keys.append(self.spare_key.digest())
         keys_by_workspace["visitors"] = visitor_keys
-        return declaration.declare(self.upstreams(), keys_by_workspace)
+        return declaration.declare(
+            self.upstreams(), self.spares(), keys_by_workspace
+        )
 
     def workloads(self) -> list[Workload]:
         """Return the mix of traffic."""
@@ -176,6 +196,16 @@
             f'"{self.entry_ip(name)}:{PEER_PORT}"}}'
             for index, name in enumerate(self.entry_names)
         ]
+        hosts += [
+            f'{{name = "{upstream.name}", role = "upstream", data_centre = '
+            f'"{upstream.data_centre}", address = "{upstream.url}"}}'
+            for upstream in self.upstreams()
+        ]
+        spares = [
+            f'{{data_centre = "{spare.data_centre}", offer = '
+            f'"{declaration.offer_name(spare)}", url = "{spare.url}"}}'
+            for spare in self.spares()
+        ]
         return Command(
             name="platform",
             binary=("shallotfold-standin", "platform"),
@@ -184,6 +214,7 @@
                 f"data_centres = {_list(DATA_CENTRES)}\n"
                 f'unfenced_data_centres = ["{DATA_CENTRES[-1]}"]\n'
                 f"hosts = [{', '.join(hosts)}]\n"
+                f"spare_engines = [{', '.join(spares)}]\n"
             ),
             ready_url=f"{self.platform_url}/stats",
         )
@@ -201,7 +232,7 @@
                 ),
                 ready_url=f"{upstream.url}/stats",
             )
-            for upstream in self.upstreams()
+            for upstream in (*self.upstreams(), *self.spares())
         ]
 
     def joined_upstream_commands(self) -> list[Command]:
@@ -278,6 +309,6 @@
         f'address = "{upstream.url.removeprefix("http://")}"\n'
         f"slots = {upstream.slots}\n"
         f"{rate}"
-        f'credential = "{CREDENTIAL}"\n'
+        f'credential = "{CREDENTIAL if upstream.credential else ""}"\n'
         f'secret_marker = "{KEY_MARKER}"\n'
     )
