--- a/src/shallotfold/_controller/process.py
+++ b/src/shallotfold/_controller/process.py
@@ -4,7 +4,6 @@
 import uuid
 
 from loguru import logger
-import statsd
 
 from shallotfold._controller import effects
 from shallotfold._controller.duty_calls import DutyCalls
@@ -19,6 +18,7 @@
 from shallotfold._platform.http_orders import HttpUpstreamOrders
 from shallotfold._platform.http_store import HttpStore
 from shallotfold._platform.http_usage import HttpUsageReports
+from shallotfold._runtime.metrics import Metrics
 from shallotfold._settings.controller import ControllerSettings
 
 EXIT_ORDERLY = 0
@@ -36,11 +36,7 @@
         self._settings = settings
         self._store = HttpStore(settings.platform.store_url)
         self._hosts = HttpHostList(settings.platform.hosts_url)
-        self._metrics = statsd.StatsClient(
-            settings.statsd.address.ip,
-            settings.statsd.address.port,
-            prefix=settings.statsd.prefix,
-        )
+        self._metrics = Metrics(settings.statsd)
         self.shell = ControllerShell(
             ControllerState(
                 host=settings.host,
@@ -55,6 +51,7 @@
 
     async def start(self) -> None:
         """Connect to the platform and become a candidate."""
+        await self._metrics.start()
         await self._store.start()
         await self._hosts.start()
         self._register()
@@ -66,7 +63,7 @@
         await self.shell.close()
         await self._hosts.close()
         await self._store.close()
-        self._metrics.close()
+        await self._metrics.close()
 
     def request_shutdown(self) -> None:
         """Hand the duties over, then stop."""
@@ -98,8 +95,5 @@
         ).register()
         shell.register(
             effects.CountMetric,
-            lambda effect: self._count(effect.name, effect.value),
+            lambda effect: self._metrics.count(effect.name, effect.value),
         )
-
-    def _count(self, name: str, value: int) -> None:
-        self._metrics.incr(name, value)
--- a/src/shallotfold/_controller/usage.py
+++ b/src/shallotfold/_controller/usage.py
@@ -14,8 +14,8 @@
 from shallotfold._controller import effects
 from shallotfold._controller import handover
 from shallotfold._controller import lease
+from shallotfold._controller import usage_sources
 from shallotfold._controller.usage_state import ShardUsage
-from shallotfold._controller.usage_state import SourceSeen
 from shallotfold._fleet.audit import AuditChange
 from shallotfold._fleet.duties import USAGE_PREFIX
 from shallotfold._fleet.usage_ledger import FrozenWindow
@@ -32,13 +32,9 @@
 FREEZE_DELAY_S = 5.0
 FREEZE_RETRY_S = 2.0
 FREEZE_LIMIT_S = 60.0
-SOURCE_SILENT_S = 30.0
 REPORTS_PER_BATCH = 50
 REPORT_TIMEOUT_S = 5.0
 KEPT_WINDOWS = 20
-RETIRE_AFTER_S = 900.0
-RETIRE_PERIOD_S = 300.0
-RETIRING_SHARD = 0
 
 
 def on_tick(state: ControllerState, event: events.Tick) -> list[effects.Effect]:
@@ -112,18 +108,18 @@
     if usage is None or usage.head is None:
         return []
     usage.busy = False
-    _note_changes(usage, event)
+    usage_sources.note_changes(usage, event)
     if usage.due_since_s is None:
         usage.due_since_s = event.now_s
     waited_s = event.now_s - usage.due_since_s
-    if waited_s < FREEZE_LIMIT_S and _missing(usage, event):
+    if waited_s < FREEZE_LIMIT_S and usage_sources.missing(usage, event):
         usage.retry_s = event.now_s + FREEZE_RETRY_S
         return []
     frozen = attrs.evolve(
         freeze_window(usage.head, event.flushes, event.shard),
         token=_token(state),
     )
-    retired = _retire_when_due(usage, event)
+    retired = usage_sources.retire_when_due(usage, event)
     if not frozen.figures_by_workspace:
         return [*retired, *_advance(state, usage, frozen)]
     usage.busy = True
@@ -311,45 +307,6 @@
     ]
 
 
-def _note_changes(usage: ShardUsage, event: events.FlushesRead) -> None:
-    seen = usage.seen_by_source
-    for source in seen.keys() - event.revisions_by_source.keys():
-        del seen[source]
-    for source, revision in event.revisions_by_source.items():
-        known = seen.get(source)
-        if known is None or known.revision != revision:
-            seen[source] = SourceSeen(revision=revision, changed_s=event.now_s)
-
-
-def _missing(usage: ShardUsage, event: events.FlushesRead) -> list[str]:
-    """Return the live sources whose counts may still rise."""
-    if usage.head is None:
-        return []
-    silent_since_s = event.now_s - SOURCE_SILENT_S
-    return [
-        flush.source
-        for flush in event.flushes
-        if not flush.retired
-        and flush.closed_before <= usage.head.next_window
-        and usage.seen_by_source[flush.source].changed_s > silent_since_s
-    ]
-
-
-def _retire_when_due(
-    usage: ShardUsage, event: events.FlushesRead
-) -> list[effects.Effect]:
-    if event.shard != RETIRING_SHARD or event.now_s < usage.next_retire_s:
-        return []
-    usage.next_retire_s = event.now_s + RETIRE_PERIOD_S
-    silent_since_s = event.now_s - RETIRE_AFTER_S
-    silent = {
-        source: seen.revision
-        for source, seen in usage.seen_by_source.items()
-        if seen.changed_s < silent_since_s
-    }
-    return [effects.RetireSources(revisions_by_source=silent)] if silent else []
-
-
 def _current(
     state: ControllerState, event: events.UsageEvent
 ) -> ShardUsage | None:
--- a/src/shallotfold/_runtime/metric_names.py
+++ b/src/shallotfold/_runtime/metric_names.py
@@ -42,6 +42,16 @@
         "counter",
         "attempts that an owner asked to cancel for a higher tier",
     ),
+    MetricName(
+        "lease.unanswered",
+        "counter",
+        "lease calls of a controller that the store did not answer",
+    ),
+    MetricName(
+        "orders.unanswered",
+        "counter",
+        "upstream orders without an answer; they are looked up by id",
+    ),
     MetricName(
         "requests.preempted",
         "counter",
@@ -53,11 +63,21 @@
     MetricName(
         "requests.retried", "counter", "attempts repeated after a failure"
     ),
+    MetricName(
+        "usage.conflicts",
+        "counter",
+        "usage reports that the platform refused for other figures",
+    ),
     MetricName(
         "usage.exposed",
         "counter",
         "answers that ended before any peer held their usage",
     ),
+    MetricName(
+        "usage.late_requests",
+        "counter",
+        "requests that a report carries for earlier windows",
+    ),
 )
 
 
--- a/tests/controller/test_usage.py
+++ b/tests/controller/test_usage.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from shallotfold._controller import usage as reporting
+from shallotfold._controller import usage_sources
 from shallotfold._entry import usage as entry_usage
 from shallotfold._entry import usage_holds
 from shallotfold._fleet.audit import AuditFilter
@@ -119,8 +119,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(entry_usage, "FROZEN_S", 60.0)
-    monkeypatch.setattr(reporting, "RETIRE_AFTER_S", 90.0)
-    monkeypatch.setattr(reporting, "RETIRE_PERIOD_S", 30.0)
+    monkeypatch.setattr(usage_sources, "RETIRE_AFTER_S", 90.0)
+    monkeypatch.setattr(usage_sources, "RETIRE_PERIOD_S", 30.0)
     fleet = await make_fleet()
     await serve(fleet, 8)
     await fleet.run(2)
