Prove that a frozen reporter sends no report after its successor

Cause: the proofs on the binary covered orders only; the slow store was not in the fault sequences of the simulation.

Ruled out: a control straight to the platform.

A store whose answers take 1.5 s costs no duty (test_slow_store_takes_no_duty_away); answers of 4 s are among the faults of the sequences.

--- a/tests/controller/launcher.py
+++ b/tests/controller/launcher.py
@@ -1,10 +1,10 @@
 """Start the controller binary with a safeguard off, or with a freeze.
 
 Usage: launcher.py SETTINGS [no-timer] [no-user-timeout] [no-linger]
-[freeze-before-send] [pad]. Only tests run this; the product has no such
-switch. `pad` makes requests longer than the receive buffer of a relay that
-does not read, so that their end stays in the socket of the sender. Plans come
-often, so that there is always an order to send.
+[freeze-before-order] [freeze-before-report] [pad]. Only tests run this; the
+product has no such switch. `pad` makes requests longer than the receive
+buffer of a relay that does not read, so that their end stays in the socket of
+the sender. Plans come often, so that there is always an order to send.
 """
 
 import os
@@ -12,6 +12,7 @@
 import sys
 from typing import Any
 
+import aiohttp
 from aiohttp.http_writer import StreamWriter
 
 from shallotfold._cli import controller_main
@@ -20,7 +21,7 @@
 from shallotfold._platform import fenced_http
 from shallotfold._platform.fenced_http import FencedHttpClient
 
-FREEZE_AT_ORDER = 2
+FREEZE_AT_SEND = 2
 PLAN_PERIOD_S = 1.0
 PADDING = "x" * 8000
 
@@ -32,13 +33,19 @@
     replace(orders, "PLAN_PERIOD_S", PLAN_PERIOD_S)
     if "no-timer" in switches:
         replace(LeaseFence, "arm", lambda *_: None)
+        # The total timeout resets the connection one turn of the loop after
+        # the late write, which the platform may or may not have read by then.
+        no_timeout = aiohttp.ClientTimeout()
+        replace(aiohttp, "ClientTimeout", lambda **_: no_timeout)
     if "no-user-timeout" in switches:
         replace(fenced_http, "MS_PER_S", 1_000_000)
     if "no-linger" in switches:
         nothing = bytes(len(fenced_http.LINGER_RESET))
         replace(fenced_http, "LINGER_RESET", nothing)
-    if "freeze-before-send" in switches:
-        freeze_between_check_and_send()
+    if "freeze-before-order" in switches:
+        freeze_before_send(b"POST /v1/orders/")
+    if "freeze-before-report" in switches:
+        freeze_before_send(b"POST /v1/usage")
     return controller_main.main(["--settings", settings])
 
 
@@ -56,15 +63,15 @@
     replace(FencedHttpClient, "_exchange", exchange_padded)
 
 
-def freeze_between_check_and_send() -> None:
-    """Stop this process right before the system call that sends an order."""
+def freeze_before_send(request_line: bytes) -> None:
+    """Stop this process right before the system call that sends a request."""
     write_lines = StreamWriter._writelines
     seen: list[object] = []
 
     def freeze_and_write(self: Any, chunks: Any) -> None:
-        if b"POST /v1/orders/" in b"".join(chunks):
+        if request_line in b"".join(chunks):
             seen.append(chunks)
-            if len(seen) == FREEZE_AT_ORDER:
+            if len(seen) == FREEZE_AT_SEND:
                 os.kill(os.getpid(), signal.SIGSTOP)
         write_lines(self, chunks)
 
--- a/tests/controller/processes.py
+++ b/tests/controller/processes.py
@@ -1,6 +1,7 @@
 """Run the controller binary against the stand-in platform on loopback."""
 
 import asyncio
+from collections import Counter
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -11,6 +12,7 @@
 import socket
 import subprocess
 import sys
+import time
 from typing import Any
 
 import aiohttp
@@ -19,6 +21,7 @@
 from shallotfold._errors import PlatformError
 from shallotfold._fleet.configuration_store import ConfigurationStore
 from shallotfold._fleet.duties import ranked_hosts
+from shallotfold._fleet.duties import shard_of
 from shallotfold._fleet.usage_flush import ModelDemand
 from shallotfold._fleet.usage_flush import UsageFlush
 from shallotfold._fleet.usage_flush import encode_flush
@@ -28,6 +31,7 @@
 from shallotfold._model.configuration import RequestClass
 from shallotfold._model.serialization import dump_configuration
 from shallotfold._platform.http_store import HttpStore
+from shallotfold._wire.usage_messages import UsageCount
 
 LOOPBACK = "127.77.41.1"
 LAUNCHER = pathlib.Path(__file__).with_name("launcher.py")
@@ -37,6 +41,13 @@
 DUTY = "orders/west"
 HOSTS = ranked_hosts(DUTY, ("c1", "c2"))
 OFFER = "small"
+# A workspace whose usage the first controller reports, too.
+WORKSPACE = next(
+    name
+    for name in map("workspace{}".format, range(100))
+    if ranked_hosts(f"usage/{shard_of(name)}", HOSTS) == HOSTS
+)
+WINDOW_S = 2
 SPARES = 150
 DEMAND_STEP_TOKENS_PER_S = 60.0
 SMALL_BUFFER_BYTES = 2048
@@ -142,8 +153,11 @@
         server.setblocking(False)
         try:
             await loop.sock_connect(server, (LOOPBACK, self.target_port))
+            # A reset is not passed on: the platform may read what came first.
             await asyncio.gather(
-                self._pump(client, server), self._pump(server, client)
+                self._pump(client, server),
+                self._pump(server, client),
+                return_exceptions=True,
             )
         except OSError:
             pass
@@ -176,6 +190,8 @@
     platform_port: int = attrs.field(factory=free_port)
     orders_relay: Relay = attrs.field(init=False)
     store_relay: Relay = attrs.field(init=False)
+    usage_relay: Relay = attrs.field(init=False)
+    requests_by_window: Counter[int] = attrs.field(factory=Counter)
     _demand: asyncio.Task[None] | None = None
 
     @property
@@ -186,6 +202,8 @@
         self._start_platform()
         self.orders_relay = Relay(self.platform_port)
         self.store_relay = Relay(self.platform_port)
+        self.usage_relay = Relay(self.platform_port)
+        await self.usage_relay.start()
         await self.orders_relay.start()
         await self.store_relay.start()
         await self.ask("/stats")
@@ -205,6 +223,7 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait(10)
+        await self.usage_relay.close()
         await self.orders_relay.close()
         await self.store_relay.close()
 
@@ -217,6 +236,7 @@
         orders_port = orders.port if orders else self.platform_port
         store_port = store.port if store else self.platform_port
         orders_url = f"http://{LOOPBACK}:{orders_port}"
+        usage_url = f"http://{LOOPBACK}:{self.usage_relay.port}"
         settings = self.directory / f"{host}.toml"
         settings.write_text(
             f'host = "{host}"\ndata_centre = "west"\n'
@@ -225,7 +245,7 @@
             "[platform]\n"
             f'store_url = "http://{LOOPBACK}:{store_port}"\n'
             f'hosts_url = "{self.url}"\n'
-            f'orders_url = "{orders_url}"\nusage_url = "{self.url}"\n'
+            f'orders_url = "{orders_url}"\nusage_url = "{usage_url}"\n'
         )
         switches = self.switches if orders else ()
         self.controllers[host] = self._spawn(
@@ -284,6 +304,7 @@
     async def _submit_configuration(self) -> None:
         configuration = Configuration(
             data_centres=("west",),
+            usage_window_s=WINDOW_S,
             classes_by_name={"chat": RequestClass(name="chat", tier=1)},
             offers_by_name={
                 OFFER: Offer(
@@ -325,7 +346,12 @@
                 demand = ModelDemand(
                     model="small", class_name="chat", asked_tokens=int(asked)
                 )
-                flush = UsageFlush(source="e-1", demand=(demand,))
+                flush = UsageFlush(
+                    source="e-1",
+                    closed_before=int(time.time()) // WINDOW_S * WINDOW_S,
+                    counts=self._count_answer(),
+                    demand=(demand,),
+                )
                 with contextlib.suppress(PlatformError):
                     found = await store.get(flush_key("e-1"))
                     await store.compare_and_swap(
@@ -335,6 +361,24 @@
                     )
                 await asyncio.sleep(0.25)
 
+    def _count_answer(self) -> tuple[UsageCount, ...]:
+        window = int(time.time()) // WINDOW_S * WINDOW_S
+        self.requests_by_window[window] += 1
+        return tuple(
+            UsageCount(
+                workspace=WORKSPACE,
+                window=window,
+                requests=requests,
+                prompt_tokens=requests,
+                output_tokens=requests,
+            )
+            for window, requests in self.requests_by_window.items()
+        )
+
+    async def reported_by_two(self) -> bool:
+        answer = await self.ask("/v1/usage")
+        return len({report["fencing"] for report in answer["reports"]}) > 1
+
     async def fencings(self) -> list[int]:
         """Return the fencing numbers of the orders, as they arrived."""
         answer = await self.ask("/v1/orders/west")
--- a/tests/controller/simulation.py
+++ b/tests/controller/simulation.py
@@ -254,7 +254,7 @@
     _starts: int = 0
 
     def __attrs_post_init__(self) -> None:
-        self.store = StoreStandin(clock=self.clock)
+        self.store = StoreStandin(clock=self.clock, sleep=self.sleep)
         self.orders = OrdersStandin(
             data_centres=self.configuration.data_centres,
             unfenced=set(self.configuration.data_centres),
@@ -275,6 +275,11 @@
         for name in names:
             self.restart(name)
 
+    async def sleep(self, seconds: float) -> None:
+        until_s = self.now_s + seconds
+        while self.now_s < until_s:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+
     def clock(self) -> float:
         return self.now_s
 
--- a/tests/controller/test_duties.py
+++ b/tests/controller/test_duties.py
@@ -98,6 +98,16 @@
     assert all(simulation.holders(duty) for duty in DUTIES)
 
 
+async def test_slow_store_takes_no_duty_away() -> None:
+    simulation = Simulation()
+    await simulation.run(15)
+    before = fencing_by_duty(simulation)
+    simulation.store.set_fault(StoreFault.SLOW, delay_s=1.5)
+    await simulation.run(30)
+    assert fencing_by_duty(simulation) == before
+    assert all(simulation.holders(duty) for duty in DUTIES)
+
+
 async def test_shutdown_hands_over_without_waiting_for_the_lease() -> None:
     simulation = Simulation()
     await simulation.run(15)
@@ -144,6 +154,7 @@
     assert controller.fence.deadline_s > 0
 
 
+SLOW_S = 4.0
 STEPS = st.lists(
     st.one_of(
         st.tuples(st.just("run"), st.sampled_from(["0.5", "3", "9"])),
@@ -153,7 +164,8 @@
         st.tuples(st.just("restart"), st.sampled_from(HOSTS)),
         st.tuples(st.just("stop"), st.sampled_from(HOSTS)),
         st.tuples(
-            st.just("store"), st.sampled_from(["ok", "down", "lose_answers"])
+            st.just("store"),
+            st.sampled_from(["ok", "down", "lose_answers", "slow"]),
         ),
     ),
     max_size=25,
@@ -165,7 +177,7 @@
         await simulation.run(float(target))
         return
     if verb == "store":
-        simulation.store.set_fault(StoreFault(target))
+        simulation.store.set_fault(StoreFault(target), delay_s=SLOW_S)
         return
     controller = simulation.controllers[target]
     if verb == "freeze":
--- a/tests/controller/test_fencing.py
+++ b/tests/controller/test_fencing.py
@@ -1,4 +1,4 @@
-"""No order of a former holder arrives after the successor's first one.
+"""No order or report of a former holder arrives after its successor's first.
 
 The order interface of the stand-in ignores fencing numbers here.
 """
@@ -39,7 +39,7 @@
 
 
 async def freeze_before_send(directory: pathlib.Path, *off: str) -> bool:
-    async with running_fleet(directory, "freeze-before-send", *off) as fleet:
+    async with running_fleet(directory, "freeze-before-order", *off) as fleet:
         former = fleet.controllers[FORMER]
         await wait_for(lambda: is_stopped(former))
         await wait_for(fleet.ordered_by_two)
@@ -49,6 +49,17 @@
         return await in_order(fleet)
 
 
+async def freeze_before_report(directory: pathlib.Path, *off: str) -> bool:
+    async with running_fleet(directory, "freeze-before-report", *off) as fleet:
+        former = fleet.controllers[FORMER]
+        await wait_for(lambda: is_stopped(former))
+        await wait_for(fleet.reported_by_two)
+        os.kill(former.pid, signal.SIGCONT)
+        await asyncio.sleep(SETTLE_S)
+        usage = await fleet.ask("/v1/usage")
+        return bool(usage["conflicts"] == 0 and usage["stale"] == 0)
+
+
 async def freeze_with_bytes_in_socket(
     directory: pathlib.Path, *off: str
 ) -> bool:
@@ -99,6 +110,16 @@
     assert not safe_without_timer
 
 
+async def test_frozen_reporter_sends_no_report_after_its_successor(
+    tmp_path: pathlib.Path,
+) -> None:
+    safe, safe_without_timer = await with_and_without(
+        freeze_before_report, tmp_path, "no-timer"
+    )
+    assert safe
+    assert not safe_without_timer
+
+
 async def test_bytes_in_the_socket_of_a_frozen_holder_never_arrive(
     tmp_path: pathlib.Path,
 ) -> None:
