--- a/benchmarks/configuration_load.py
+++ b/benchmarks/configuration_load.py
@@ -49,10 +49,11 @@
         probe.largest_s = 0.0
         await entry.fetch(version)
         took_s = time.perf_counter() - started_s
+        used_s = time.process_time() - cpu_s
         await asyncio.sleep(SETTLE_S)
         print(
             f"version {version}: {len(document)} bytes, "
-            f"{1e3 * took_s:.0f} ms, {1e3 * (time.process_time() - cpu_s):.0f} ms of processor, "
+            f"{1e3 * took_s:.0f} ms, {1e3 * used_s:.0f} ms of processor, "
             f"loop held up {1e3 * probe.largest_s:.0f} ms at most, "
             f"{store.calls_by_name.total() - calls} store calls"
         )
--- /dev/null
+++ b/tests/cli/test_entry_faults.py
@@ -0,0 +1,86 @@
+"""Faults of whole entry processes: frozen, and without the store."""
+
+import asyncio
+import pathlib
+import signal
+import time
+
+import aiohttp
+
+from benchmarks import declaration
+from benchmarks.fleet import Fleet
+from benchmarks.processes import Processes
+from benchmarks.topology import Topology
+
+# Longer than an entry trusts its configuration without news.
+FROZEN_S = 5.0
+POLL_INTERVAL_S = 0.1
+TEST_TIMEOUT_S = 90
+
+
+async def ask(session: aiohttp.ClientSession, url: str, secret: str) -> int:
+    """Send a short chat request and return the status."""
+    body = {
+        "model": declaration.MODEL,
+        "messages": [{"role": "user", "content": "Is the shelter open?"}],
+        "max_tokens": 2,
+    }
+    async with session.post(
+        f"{url}/v1/chat/completions",
+        json=body,
+        headers={"Authorization": f"Bearer {secret}"},
+    ) as response:
+        await response.read()
+        return response.status
+
+
+async def until_status(
+    session: aiohttp.ClientSession, url: str, secret: str, wanted: int
+) -> None:
+    while True:
+        if await ask(session, url, secret) == wanted:
+            return
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+def test_frozen_entry_refuses_a_withdrawn_key_while_the_store_is_away(
+    tmp_path: pathlib.Path,
+) -> None:
+    processes = Processes(tmp_path)
+    topology = Topology()
+    first, second, third = map(topology.entry_url, topology.entry_names)
+    spare = topology.spare_key.secret
+    granted = topology.keys_by_workspace["agency"].secret
+
+    async def scenario(session: aiohttp.ClientSession) -> None:
+        fleet = Fleet(topology, processes, session, with_controllers=False)
+        await fleet.start(joined_upstreams=True)
+        assert await ask(session, first, spare) == 200
+        entry = processes.running_by_name[topology.entry_names[0]]
+        platform = processes.running_by_name["platform"]
+        entry.send_signal(signal.SIGSTOP)
+        frozen_s = time.monotonic()
+        await fleet.submit(with_spare_key=False, base_version=1)
+        for url in (second, third):
+            await until_status(session, url, spare, 401)
+        platform.send_signal(signal.SIGSTOP)
+        waiting = asyncio.create_task(ask(session, first, spare))
+        await asyncio.sleep(FROZEN_S - (time.monotonic() - frozen_s))
+        entry.send_signal(signal.SIGCONT)
+        assert await waiting in (401, 503)
+        await until_status(session, first, spare, 401)
+        # A store outage alone stops nobody.
+        for url in (first, second, third):
+            await until_status(session, url, granted, 200)
+        platform.send_signal(signal.SIGCONT)
+
+    async def main() -> None:
+        async with aiohttp.ClientSession() as session:
+            await scenario(session)
+
+    try:
+        asyncio.run(asyncio.wait_for(main(), TEST_TIMEOUT_S))
+    finally:
+        for process in processes.running_by_name.values():
+            process.send_signal(signal.SIGCONT)
+        processes.stop_all()
--- a/tests/entry/test_fleet_parts.py
+++ b/tests/entry/test_fleet_parts.py
@@ -1,8 +1,11 @@
+import asyncio
+
 from shallotfold._entry import effects
 from shallotfold._entry.configuration_sync import ConfigurationSync
 from shallotfold._entry.fleet_parts import make_fleet_parts
 from shallotfold._entry.host_sync import HostSync
 from shallotfold._entry.peer_network import PeerNetwork
+from shallotfold._entry.process import EntryProcess
 from shallotfold._entry.shell import EntryShell
 from shallotfold._entry.state import EntryState
 from shallotfold._settings.addresses import Address
@@ -27,8 +30,8 @@
     assert make_fleet_parts(make_shell(), settings) == []
 
 
-def test_entry_of_a_fleet_gets_all_parts_and_runners() -> None:
-    settings = EntrySettings(
+def make_settings() -> EntrySettings:
+    return EntrySettings(
         host="e1",
         data_centre="a",
         caller_address=LOCAL,
@@ -36,8 +39,26 @@
         fleet_secret="secret",
         platform=PLATFORM,
     )
+
+
+def test_whole_entry_has_one_peer_port() -> None:
+    """Two of them once kept every entry of a fleet from starting."""
+
+    async def main() -> list[type]:
+        process = EntryProcess(make_settings())
+        await process.start()
+        kinds = [type(part) for part in process.shell.parts]
+        await process.close()
+        return kinds
+
+    kinds = asyncio.run(asyncio.wait_for(main(), 30))
+    assert kinds.count(PeerNetwork) == 1
+    assert kinds.count(ConfigurationSync) == 1
+
+
+def test_entry_of_a_fleet_gets_all_parts_and_runners() -> None:
     shell = make_shell()
-    parts = make_fleet_parts(shell, settings)
+    parts = make_fleet_parts(shell, make_settings())
     kinds = {type(part) for part in parts}
     assert {PeerNetwork, ConfigurationSync, HostSync} < kinds
     assert {
