--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,295 @@
+"""Work out docs/CAPACITY.md from the measured slopes.
+
+python -m benchmarks.capacity docs/capacity-slopes.json docs/CAPACITY.md
+"""
+
+import argparse
+from collections.abc import Sequence
+import json
+import pathlib
+import statistics
+from typing import Any
+
+import attrs
+
+MEGABYTE = 1_000_000
+
+
+@attrs.frozen(kw_only=True)
+class Fleet:
+    """The size that decides the design, from letter 1."""
+
+    nodes: int = 350
+    upstreams: int = 3300
+    requests_per_s: float = 2800.0
+    tokens_per_s: float = 1_400_000.0
+    workspaces: int = 8700
+    changes_per_day: float = 2000.0
+    max_core_percent: float = 4.5
+    max_megabytes: float = 128.0
+    max_bytes_per_s: float = 3000.0
+    pool_upstreams: int = 12
+    store_reads_per_s: float = 2000.0
+    flush_bytes_per_s: float = 1000.0
+    host_record_bytes: float = 130.0
+    host_poll_s: float = 10.0
+
+
+class Slopes:
+    """The measured quantities, fitted by lines."""
+
+    def __init__(self, measures: Sequence[dict[str, Any]]) -> None:
+        self._points_by_name = {m["name"]: m["points"] for m in measures}
+
+    def at(self, name: str, size: float) -> float:
+        """Return a quantity at a size, by the fitted line."""
+        sizes, values = zip(*self._points_by_name[name], strict=True)
+        if len(sizes) == 1:
+            return float(values[0]) * size / float(sizes[0])
+        fit = statistics.linear_regression(sizes, values)
+        return fit.intercept + fit.slope * size
+
+    def slope(self, name: str) -> float:
+        """Return the growth of a quantity for one more of its size."""
+        sizes, values = zip(*self._points_by_name[name], strict=True)
+        return statistics.linear_regression(sizes, values).slope
+
+    def largest(self, name: str) -> float:
+        """Return a quantity at the largest measured size."""
+        return float(self._points_by_name[name][-1][1])
+
+
+@attrs.frozen(kw_only=True)
+class Row:
+    """One cost of one node.
+
+    Attributes:
+        role: Process that pays.
+        what: What costs.
+        mechanism: What carries it.
+        core_percent: Processor time.
+        megabytes: Resident memory.
+        bytes_per_s: Bytes sent and received.
+    """
+
+    role: str
+    what: str
+    mechanism: str
+    core_percent: float = 0.0
+    megabytes: float = 0.0
+    bytes_per_s: float = 0.0
+
+
+def node_rows(fleet: Fleet, slopes: Slopes) -> list[Row]:
+    """Return every cost of control on one node at the size of `fleet`."""
+    requests = fleet.requests_per_s / fleet.nodes
+    beats = slopes.largest("membership_bytes")
+    changes_per_s = fleet.changes_per_day / 86_400
+    adoption_s = slopes.at("adoption", fleet.workspaces)
+    base_megabytes = slopes.at("resident", 0) / MEGABYTE
+    workspace_megabytes = slopes.slope("resident") * fleet.workspaces / MEGABYTE
+    upstream_megabytes = (
+        slopes.slope("resident_upstreams") * fleet.upstreams / MEGABYTE
+    )
+    chunk_bytes = 100_000.0
+    return [
+        Row(
+            role="entry",
+            what="code and libraries",
+            mechanism="one process, no worker processes",
+            megabytes=base_megabytes,
+        ),
+        Row(
+            role="entry",
+            what=f"{fleet.workspaces} workspaces with keys",
+            mechanism="one document, keys indexed by digest",
+            core_percent=100 * adoption_s * changes_per_s,
+            megabytes=workspace_megabytes,
+            bytes_per_s=chunk_bytes * changes_per_s,
+        ),
+        Row(
+            role="entry",
+            what=f"{fleet.upstreams} upstreams",
+            mechanism=f"pools of {fleet.pool_upstreams} at most, one owner each",
+            megabytes=upstream_megabytes,
+        ),
+        Row(
+            role="entry",
+            what="membership and ticks",
+            mechanism="heartbeats on three rings, half a byte an entry",
+            core_percent=100 * slopes.largest("membership_cpu"),
+            bytes_per_s=2 * beats,
+        ),
+        Row(
+            role="entry",
+            what=f"{requests:.0f} grants a second asked, as many given",
+            mechanism="the pool's owner grants; soft state",
+            bytes_per_s=2 * requests * slopes.at("grant", 1),
+        ),
+        Row(
+            role="entry",
+            what=f"{requests:.0f} usage holds a second",
+            mechanism="another entry holds counts until the store has them",
+            bytes_per_s=2 * requests * slopes.at("hold", 1),
+        ),
+        Row(
+            role="entry",
+            what="usage flushes",
+            mechanism="one value a node, interval grows with its size",
+            bytes_per_s=fleet.flush_bytes_per_s,
+        ),
+        Row(
+            role="entry",
+            what="host list",
+            mechanism="whole list polled, less often when large",
+            bytes_per_s=(fleet.nodes + fleet.upstreams)
+            * fleet.host_record_bytes
+            / fleet.host_poll_s,
+        ),
+        Row(
+            role="entry",
+            what="store watch and load reports in calm",
+            mechanism="one waiting watch; owners poll their pools",
+            core_percent=slopes.at("calm_entry_core_percent", 3),
+            bytes_per_s=max(
+                0.0,
+                slopes.at("calm_entry_control_bytes_per_s", 0),
+            ),
+        ),
+        Row(
+            role="controller",
+            what="all of it in calm",
+            mechanism="duties under one lease a controller",
+            core_percent=slopes.largest("calm_controller_core_percent"),
+            megabytes=slopes.largest("calm_controller_resident_mb"),
+            bytes_per_s=slopes.largest("calm_controller_control_bytes_per_s"),
+        ),
+    ]
+
+
+def render(fleet: Fleet, slopes: Slopes) -> str:
+    """Return the whole page."""
+    rows = node_rows(fleet, slopes)
+    lines = [
+        "# Capacity at the size that decides the design",
+        "",
+        "Made by `python -m benchmarks.capacity`; do not edit. The slopes are "
+        "in `docs/capacity-slopes.json`, measured by "
+        "`python -m benchmarks.slopes` on one machine that was also busy with "
+        "other work; bytes count both directions. What is worked out and not "
+        "measured is said so below.",
+        "",
+        f"Size: {fleet.nodes} nodes, {fleet.upstreams} upstreams, "
+        f"{fleet.requests_per_s:.0f} requests and "
+        f"{fleet.tokens_per_s:.0f} tokens a second, "
+        f"{fleet.workspaces} workspaces, "
+        f"{fleet.changes_per_day:.0f} changes a day.",
+        "",
+        "## Control on one node",
+        "",
+        "| role | what | mechanism | % of a core | MB | B/s |",
+        "| --- | --- | --- | --- | --- | --- |",
+        *(_render_row(row) for row in rows),
+        _render_total(fleet, rows),
+        "",
+        "Worked out, not measured at this size: the host list (130 B a row in "
+        "JSON), the flush (its interval follows 1,000 B/s, at most 25 s) and "
+        "one changed chunk of 100 kB a change. Grants and holds are measured "
+        "in bytes and worked out in number.",
+        "",
+        "## The request path",
+        "",
+        *_render_request_path(fleet, slopes),
+        "",
+        "## The store",
+        "",
+        *_render_store(fleet, slopes),
+        "",
+        "## What breaks first",
+        "",
+        *_render_breaks(fleet, rows),
+        "",
+    ]
+    return "\n".join(lines)
+
+
+def _render_row(row: Row) -> str:
+    return (
+        f"| {row.role} | {row.what} | {row.mechanism} "
+        f"| {row.core_percent:.2f} | {row.megabytes:.1f} "
+        f"| {row.bytes_per_s:.0f} |"
+    )
+
+
+def _render_total(fleet: Fleet, rows: Sequence[Row]) -> str:
+    return (
+        "| **node** | **sum** | limits: "
+        f"{fleet.max_core_percent}%, {fleet.max_megabytes:.0f} MB, "
+        f"{fleet.max_bytes_per_s:.0f} B/s "
+        f"| **{sum(r.core_percent for r in rows):.2f}** "
+        f"| **{sum(r.megabytes for r in rows):.1f}** "
+        f"| **{sum(r.bytes_per_s for r in rows):.0f}** |"
+    )
+
+
+def _render_request_path(fleet: Fleet, slopes: Slopes) -> list[str]:
+    requests = fleet.requests_per_s / fleet.nodes
+    cpu_s = slopes.at("request_cpu", 1)
+    return [
+        f"One small model request costs an entry {1e6 * cpu_s:.0f} us of "
+        f"processor time, decisions, usage and both HTTP sides included. "
+        f"{requests:.0f} requests a second a node are "
+        f"{100 * requests * cpu_s:.1f}% of a core before their tokens; "
+        f"{fleet.tokens_per_s / fleet.nodes:.0f} tokens a second a node come "
+        "on top and are no part of control."
+    ]
+
+
+def _render_store(fleet: Fleet, slopes: Slopes) -> list[str]:
+    calls = slopes.at("calm_store_calls", fleet.nodes)
+    writes = fleet.nodes / 25.0
+    return [
+        f"In calm one entry with its controller adds "
+        f"{slopes.slope('calm_store_calls'):.2f} calls a second (measured at "
+        f"3 and 9). Carried on to {fleet.nodes} nodes that is {calls:.0f} calls "
+        f"a second of about {fleet.store_reads_per_s:.0f} reads; the watches "
+        "alone stretch with the fleet, so the truth lies below. Flushes at "
+        f"their longest interval are {writes:.0f} writes a second of several "
+        "hundred.",
+    ]
+
+
+def _render_breaks(fleet: Fleet, rows: Sequence[Row]) -> list[str]:
+    by_bytes = sorted(rows, key=lambda row: -row.bytes_per_s)
+    by_memory = sorted(rows, key=lambda row: -row.megabytes)
+    over_bytes = sum(r.bytes_per_s for r in rows) / fleet.max_bytes_per_s
+    over_memory = sum(r.megabytes for r in rows) / fleet.max_megabytes
+    over_core = sum(r.core_percent for r in rows) / fleet.max_core_percent
+    return [
+        f"- Bytes: {over_bytes:.1f} times the limit. First: "
+        + ", ".join(
+            f"{r.what} ({r.role}, {r.bytes_per_s:.0f} B/s)"
+            for r in by_bytes[:3]
+        )
+        + ".",
+        f"- Memory: {over_memory:.2f} times the limit. First: "
+        + ", ".join(
+            f"{r.what} ({r.role}, {r.megabytes:.0f} MB)" for r in by_memory[:3]
+        )
+        + ".",
+        f"- Processor: {over_core:.2f} times the limit.",
+    ]
+
+
+def main(argv: Sequence[str] | None = None) -> None:
+    """Write the page."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("slopes", type=pathlib.Path)
+    parser.add_argument("page", type=pathlib.Path)
+    options = parser.parse_args(argv)
+    slopes = Slopes(json.loads(options.slopes.read_text()))
+    options.page.write_text(render(Fleet(), slopes))
+
+
+if __name__ == "__main__":
+    main()
