--- /dev/null
+++ b/tests/docs/test_walkthrough.py
@@ -0,0 +1,44 @@
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).parents[2]
+TIME_LIMIT_S = 120
+
+
+def test_walkthrough_of_the_operators_page_runs(tmp_path: pathlib.Path) -> None:
+    page = (ROOT / "docs" / "OPERATORS.md").read_text()
+    blocks = re.findall(r"^```sh\n(.*?)^```", page, re.MULTILINE | re.DOTALL)
+    script = "set -euo pipefail\n" + "".join(blocks)
+    binaries = str(pathlib.Path(sys.executable).parent)
+    environment = {
+        **os.environ,
+        "PATH": f"{binaries}{os.pathsep}{os.environ['PATH']}",
+    }
+    process = subprocess.Popen(
+        ["bash", "-c", script],
+        cwd=tmp_path,
+        env=environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        start_new_session=True,
+    )
+    try:
+        output, _ = process.communicate(timeout=TIME_LIMIT_S)
+    finally:
+        _end_group(process.pid)
+    logs = "".join(path.read_text() for path in tmp_path.glob("*.log"))
+    assert process.returncode == 0, output + logs
+    assert "left the club" in output
+    assert "granted" in output or "attempt" in output
+
+
+def _end_group(leader_pid: int) -> None:
+    try:
+        os.killpg(leader_pid, signal.SIGKILL)
+    except ProcessLookupError:
+        return
