--- a/src/shallotfold/_entry/attempts.py
+++ b/src/shallotfold/_entry/attempts.py
@@ -18,6 +18,8 @@
 MAX_FAILURES = 4
 MIN_STALL_S = 2.0
 STALL_FACTOR = 5.0
+ALIVE_S = 1.0
+SLOW_CALLER_S = 30.0
 WHOLE_ANSWER_STALL_S = 30.0
 
 
@@ -100,6 +102,7 @@
 ) -> bool:
     """Whether an ended attempt may be followed by another one."""
     request = opened.request
+    opened.text_resumable = opened.text_resumable and event.resumable
     if event.answer_started and not (
         event.resumable and opened.resumable and request.streaming
     ):
@@ -111,6 +114,8 @@
     """Whether a further attempt is safe and within the budget."""
     if opened.maybe_ran and not opened.request.idempotent:
         return False
+    if opened.output_tokens and not opened.resumable:
+        return False
     if opened.failures >= MAX_FAILURES:
         return False
     return state.requests.retry_budget.take()
@@ -129,9 +134,24 @@
     else:
         expected_s = estimates.gap_s
         silent_s = now_s - opened.last_token_s
+        if silent_s < SLOW_CALLER_S and _answers_others(state, opened, now_s):
+            return False
     return silent_s > max(MIN_STALL_S, STALL_FACTOR * expected_s)
 
 
+def _answers_others(
+    state: EntryState, opened: OpenRequest, now_s: float
+) -> bool:
+    """Whether the upstream serves other streams, so that a caller is slow."""
+    return any(
+        other is not opened
+        and other.phase is Phase.RUNNING
+        and other.upstream == opened.upstream
+        and now_s - other.last_token_s < ALIVE_S
+        for other in state.requests.open_by_id.values()
+    )
+
+
 def _whole_limit_s(state: EntryState, opened: OpenRequest) -> float:
     classes = state.configuration.current.classes_by_name
     request_class = classes.get(opened.class_name)
--- a/src/shallotfold/_entry/events.py
+++ b/src/shallotfold/_entry/events.py
@@ -58,11 +58,19 @@
 
 @attrs.frozen(kw_only=True)
 class TokensForwarded(Event):
-    """Tokens of an attempt were written to the caller."""
+    """Tokens of an attempt were written to the caller.
+
+    Attributes:
+        request_id: Id of the request.
+        attempt: Number of the attempt.
+        count: New tokens.
+        resumable: Whether a further attempt can go on after them.
+    """
 
     request_id: str
     attempt: int
     count: int
+    resumable: bool = True
 
 
 @attrs.frozen(kw_only=True)
@@ -139,7 +147,8 @@
     Attributes:
         version: Its version.
         configuration: Its content.
-        document: Canonical bytes, passed on to peers.
+        document: Its chunks, packed by `_fleet.chunk_loader`, or canonical
+            JSON; passed on to peers.
         sha256: Digest of the document.
     """
 
--- a/src/shallotfold/_entry/granting.py
+++ b/src/shallotfold/_entry/granting.py
@@ -6,6 +6,7 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import floors
+from shallotfold._entry import ownership
 from shallotfold._entry import preemption
 from shallotfold._entry import routing
 from shallotfold._entry.pool_queue import AttemptKey
@@ -22,6 +23,8 @@
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 30.0
 HIGHEST_PRIORITY = 1
+TAKE_OVER_S = 0.3
+URGENT_S = 1.0
 
 
 def grant_waiting(
@@ -33,7 +36,7 @@
         free = routing.free_upstreams(state, pool, now_s)
         if not free:
             break
-        chosen = _next(state, pool, free)
+        chosen = _next(state, pool, free, now_s)
         if chosen is None:
             break
         done.extend(_grant(state, pool, *chosen, now_s))
@@ -44,7 +47,11 @@
     state: EntryState, pool: Pool, now_s: float
 ) -> list[effects.Effect]:
     """Refuse requests that can no longer meet their target."""
-    grace_s = preemption.GRACE_S if preemption.pending(pool, now_s) else 0.0
+    if not pool.queue.waiting_by_attempt:
+        return []
+    grace_s = 0.0
+    if preemption.pending(state, pool, now_s):
+        grace_s = preemption.GRACE_S
     expired = [
         waiting
         for waiting in pool.queue.waiting_by_attempt.values()
@@ -82,27 +89,54 @@
 
 
 def _next(
-    state: EntryState, pool: Pool, free: list[routing.Candidate]
+    state: EntryState,
+    pool: Pool,
+    free: list[routing.Candidate],
+    now_s: float,
 ) -> tuple[QueuedGrant, Upstream, bool] | None:
     """Return the next request with its upstream, and whether it is a floor."""
+    if _settles(state, pool, now_s):
+        return _next_urgent(state, pool, free, now_s)
     classes = pool.queue.classes()
     top = pool.queue.queues_by_class[classes[0]].tier
     for class_name in classes:
         if pool.queue.queues_by_class[class_name].tier == top:
             continue
         head = next(pool.queue.heads(class_name))
-        if floors.due(state, pool, head):
-            upstream = routing.choose(state, pool, free, head)
+        if floors.due(state, pool, head, now_s):
+            upstream = routing.choose(state, pool, free, head, now_s)
             if upstream is not None:
                 return head, upstream, True
     for class_name in classes:
         for head in pool.queue.heads(class_name):
-            upstream = routing.choose(state, pool, free, head)
+            upstream = routing.choose(state, pool, free, head, now_s)
             if upstream is not None:
                 return head, upstream, False
     return None
 
 
+def _settles(state: EntryState, pool: Pool, now_s: float) -> bool:
+    """Whether announcements of what runs may still be on their way."""
+    alone = len(ownership.candidates(state)) == 1
+    return not alone and now_s - pool.taken_over_s < TAKE_OVER_S
+
+
+def _next_urgent(
+    state: EntryState,
+    pool: Pool,
+    free: list[routing.Candidate],
+    now_s: float,
+) -> tuple[QueuedGrant, Upstream, bool] | None:
+    """Return the next request that can't wait until a new owner knows all."""
+    for class_name in pool.queue.classes():
+        for head in pool.queue.heads(class_name):
+            if head.expires_s - now_s < URGENT_S:
+                upstream = routing.choose(state, pool, free, head, now_s)
+                if upstream is not None:
+                    return head, upstream, False
+    return None
+
+
 def _grant(
     state: EntryState,
     pool: Pool,
--- a/tests/entry/test_pools.py
+++ b/tests/entry/test_pools.py
@@ -14,9 +14,11 @@
 from shallotfold._model.upstreams import HostRole
 from shallotfold._model.upstreams import HostState
 from shallotfold._model.upstreams import UpstreamLoad
+from shallotfold._wire import grant_messages
 from tests.entry.reducing import CONFIGURATION
 from tests.entry.reducing import Entry
 from tests.entry.reducing import make_entry
+from tests.entry.reducing import make_upstream
 from tests.entry.reducing import refusals
 from tests.entry.reducing import started
 
@@ -103,6 +105,18 @@
     assert started(entry.end("running", Outcome.RAN)) == []
 
 
+def test_whole_answer_leaves_an_upstream_that_went_silent() -> None:
+    entry = make_entry()
+    entry.arrive("r1", model="two", class_name="tags")
+    silent = entry.state.requests.open_by_id["r1"].upstream
+    entry.wait(3.0)
+    for _ in range(3):
+        failed = events.LoadFetchFailed(now_s=entry.now_s, upstream=silent)
+        entry.feed(failed)
+    assert started(entry.wait(0.2)) == ["r1"]
+    assert entry.state.requests.open_by_id["r1"].upstream != silent
+
+
 def test_leaving_upstream_gets_nothing_new() -> None:
     entry = make_entry()
     for name in ("a1", "a2"):
@@ -160,6 +174,91 @@
     assert share.order(["busy", "idle"]) == ["busy", "idle"]
 
 
+def test_entry_cut_off_from_most_others_uses_its_share_only() -> None:
+    upstreams = {"m1": make_upstream("m1", model="one", slots=18)}
+    entry = make_entry(attrs.evolve(CONFIGURATION, upstreams_by_name=upstreams))
+    hosts = [
+        HostRecord(
+            name=f"e{number}",
+            role=HostRole.ENTRY,
+            state=HostState.LIVE,
+            data_centre="a",
+            address="",
+        )
+        for number in range(1, 10)
+    ]
+    entry.feed(events.HostsListed(now_s=entry.now_s, hosts=hosts))
+    entry.feed(
+        events.VersionConfirmed(
+            now_s=entry.now_s, version=1, read_started_s=entry.now_s
+        )
+    )
+    for number in range(5):
+        entry.arrive(f"r{number}")
+    assert started(entry.seen) == ["r0", "r1"]
+
+
+def test_silent_owner_is_passed_over_within_a_first_token() -> None:
+    entry = make_entry()
+    for peer in ("e2", "e3"):
+        entry.feed(events.PeerConnected(now_s=entry.now_s, host=peer))
+    entry.feed(
+        events.VersionConfirmed(
+            now_s=entry.now_s, version=1, read_started_s=entry.now_s
+        )
+    )
+    first = rendezvous("model/one#0", ("e1", "e2", "e3"))
+    assert first != "e1", "the test needs another owner"
+    entry.arrive("r1")
+    found = entry.wait(0.3)
+    asked = [
+        e.host
+        for e in found
+        if isinstance(e, effects.SendToPeer)
+        and isinstance(e.message, grant_messages.GrantRequest)
+    ]
+    assert first not in asked
+    assert asked or started(found) == ["r1"]
+
+
+def grants_after_request(entry: Entry, slack_s: float) -> list[str]:
+    request = grant_messages.GrantRequest(
+        pool="model/one#0",
+        request_id="r1",
+        attempt=1,
+        class_name="tags",
+        workspace="north",
+        prompt_tokens=1,
+        output_tokens=1,
+        waited_s=0.0,
+        slack_s=slack_s,
+        redirects=1,
+    )
+    found = entry.feed(
+        events.PeerMessageReceived(
+            now_s=entry.now_s, host="e2", message=request
+        )
+    )
+    return [
+        e.message.upstream
+        for e in found
+        if isinstance(e, effects.SendToPeer)
+        and isinstance(e.message, grant_messages.Grant)
+    ]
+
+
+def test_new_owner_grants_only_what_is_urgent_until_it_knows_what_runs() -> (
+    None
+):
+    for slack_s, expected in ((20.0, []), (0.5, ["m1"])):
+        entry = make_entry()
+        entry.feed(events.PeerConnected(now_s=entry.now_s, host="e2"))
+        assert grants_after_request(entry, slack_s) == expected
+        entry.wait(0.5)
+        pool = entry.state.pools.pools_by_name["model/one#0"]
+        assert list(pool.running_by_attempt) == [("r1", 1)]
+
+
 def test_few_pools_move_when_an_entry_leaves() -> None:
     hosts = tuple(f"e{index}" for index in range(9))
     pools = [f"pool-{index}" for index in range(200)]
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -1,3 +1,6 @@
+import attrs
+import pytest
+
 from shallotfold._entry import effects
 from shallotfold._entry import events
 from shallotfold._entry import retry_budget
@@ -5,8 +8,10 @@
 from shallotfold._model.requests import RecordedAnswer
 from shallotfold._model.requests import RefusalCode
 from shallotfold._wire import grant_messages
+from tests.entry.reducing import CONFIGURATION
 from tests.entry.reducing import Entry
 from tests.entry.reducing import make_entry
+from tests.entry.reducing import make_upstream
 from tests.entry.reducing import refusals
 from tests.entry.reducing import started
 
@@ -62,6 +67,31 @@
     assert [e.resume for e in starts] == [True]
 
 
+def test_stream_with_tool_calls_is_neither_resumed_nor_preempted() -> None:
+    entry = make_entry()
+    entry.arrive("r1", model="two", streaming=True)
+    entry.feed(
+        events.TokensForwarded(
+            now_s=entry.now_s,
+            request_id="r1",
+            attempt=1,
+            count=7,
+            resumable=False,
+        )
+    )
+    preempted = entry.feed(
+        events.PeerMessageReceived(
+            now_s=entry.now_s,
+            host="e1",
+            message=grant_messages.GrantPreempted(request_id="r1", attempt=1),
+        )
+    )
+    assert preempted == []
+    ended = entry.end("r1", Outcome.UNKNOWN, answer_started=True)
+    assert started(ended) == []
+    assert refusals(ended)[0].refusal.outcome is Outcome.UNKNOWN
+
+
 def test_end_of_an_earlier_attempt_is_ignored() -> None:
     entry = make_entry()
     entry.arrive("r1", model="two")
@@ -81,6 +111,19 @@
     assert started(found) == ["r1"]
 
 
+def test_slow_caller_is_not_taken_for_a_silent_upstream() -> None:
+    upstreams = {"m1": make_upstream("m1", model="one", slots=2)}
+    entry = make_entry(attrs.evolve(CONFIGURATION, upstreams_by_name=upstreams))
+    for request_id in ("slow", "quick"):
+        entry.arrive(request_id, streaming=True)
+        entry.progress(request_id)
+    for _ in range(8):
+        entry.wait(0.5)
+        entry.progress("quick")
+    stopped = [e for e in entry.seen if isinstance(e, effects.CancelAttempt)]
+    assert stopped == []
+
+
 def test_order_waits_for_its_claim() -> None:
     entry = make_entry()
     found = entry.order("r1", idempotency_key="k")
@@ -123,13 +166,12 @@
     assert effects.ReplayAnswer(request_id="r1", answer=answer) in found
 
 
-def test_unknown_first_run_is_said_as_unknown() -> None:
+@pytest.mark.parametrize("reason", ["UPSTREAM_FAILED", "IN_PROGRESS"])
+def test_unknown_first_run_is_said_as_unknown(reason: str) -> None:
     entry = make_entry()
     entry.order("r1", idempotency_key="k")
     found = entry.feed(
-        events.ClaimFailed(
-            now_s=entry.now_s, request_id="r1", reason="UPSTREAM_FAILED"
-        )
+        events.ClaimFailed(now_s=entry.now_s, request_id="r1", reason=reason)
     )
     assert refusals(found)[0].refusal.outcome is Outcome.UNKNOWN
 
