Preempt only where the urgent request may run

An upstream that used to report its load and is silent is no longer probed by requests for 15 s; its next report reopens it.

--- a/src/shallotfold/_entry/preemption.py
+++ b/src/shallotfold/_entry/preemption.py
@@ -81,12 +81,16 @@
 
 
 def _usable(state: EntryState, pool: Pool, now_s: float) -> set[str]:
-    """Return the upstreams that take new work."""
-    return {
+    """Return the upstreams whose slots an urgent request could use."""
+    taking = {
         upstream.name
         for upstream in state.pools.catalog.upstreams_by_pool.get(pool.name, ())
         if routing.limit_of(state, upstream, now_s)
     }
+    trusted = {
+        name for name in taking if not routing.health_of(state, name).probing
+    }
+    return trusted or taking
 
 
 def move_from_bad_upstreams(
--- a/src/shallotfold/_entry/upstream_health.py
+++ b/src/shallotfold/_entry/upstream_health.py
@@ -67,6 +67,9 @@
         """Return how many requests it may run at once."""
         if now_s < self.closed_until_s or self.leaving:
             return 0
+        overdue = now_s - self.closed_until_s > MAX_BACKOFF_S
+        if self.load is not None and self.is_silent(now_s) and not overdue:
+            return 0
         if self.probing:
             return 1
         if self.load is not None and self.load.slots:
--- a/tests/entry/test_pools.py
+++ b/tests/entry/test_pools.py
@@ -71,6 +71,20 @@
     assert started(ended) == ["high-1"]
 
 
+def test_victim_runs_where_the_urgent_request_may_run() -> None:
+    entry = make_entry()
+    for name in ("low-0", "low-1"):
+        entry.arrive(name, model="two", class_name="tags")
+        entry.wait(0.1)
+    doubtful = entry.state.requests.open_by_id["low-1"].upstream
+    entry.state.pools.health_by_upstream[doubtful].probing = True
+    entry.arrive("high", model="two")
+    found = entry.wait(1.5)
+    cancelled = [e for e in found if isinstance(e, effects.CancelAttempt)]
+    assert [e.request_id for e in cancelled] == ["low-0"]
+    assert "high" in started(found)
+
+
 def test_floor_attempt_is_not_preempted() -> None:
     entry = make_entry_with_floor()
     entry.arrive("low", class_name="tags")
