--- a/benchmarks/policy_model/checker.py
+++ b/benchmarks/policy_model/checker.py
@@ -291,6 +291,7 @@
             name = self._class_of(attempt.request_id).name
             together = sum(
                 other.stopped_s > attempt.started_s
+                and not self._is_faulty(other.upstream, attempt.started_s)
                 and self._class_of(other.request_id).name == name
                 for other in started[: index + 1]
             )
