--- a/src/shallotfold/_entry/callers.py
+++ b/src/shallotfold/_entry/callers.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import logging
 import time
+from typing import Any
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
@@ -27,6 +30,7 @@
 from shallotfold._entry.intake import new_request_id
 from shallotfold._entry.refusals import error_event
 from shallotfold._entry.refusals import refusal_response
+from shallotfold._entry.shell import FAULT_REFUSAL
 from shallotfold._entry.shell import EntryShell
 from shallotfold._entry.sse import END_EVENT
 from shallotfold._model.requests import Refusal
@@ -36,6 +40,8 @@
 
 KEEPALIVE_TIMEOUT_S = 75.0
 CLOSE_TIMEOUT_S = 1.0
+LAST_REQUESTS_S = 0.3
+Serve = Callable[[web.BaseRequest, str], Awaitable[web.StreamResponse]]
 _HTTP_LOGGER = "shallotfold.callers"
 
 
@@ -54,7 +60,7 @@
         self._shell = shell
         self._exchanges = exchanges
         self._intake = Intake(settings.callers, shell.state)
-        self._runner: web.AppRunner | None = None
+        self._runner: web.ServerRunner | None = None
         self._handlers_by_path = {
             CHAT_PATH: self._serve_model,
             COMPLETION_PATH: self._serve_model,
@@ -78,13 +84,13 @@
             OSError: The address can't be used.
         """
         bounds = self._settings.callers
-        app = web.Application(client_max_size=bounds.max_body_bytes)
-        app.router.add_route("*", "/{path:.*}", self._serve)
         quiet = logging.getLogger(_HTTP_LOGGER)
         quiet.setLevel(logging.ERROR)
         quiet.addFilter(_without_quotes)
-        self._runner = web.AppRunner(
-            app,
+        # One handler for all paths needs no application and no router.
+        server = web.Server(
+            self._serve,
+            request_factory=self._make_request,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
@@ -92,7 +98,9 @@
             logger=quiet,
             max_line_size=bounds.max_header_bytes,
             max_field_size=bounds.max_header_bytes,
-            shutdown_timeout=CLOSE_TIMEOUT_S,
+        )
+        self._runner = web.ServerRunner(
+            server, shutdown_timeout=CLOSE_TIMEOUT_S
         )
         await self._runner.setup()
         listen = self._settings.caller_address
@@ -103,28 +111,63 @@
 
     async def close(self) -> None:
         """Stop listening and end what is left."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._runner is None:
+            return
+        for site in list(self._runner.sites):
+            await site.stop()
+        if self._shell.state.draining:
+            # Connections that were just accepted bring their request yet.
+            await asyncio.sleep(LAST_REQUESTS_S)
+        await self._runner.cleanup()
+
+    def _make_request(
+        self,
+        message: Any,
+        payload: Any,
+        protocol: Any,
+        writer: Any,
+        task: Any,
+    ) -> web.BaseRequest:
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=self._settings.callers.max_body_bytes,
+        )
 
     def _set_ready(self, effect: effects.SetReady) -> None:
         self.ready = effect.ready
 
-    async def _serve(self, web_request: web.Request) -> web.StreamResponse:
+    async def _serve(self, web_request: web.BaseRequest) -> web.StreamResponse:
         serve = self._handlers_by_path.get(web_request.path, self._serve_plain)
         request_id = new_request_id()
+        response = await self._respond(serve, web_request, request_id)
+        if self._shell.state.draining and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _respond(
+        self, serve: Serve, web_request: web.BaseRequest, request_id: str
+    ) -> web.StreamResponse:
         try:
             return await serve(web_request, request_id)
         except parsing.RejectedRequestError as rejected:
             return refusal_response(rejected.refusal, request_id)
+        except CallerGoneError:
+            # Nobody reads this; the connection is closed already.
+            return refusal_response(FAULT_REFUSAL, request_id)
 
     async def _serve_health(
-        self, web_request: web.Request, request_id: str
+        self, web_request: web.BaseRequest, request_id: str
     ) -> web.Response:
         del web_request, request_id
         return web.json_response({"alive": True})
 
     async def _serve_readiness(
-        self, web_request: web.Request, request_id: str
+        self, web_request: web.BaseRequest, request_id: str
     ) -> web.Response:
         del web_request, request_id
         state = self._shell.state
@@ -138,7 +181,7 @@
         )
 
     async def _serve_models(
-        self, web_request: web.Request, request_id: str
+        self, web_request: web.BaseRequest, request_id: str
     ) -> web.Response:
         digest = digest_of_key(headers.bearer_key(web_request.headers))
         state = self._shell.state
@@ -161,7 +204,7 @@
         )
 
     async def _serve_model(
-        self, web_request: web.Request, request_id: str
+        self, web_request: web.BaseRequest, request_id: str
     ) -> web.StreamResponse:
         if web_request.method != "POST":
             parsing.reject("Use POST for this path.")
@@ -172,7 +215,7 @@
         return await self._serve_exchange(exchange)
 
     async def _serve_plain(
-        self, web_request: web.Request, request_id: str
+        self, web_request: web.BaseRequest, request_id: str
     ) -> web.StreamResponse:
         self._check_ready()
         exchange = await self._intake.read_plain_request(
@@ -210,6 +253,7 @@
                 )
             )
             if isinstance(gone, CallerGoneError) and exchange.response:
+                _break_connection(exchange)
                 return exchange.response
             raise
         finally:
@@ -258,6 +302,13 @@
     return True
 
 
+def _break_connection(exchange: Exchange) -> None:
+    """Close a caller's connection so that a part is not taken as whole."""
+    transport = exchange.web_request.transport
+    if transport is not None:
+        transport.abort()
+
+
 def _replay(exchange: Exchange, ending: Replayed) -> web.Response:
     answer = ending.answer
     chosen = {headers.REQUEST_ID: exchange.request_id}
