--- a/src/shallotfold/_controller/duties.py
+++ b/src/shallotfold/_controller/duties.py
@@ -19,7 +19,7 @@
 CANDIDATES = 3
 """Hosts per duty that read the duties often and acquire them first."""
 
-CANDIDATE_POLL_S = 1.0
+CANDIDATE_POLL_S = 2.0
 OTHER_POLL_S = 30.0
 RANK_DELAY_S = 1.5
 
