--- a/src/shallotfold/_entry/exchange.py
+++ b/src/shallotfold/_entry/exchange.py
@@ -70,7 +70,7 @@
         upstream_headers: Headers for the upstream.
         body: Body for the upstream.
         write_timeout_s: Longest wait for the caller to take bytes.
-        ended: Set once to the final ending.
+        ended: Set once to the final ending; raises `CallerGoneError`.
         attempt: Task of the running attempt.
         response: The streamed answer; `None` before its first byte.
         answer: The answer held back; `None` before it is whole.
@@ -81,7 +81,7 @@
     """
 
     request: CallerRequest
-    web_request: web.Request
+    web_request: web.BaseRequest
     path: str
     upstream_headers: dict[str, str]
     body: bytes
@@ -115,6 +115,11 @@
         if not self.ended.done():
             self.ended.set_result(ending)
 
+    def abandon(self, gone: CallerGoneError) -> None:
+        """Wake whoever waits for the ending with the caller's leaving."""
+        if not self.ended.done():
+            self.ended.set_exception(gone)
+
     def add_text(self, text: str) -> None:
         """Remember text that is about to be written to the caller."""
         self._text_characters += len(text)
@@ -139,12 +144,15 @@
         except (ConnectionError, TimeoutError) as error:
             raise CallerGoneError from error
 
-    def count_tokens(
-        self, count: int, deliver: Callable[[events.Event], None]
-    ) -> None:
-        """Count tokens at the caller; tell the reducer now and then."""
+    def count_tokens(self, count: int) -> None:
+        """Count tokens that are about to be written to the caller."""
         self.tokens += count
         self._unreported_tokens += count
+
+    def report_tokens_if_due(
+        self, deliver: Callable[[events.Event], None]
+    ) -> None:
+        """Tell the reducer about new tokens, but not about each one."""
         if time.monotonic() - self._reported_s >= TOKENS_REPORT_INTERVAL_S:
             self.report_tokens(deliver)
 
@@ -161,6 +169,7 @@
                 request_id=self.request_id,
                 attempt=self.attempt_number,
                 count=count,
+                resumable=self.resumable,
             )
         )
 
