--- a/src/shallotfold/_entry/pool_state.py
+++ b/src/shallotfold/_entry/pool_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
 from shallotfold._entry.catalog import Catalog
@@ -12,6 +14,12 @@
 from shallotfold._entry.upstream_health import UpstreamHealth
 from shallotfold._model.upstreams import HostRecord
 
+if TYPE_CHECKING:
+    from shallotfold._entry.state import EntryState
+
+# Tier of a class that the configuration does not know (yet).
+LOWEST_TIER = 5
+
 
 @attrs.define(kw_only=True)
 class RunningGrant:
@@ -60,6 +68,10 @@
         ended_by_attempt: When attempts ended that must not come back.
         floor_credit_by_class: Cost that each class may be served ahead.
         estimates: What was learned about its answers.
+        owned: Whether this entry was its owner at the last request.
+        asked_s: When the last request came; -1 before the first.
+        taken_over_s: When this entry began to grant; what other entries run
+            may not be announced yet.
     """
 
     name: str
@@ -71,6 +83,9 @@
     ended_by_attempt: dict[AttemptKey, float] = attrs.field(factory=dict)
     floor_credit_by_class: dict[str, float] = attrs.field(factory=dict)
     estimates: Estimates = attrs.field(factory=Estimates)
+    owned: bool = False
+    asked_s: float = -1.0
+    taken_over_s: float = -1.0
 
     def start(self, key: AttemptKey, running: RunningGrant) -> None:
         """Occupy a slot."""
@@ -111,3 +126,11 @@
     health_by_upstream: dict[str, UpstreamHealth] = attrs.field(factory=dict)
     prefixes: PrefixIndex = attrs.field(factory=PrefixIndex)
     judged_s: float = 0.0
+
+
+def get_pool(state: EntryState, name: str) -> Pool:
+    """Return a pool of this entry, new if it was never asked about."""
+    pool = state.pools.pools_by_name.get(name)
+    if pool is None:
+        pool = state.pools.pools_by_name[name] = Pool(name=name)
+    return pool
