--- a/examples/mwangaza.py
+++ b/examples/mwangaza.py
@@ -109,6 +109,7 @@
             model=PROPOSAL_MODEL,
             price_per_hour=1.2,
             reclaimable=True,
+            credential="engines",
         )
 
 
--- a/examples/switchback.py
+++ b/examples/switchback.py
@@ -99,6 +99,7 @@
             model=TRAIL_MODEL,
             price_per_hour=0.6,
             reclaimable=True,
+            credential="engines",
         )
 
 
--- a/src/shallotfold/_entry/catalog.py
+++ b/src/shallotfold/_entry/catalog.py
@@ -60,6 +60,7 @@
                 tokens_per_s=offer.tokens_per_s,
                 price_per_hour=offer.price_per_hour,
                 reclaimable=offer.reclaimable,
+                credential=offer.credential,
             )
     by_pool, pools = _group(upstreams)
     return Catalog(
--- a/src/shallotfold/_model/configuration.py
+++ b/src/shallotfold/_model/configuration.py
@@ -151,6 +151,7 @@
         reclaimable: Whether the platform may take it back at any moment.
         start_s: Time from the order until it serves, with weights loaded.
         max_count: Most upstreams of this kind that may run at once.
+        credential: Name of the credential in the settings of the entries.
     """
 
     name: str
@@ -162,6 +163,7 @@
     reclaimable: bool = False
     start_s: float = 60.0
     max_count: int = 4
+    credential: str = ""
 
 
 @attrs.frozen(kw_only=True)
