--- a/src/shallotfold/_entry/refusals.py
+++ b/src/shallotfold/_entry/refusals.py
@@ -40,6 +40,11 @@
 }
 
 
+def status_of(code: RefusalCode) -> int:
+    """Return the HTTP status of a refusal."""
+    return _STATUS_BY_CODE[code]
+
+
 def error_object(refusal: Refusal) -> dict[str, Any]:
     """Return the error object of a refusal."""
     status = _STATUS_BY_CODE[refusal.code]
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -5,6 +5,8 @@
 import pytest
 
 from benchmarks import capacity
+from shallotfold._entry.refusals import status_of
+from shallotfold._model import requests
 
 ROOT = pathlib.Path(__file__).parents[2]
 PROOFS = (ROOT / "docs" / "PROOFS.md").read_text()
@@ -27,6 +29,15 @@
     assert page == (ROOT / "docs/CAPACITY.md").read_text()
 
 
+def test_callers_page_lists_every_refusal_with_its_status() -> None:
+    page = (ROOT / "docs/CALLERS.md").read_text()
+    rows = re.findall(r"^\| `(\w+)` \| (\d+) \|", page, flags=re.MULTILINE)
+    statuses = {
+        code.value: str(status_of(code)) for code in requests.RefusalCode
+    }
+    assert dict(rows) == statuses
+
+
 def test_links_between_pages_lead_somewhere() -> None:
     pages = [*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")]
     for page in pages:
