Count an upstream that left the host list as gone when planning orders

Ruled out: counting every unlisted upstream as gone; a declared one may never be listed, and an ordered one is not listed while it starts.

--- a/src/shallotfold/_controller/knowledge.py
+++ b/src/shallotfold/_controller/knowledge.py
@@ -7,6 +7,7 @@
 from shallotfold._controller import effects
 from shallotfold._controller import placement
 from shallotfold._controller.duties import CANDIDATES
+from shallotfold._model.upstreams import HostRole
 
 if TYPE_CHECKING:
     from shallotfold._controller import events
@@ -37,7 +38,13 @@
     state: ControllerState, event: events.HostsListed
 ) -> list[effects.Effect]:
     """Take over the platform's list."""
+    listed_before = state.missing_upstreams | {
+        host.name
+        for host in state.hosts_by_name.values()
+        if host.role is HostRole.UPSTREAM
+    }
     state.hosts_by_name = {host.name: host for host in event.hosts}
+    state.missing_upstreams = listed_before - state.hosts_by_name.keys()
     return []
 
 
--- a/src/shallotfold/_controller/order_planning.py
+++ b/src/shallotfold/_controller/order_planning.py
@@ -142,7 +142,8 @@
 ) -> UpstreamPhase:
     record = state.hosts_by_name.get(name)
     if record is None:
-        return unlisted
+        gone = name in state.missing_upstreams
+        return UpstreamPhase.LEAVING if gone else unlisted
     if record.state is HostState.LEAVING:
         return UpstreamPhase.LEAVING
     return UpstreamPhase.SERVING
--- a/src/shallotfold/_controller/state.py
+++ b/src/shallotfold/_controller/state.py
@@ -24,6 +24,7 @@
         version: Version of the configuration; 0 before any was read.
         configuration: Newest configuration.
         hosts_by_name: The platform's lagging host list.
+        missing_upstreams: Upstreams that were on the list and are not any more.
         duties: Lease and duties.
         orders: Orders of the held data centres.
         usage: Usage shards that are held.
@@ -41,6 +42,7 @@
     version: int = 0
     configuration: Configuration = attrs.field(factory=Configuration)
     hosts_by_name: dict[str, HostRecord] = attrs.field(factory=dict)
+    missing_upstreams: set[str] = attrs.field(factory=set)
     duties: DutiesState = attrs.field(factory=DutiesState)
     orders: OrdersState = attrs.field(factory=OrdersState)
     usage: UsageState = attrs.field(factory=UsageState)
