--- a/tests/docs/test_walkthrough.py
+++ b/tests/docs/test_walkthrough.py
@@ -13,7 +13,9 @@
     page = (ROOT / "docs" / "OPERATORS.md").read_text()
     blocks = re.findall(r"^```sh\n(.*?)^```", page, re.MULTILINE | re.DOTALL)
     # Without the trap, background jobs of a failed step hold the output open.
-    setup = "set -euo pipefail\ntrap 'kill $(jobs -p) 2>/dev/null' EXIT\n"
+    setup = (
+        "set -euo pipefail\ntrap 'kill $(jobs -p) 2>/dev/null || true' EXIT\n"
+    )
     script = setup + "".join(blocks)
     binaries = str(pathlib.Path(sys.executable).parent)
     environment = {
