Show duties, upstreams and usage on the command line

Cause: `status` knew only the entries, and nobody could read the frozen figures without the store's tools. Ruled out: asking a controller; the store already holds duties and figures, and the command must work while controllers restart.

--- a/src/shallotfold/_cli/operator_main.py
+++ b/src/shallotfold/_cli/operator_main.py
@@ -24,6 +24,8 @@
 from shallotfold._operator.commands import configuration
 from shallotfold._operator.commands import entries
 from shallotfold._operator.commands import keys
+from shallotfold._operator.commands import status
+from shallotfold._operator.commands import usage
 from shallotfold._operator.commands.context import CommandContext
 from shallotfold._operator.commands.context import StoreConnector
 from shallotfold._operator.commands.context import ask_on_terminal
@@ -198,8 +200,17 @@
 def _add_watching_commands(
     commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
 ) -> None:
-    status = commands.add_parser("status", help="show the entries")
-    status.set_defaults(command=lambda context, _: entries.status(context))
+    show = commands.add_parser(
+        "status", help="show entries, upstreams, duties and versions"
+    )
+    show.set_defaults(command=lambda context, _: status.status(context))
+    figures = commands.add_parser(
+        "usage", help="print the frozen usage figures of the latest windows"
+    )
+    figures.add_argument("--workspace", default="", help="only this one")
+    figures.set_defaults(
+        command=lambda context, o: usage.usage(context, o.workspace)
+    )
     explain = commands.add_parser(
         "explain", help="tell where a request went and why"
     )
--- a/src/shallotfold/_entry/operator_server.py
+++ b/src/shallotfold/_entry/operator_server.py
@@ -19,6 +19,7 @@
 from shallotfold._entry.headers import basic_password
 from shallotfold._entry.headers import bearer_key
 from shallotfold._entry.shell import EntryShell
+from shallotfold._entry.state import EntryState
 from shallotfold._settings.addresses import Address
 from shallotfold._settings.entry import OperatorSettings
 
@@ -137,6 +138,7 @@
                     for host in membership.live_entries(state)
                     if host != state.host
                 ],
+                "upstreams": _describe_upstreams(state, time.monotonic()),
                 "open_requests": len(opened),
                 "open_requests_by_class": collections.Counter(
                     request.class_name for request in opened
@@ -157,6 +159,21 @@
         )
 
 
+def _describe_upstreams(
+    state: EntryState, now_s: float
+) -> list[dict[str, str]]:
+    upstreams_by_name = state.pools.catalog.upstreams_by_name
+    return [
+        {
+            "name": name,
+            "data_centre": upstream.data_centre,
+            "serves": upstream.model or upstream.service,
+            "state": status_page.upstream_state(state, name, now_s),
+        }
+        for name, upstream in sorted(upstreams_by_name.items())
+    ]
+
+
 def _render(step: Step) -> dict[str, str]:
     at = datetime.datetime.fromtimestamp(step.at_s, datetime.UTC)
     return {"at": at.isoformat(), "step": step.step, "detail": step.detail}
--- a/src/shallotfold/_entry/status_page.py
+++ b/src/shallotfold/_entry/status_page.py
@@ -150,14 +150,15 @@
                 upstream.data_centre,
                 upstream.model or upstream.service,
                 upstream.slots,
-                _upstream_state(state, upstream.name, now_s),
+                upstream_state(state, upstream.name, now_s),
             )
             for _, upstream in sorted(catalog.upstreams_by_name.items())
         ],
     )
 
 
-def _upstream_state(state: EntryState, name: str, now_s: float) -> str:
+def upstream_state(state: EntryState, name: str, now_s: float) -> str:
+    """Return in words how this entry judges an upstream."""
     health = state.pools.health_by_upstream.get(name)
     if name in state.pools.catalog.leaving:
         return "leaving"
--- a/src/shallotfold/_operator/commands/entries.py
+++ b/src/shallotfold/_operator/commands/entries.py
@@ -1,4 +1,4 @@
-"""Ask the entries for their status and for what happened to a request."""
+"""Ask the entries what they are and what happened to a request."""
 
 import asyncio
 import pathlib
@@ -59,20 +59,6 @@
     return tuple(answers)
 
 
-async def status(context: CommandContext) -> None:
-    """Print one row per entry, and the JSON of each for programs."""
-    answers = await ask_entries(context.settings(), "/operator/status")
-    context.output.write_json(
-        {
-            "entries": [attrs.asdict(answer) for answer in answers],
-        }
-    )
-    context.output.write_table(
-        ("entry", "data centre", "version", "ready", "peers", "state"),
-        [_status_row(answer) for answer in answers],
-    )
-
-
 async def explain(context: CommandContext, request_id: str) -> None:
     """Print where a request went and why.
 
@@ -123,18 +109,3 @@
         return path.read_text(encoding="utf-8").strip()
     except OSError as error:
         raise UsageError(f"can't read {path}: {error.strerror}") from error
-
-
-def _status_row(answer: EntryAnswer) -> tuple[str, ...]:
-    content = answer.content
-    if answer.error or "host" not in content:
-        state = answer.error or f"HTTP status {answer.status}"
-        return (answer.url, "", "", "", "", state)
-    return (
-        str(content["host"]),
-        str(content.get("data_centre", "")),
-        str(content.get("configuration_version", "")),
-        "yes" if content.get("ready") else "no",
-        str(len(content.get("peers", ()))),
-        "draining" if content.get("draining") else "serving",
-    )
