--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -234,10 +234,10 @@
 
 
 def _grant_bytes(requests: int) -> float:
-    request_id = "0123456789abcdef0123456789abcdef"
+    request_id = "0123456789abcdef01234567"
     messages = [
         grant_messages.GrantRequest(
-            pool="model-1/7",
+            pool="model/model-1#7",
             request_id=request_id,
             attempt=1,
             class_name="tier-1",
@@ -245,7 +245,7 @@
             prompt_tokens=1000,
             output_tokens=500,
             waited_s=0.001,
-            prefix_digests=("0123456789abcdef",) * 3,
+            prefix_digests=("0123456789abcdef",) * 4,
         ),
         grant_messages.Grant(
             request_id=request_id,
