--- a/src/shallotfold/_controller/events.py
+++ b/src/shallotfold/_controller/events.py
@@ -15,34 +15,12 @@
 from shallotfold._fleet.usage_ledger import FrozenWindow
 from shallotfold._fleet.usage_ledger import UsageHead
 from shallotfold._model.configuration import Configuration
+from shallotfold._model.events import Event as Event
+from shallotfold._model.events import Tick as Tick
 from shallotfold._model.upstreams import HostRecord
 from shallotfold._platform.ports import UsageReport
 
 
-@attrs.frozen(kw_only=True)
-class Event:
-    """Base of all events.
-
-    Attributes:
-        now_s: Monotonic time at which the event was observed.
-    """
-
-    now_s: float
-
-
-@attrs.frozen(kw_only=True)
-class Tick(Event):
-    """Time has passed.
-
-    Attributes:
-        wall_s: Seconds since the epoch.
-        random: Uniform random number in [0, 1).
-    """
-
-    wall_s: float
-    random: float
-
-
 @attrs.frozen(kw_only=True)
 class ConfigurationRead(Event):
     """A configuration was read from the store."""
--- a/src/shallotfold/_entry/events.py
+++ b/src/shallotfold/_entry/events.py
@@ -9,6 +9,8 @@
 import attrs
 
 from shallotfold._model.configuration import Configuration
+from shallotfold._model.events import Event as Event
+from shallotfold._model.events import Tick as Tick
 from shallotfold._model.requests import CallerRequest
 from shallotfold._model.requests import Outcome
 from shallotfold._model.requests import RecordedAnswer
@@ -17,30 +19,6 @@
 from shallotfold._wire.messages import PeerMessage
 
 
-@attrs.frozen(kw_only=True)
-class Event:
-    """Base of all events.
-
-    Attributes:
-        now_s: Monotonic time at which the event was observed.
-    """
-
-    now_s: float
-
-
-@attrs.frozen(kw_only=True)
-class Tick(Event):
-    """Time has passed; sent at least every `TICK_INTERVAL_S`.
-
-    Attributes:
-        wall_s: Seconds since the epoch.
-        random: Uniform random number in [0, 1).
-    """
-
-    wall_s: float
-    random: float
-
-
 @attrs.frozen(kw_only=True)
 class RequestArrived(Event):
     """A caller's request was read and parsed."""
--- a/src/shallotfold/_entry/operator_server.py
+++ b/src/shallotfold/_entry/operator_server.py
@@ -21,7 +21,7 @@
 from shallotfold._entry.shell import EntryShell
 from shallotfold._entry.state import EntryState
 from shallotfold._settings.addresses import Address
-from shallotfold._settings.entry import OperatorSettings
+from shallotfold._settings.entry import OperatorPortSettings
 
 PAGE_PATH = "/operator/"
 STATUS_PATH = "/operator/status"
@@ -35,7 +35,7 @@
 
     def __init__(
         self,
-        settings: OperatorSettings,
+        settings: OperatorPortSettings,
         shell: EntryShell,
         callers: CallerServer,
         explanations: Explanations,
--- a/src/shallotfold/_settings/entry.py
+++ b/src/shallotfold/_settings/entry.py
@@ -59,7 +59,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class OperatorSettings:
+class OperatorPortSettings:
     """Where operators ask an entry what it did.
 
     Attributes:
@@ -112,6 +112,6 @@
     )
     callers: CallerSettings = attrs.field(factory=CallerSettings)
     attempts: AttemptSettings = attrs.field(factory=AttemptSettings)
-    operator: OperatorSettings = attrs.field(factory=OperatorSettings)
+    operator: OperatorPortSettings = attrs.field(factory=OperatorPortSettings)
     log: LogSettings = attrs.field(factory=LogSettings)
     statsd: StatsdSettings = attrs.field(factory=StatsdSettings)
--- a/tests/entry/test_operator_server.py
+++ b/tests/entry/test_operator_server.py
@@ -2,11 +2,11 @@
 import pathlib
 
 from shallotfold._entry.explanations import Explanations
-from shallotfold._settings.entry import OperatorSettings
+from shallotfold._settings.entry import OperatorPortSettings
 from tests.entry import serving as s
 
 OPERATOR_KEY = "op-0123456789"
-SETTINGS = OperatorSettings(
+SETTINGS = OperatorPortSettings(
     key_sha256=hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
 )
 HEADERS = {"Authorization": f"Bearer {OPERATOR_KEY}"}
