--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -177,8 +177,8 @@
         "",
         "Made by `python -m benchmarks.capacity`; do not edit. The slopes are "
         "in `docs/capacity-slopes.json`, measured by "
-        "`python -m benchmarks.slopes` on one machine; bytes count both directions. What is worked out and not "
-        "measured is said so below.",
+        "`python -m benchmarks.slopes` on one machine; bytes count both "
+        "directions. What is worked out and not measured is said so below.",
         "",
         f"Size: {fleet.nodes} nodes, {fleet.upstreams} upstreams, "
         f"{fleet.requests_per_s:.0f} requests and "
