Drop what nothing uses, and keep one module of differences

Cause: ClaimsState, a constant and a function had no reader left; two modules compared configurations, one by item and one by field.

--- a/src/shallotfold/_entry/pools.py
+++ b/src/shallotfold/_entry/pools.py
@@ -14,7 +14,6 @@
 from shallotfold._entry import routing
 from shallotfold._entry.catalog import Catalog
 from shallotfold._entry.catalog import build_catalog
-from shallotfold._entry.catalog import service_of
 from shallotfold._entry.pool_queue import QueuedGrant
 from shallotfold._entry.pool_state import LOWEST_TIER
 from shallotfold._entry.pool_state import Pool
@@ -42,13 +41,6 @@
     return state.pools.catalog
 
 
-def upstreams_of_model(state: EntryState, model: str) -> list[Upstream]:
-    """Return all upstreams that serve a model."""
-    catalog = catalog_of(state)
-    names = catalog.pools_by_service.get(service_of(model, ""), ())
-    return [u for name in names for u in catalog.upstreams_by_pool[name]]
-
-
 def watched_upstreams(state: EntryState) -> list[Upstream]:
     """Return the upstreams whose load reports this entry should read."""
     catalog = catalog_of(state)
--- a/src/shallotfold/_entry/state.py
+++ b/src/shallotfold/_entry/state.py
@@ -2,7 +2,6 @@
 
 import attrs
 
-from shallotfold._entry.claims import ClaimsState
 from shallotfold._entry.configuration import ConfigurationState
 from shallotfold._entry.demand import DemandState
 from shallotfold._entry.limits import LimitsState
@@ -24,7 +23,6 @@
         membership: Peers and upstream hosts.
         requests: Requests of callers connected here.
         pools: Pools of upstreams that this entry owns.
-        claims: Requests waiting for their idempotency key.
         limits: Use of the workspaces that have limits.
         demand: What callers ask for.
         usage: Counts of answered requests.
@@ -38,7 +36,6 @@
     membership: MembershipState = attrs.field(factory=MembershipState)
     requests: RequestsState = attrs.field(factory=RequestsState)
     pools: PoolsState = attrs.field(factory=PoolsState)
-    claims: ClaimsState = attrs.field(factory=ClaimsState)
     limits: LimitsState = attrs.field(factory=LimitsState)
     demand: DemandState = attrs.field(factory=DemandState)
     usage: UsageState = attrs.field(factory=UsageState)
--- a/src/shallotfold/_fleet/order_journal.py
+++ b/src/shallotfold/_fleet/order_journal.py
@@ -12,8 +12,6 @@
 
 from shallotfold._platform.ports import UpstreamOrder
 
-MAX_RUNNING = 1000
-
 _CONVERTER = make_converter()
 
 
--- a/src/shallotfold/_operator/auditing.py
+++ b/src/shallotfold/_operator/auditing.py
@@ -11,7 +11,7 @@
 from shallotfold._fleet.audit import AuditRecord
 from shallotfold._fleet.audit import append_patiently
 from shallotfold._fleet.manifest import Submission
-from shallotfold._operator.difference import Change
+from shallotfold._model.differences import Change
 from shallotfold._platform.ports import Store
 
 APPEND_TRIES = 4
--- a/src/shallotfold/_operator/commands/configuration.py
+++ b/src/shallotfold/_operator/commands/configuration.py
@@ -13,12 +13,12 @@
 from shallotfold._fleet.configuration_store import ConfigurationStore
 from shallotfold._model.checking import check_configuration
 from shallotfold._model.configuration import Configuration
+from shallotfold._model.differences import Change
+from shallotfold._model.differences import compare
 from shallotfold._model.serialization import dump_configuration
 from shallotfold._model.serialization import load_configuration
 from shallotfold._operator.auditing import record_submission
 from shallotfold._operator.commands.context import CommandContext
-from shallotfold._operator.difference import Change
-from shallotfold._operator.difference import compare
 from shallotfold._platform.ports import Store
 
 READ_TRIES = 4
--- a/src/shallotfold/_operator/commands/keys.py
+++ b/src/shallotfold/_operator/commands/keys.py
@@ -6,9 +6,9 @@
 from shallotfold._fleet.configuration_reader import StoredConfiguration
 from shallotfold._model.configuration import Configuration
 from shallotfold._model.configuration import Workspace
+from shallotfold._model.differences import compare
 from shallotfold._operator.commands import configuration as submitting
 from shallotfold._operator.commands.context import CommandContext
-from shallotfold._operator.difference import compare
 from shallotfold._operator.keys import NewKey
 from shallotfold._operator.keys import new_key
 from shallotfold._platform.ports import Store
--- a/tests/operator/test_difference.py
+++ b/tests/model/test_differences.py
@@ -1,7 +1,7 @@
 from shallotfold._model.configuration import Configuration
 from shallotfold._model.configuration import RequestClass
-from shallotfold._operator.difference import Change
-from shallotfold._operator.difference import compare
+from shallotfold._model.differences import Change
+from shallotfold._model.differences import compare
 
 
 def test_changed_field_is_named_with_both_values() -> None:
