--- a/src/shallotfold/_errors.py
+++ b/src/shallotfold/_errors.py
@@ -79,6 +79,10 @@
         )
 
 
+class HistoryLostError(PlatformError):
+    """The changes since a revision are no longer kept; read all again."""
+
+
 class ValueTooLargeError(PlatformError):
     """A value is over one megabyte and was not written; split it."""
 
--- /dev/null
+++ b/src/shallotfold/_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serve declared HTTP routes from shared upstreams on many small hosts."""
--- /dev/null
+++ b/src/shallotfold/_gateway/peers.py
@@ -0,0 +1,272 @@
+"""Exchange small datagrams with all other hosts.
+
+Each host tells the others, again and again, what only it knows: its address,
+its clock, its loads, its counts, and which configuration it has. A lost
+datagram is made good by the next one.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+import random
+import statistics
+import time
+from typing import Any
+from typing import cast
+
+import attrs
+from loguru import logger
+import msgpack
+
+from shallotfold._gateway import decision_log
+from shallotfold._gateway.clocks import boot_s
+from shallotfold._gateway.events import PeerLoad
+
+PROTOCOL_VERSION = 1
+INTERVAL_S = 0.4
+# A peer that was silent for this long doesn't count as alive.
+ALIVE_S = 2.5
+# A peer that was silent for this long is forgotten: it won't come back.
+FORGOTTEN_S = 60.0
+# Seeds are asked this often, also when peers are known: partitions heal.
+SEED_INTERVAL_S = 2.0
+# Addresses of other peers that one datagram passes on.
+ADDRESSES_PER_DATAGRAM = 6
+
+
+@attrs.define(kw_only=True)
+class PeerWord:
+    """The newest word of a peer.
+
+    Attributes:
+        name: Name of its host.
+        incarnation: One life of its process.
+        ip: Its address.
+        heard_s: When it was heard, on the boot clock.
+        clock_ahead_s: Its wall clock against this host's.
+        configuration: Version of its configuration; 0: none.
+        upstreams_at: Store revision of its list of upstreams.
+        duty: Fencing number if it holds the duties; 0: it doesn't.
+        stopping: Whether it is stopping.
+        loads_by_upstream: What it has under way.
+        counts_by_window: What it counted.
+    """
+
+    name: str
+    incarnation: str
+    ip: str
+    heard_s: float
+    clock_ahead_s: float
+    configuration: int
+    upstreams_at: int
+    duty: int
+    stopping: bool
+    loads_by_upstream: Mapping[str, PeerLoad]
+    counts_by_window: Mapping[int, dict[str, int]]
+
+
+@attrs.define(kw_only=True)
+class OwnWord:
+    """What this host tells its peers; fields as in `PeerWord`."""
+
+    configuration: int = 0
+    upstreams_at: int = 0
+    duty: int = 0
+    stopping: bool = False
+    loads_by_upstream: Mapping[str, PeerLoad] = attrs.field(factory=dict)
+    counts_by_window: Mapping[int, dict[str, int]] = attrs.field(factory=dict)
+
+
+class Peers:
+    """The other hosts, as far as they were heard.
+
+    Attributes:
+        ip: Address of this host.
+        word_by_name: Newest word of each host.
+    """
+
+    def __init__(
+        self, name: str, incarnation: str, ip: str, seeds: tuple[str, ...]
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self.ip = ip
+        self._seeds = tuple(s for s in seeds if s != ip)
+        self.word_by_name: dict[str, PeerWord] = {}
+        self._alive: frozenset[str] = frozenset()
+
+    def alive(self) -> list[PeerWord]:
+        """Return the peers that were heard a short time ago."""
+        oldest_s = boot_s() - ALIVE_S
+        return [w for w in self.word_by_name.values() if w.heard_s > oldest_s]
+
+    def clock_correction_s(self) -> float:
+        """Return what to add to this host's wall clock for true time.
+
+        The median over all hosts is right while most clocks are.
+        """
+        ahead = [word.clock_ahead_s for word in self.alive()]
+        return statistics.median([0.0, *ahead])
+
+    def encode(self, word: OwnWord) -> bytes:
+        """Write this host's word."""
+        known = list(self.word_by_name.values())
+        passed_on = random.sample(
+            known, min(len(known), ADDRESSES_PER_DATAGRAM)
+        )
+        loads = {
+            upstream: (load.requests, load.pending_tokens)
+            for upstream, load in word.loads_by_upstream.items()
+        }
+        return cast(
+            bytes,
+            msgpack.packb(
+                (
+                    PROTOCOL_VERSION,
+                    self._name,
+                    self._incarnation,
+                    time.time(),
+                    word.configuration,
+                    word.upstreams_at,
+                    word.duty,
+                    word.stopping,
+                    loads,
+                    word.counts_by_window,
+                    [w.ip for w in passed_on],
+                )
+            ),
+        )
+
+    def decode(self, data: bytes, ip: str) -> tuple[PeerWord, list[str]]:
+        """Read a peer's word and the addresses that it passes on.
+
+        Raises:
+            ValueError: The datagram is no word of a peer.
+        """
+        fields: Any = msgpack.unpackb(data, strict_map_key=False)
+        if not isinstance(fields, list) or fields[0] != PROTOCOL_VERSION:
+            raise ValueError("unknown version of the peers' protocol")
+        word = PeerWord(
+            name=fields[1],
+            incarnation=fields[2],
+            ip=ip,
+            heard_s=boot_s(),
+            clock_ahead_s=fields[3] - time.time(),
+            configuration=fields[4],
+            upstreams_at=fields[5],
+            duty=fields[6],
+            stopping=fields[7],
+            loads_by_upstream={
+                upstream: PeerLoad(*load)
+                for upstream, load in fields[8].items()
+            },
+            counts_by_window=fields[9],
+        )
+        return word, fields[10]
+
+    def hear(self, word: PeerWord) -> bool:
+        """Take a peer's word; returns whether it is another host's."""
+        if word.name == self._name:
+            return False
+        self.word_by_name[word.name] = word
+        return True
+
+    def forget_and_report(self) -> None:
+        """Forget hosts that are gone and log which are alive."""
+        now_s = boot_s()
+        for name, word in list(self.word_by_name.items()):
+            if now_s - word.heard_s > FORGOTTEN_S:
+                del self.word_by_name[name]
+        alive = frozenset(word.name for word in self.alive())
+        for name in alive - self._alive:
+            decision_log.record("peer_heard", peer=name, alive=len(alive))
+        for name in self._alive - alive:
+            decision_log.record("peer_silent", peer=name, alive=len(alive))
+        self._alive = alive
+
+    def addresses(self, *, with_seeds: bool) -> set[str]:
+        """Return where to send the next word."""
+        addresses = {word.ip for word in self.word_by_name.values()}
+        if with_seeds or not addresses:
+            addresses |= set(self._seeds)
+        addresses.discard(self.ip)
+        return addresses
+
+
+class PeerLink(asyncio.DatagramProtocol):
+    """Sends and receives the words over UDP."""
+
+    def __init__(
+        self,
+        peers: Peers,
+        port: int,
+        make_word: Callable[[], OwnWord],
+        on_word: Callable[[PeerWord], None],
+    ) -> None:
+        self._peers = peers
+        self._port = port
+        self._make_word = make_word
+        self._on_word = on_word
+        self._transport: asyncio.DatagramTransport | None = None
+        self._sender: asyncio.Task[None] | None = None
+        self._introduced: set[str] = set()
+
+    async def start(self, ip: str) -> None:
+        """Open the socket and begin to send."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(ip, self._port)
+        )
+        self._transport = transport
+        self._sender = loop.create_task(self._send_regularly())
+
+    async def close(self) -> None:
+        """Send a last word and close the socket."""
+        if self._sender is not None:
+            self._sender.cancel()
+            await asyncio.gather(self._sender, return_exceptions=True)
+        if self._transport is not None:
+            self.send_now()
+            self._transport.close()
+            self._transport = None
+
+    def send_now(self, *, with_seeds: bool = False) -> None:
+        """Send the present word to all known peers."""
+        data = self._peers.encode(self._make_word())
+        for ip in self._peers.addresses(with_seeds=with_seeds):
+            self._send(data, ip)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a peer's word; greet hosts that it names."""
+        try:
+            word, named = self._peers.decode(data, addr[0])
+        except (ValueError, TypeError, LookupError) as error:
+            logger.info("Datagram of {} can't be read: {}", addr[0], error)
+            return
+        if not self._peers.hear(word):
+            return
+        self._on_word(word)
+        known = self._peers.addresses(with_seeds=False)
+        for ip in set(named) - known - self._introduced - {self._peers.ip}:
+            self._introduced.add(ip)
+            self._send(self._peers.encode(self._make_word()), ip)
+
+    def error_received(self, exc: Exception) -> None:
+        """Note that a host refuses datagrams; its process may be down."""
+        logger.debug("Datagram not delivered: {}", exc)
+
+    def _send(self, data: bytes, ip: str) -> None:
+        if self._transport is not None:
+            self._transport.sendto(data, (ip, self._port))
+
+    async def _send_regularly(self) -> None:
+        seeds_asked_s = 0.0
+        while True:
+            now_s = boot_s()
+            ask_seeds = now_s - seeds_asked_s > SEED_INTERVAL_S
+            if ask_seeds:
+                seeds_asked_s = now_s
+                self._introduced.clear()
+            self.send_now(with_seeds=ask_seeds)
+            self._peers.forget_and_report()
+            await asyncio.sleep(INTERVAL_S * random.uniform(0.8, 1.2))
--- /dev/null
+++ b/src/shallotfold/_gateway/store_following.py
@@ -0,0 +1,115 @@
+"""Follow prefixes of the store with long watches."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from loguru import logger
+
+from shallotfold._errors import HistoryLostError
+from shallotfold._errors import StoreUnavailableError
+from shallotfold._gateway import decision_log
+from shallotfold._gateway.ports import WatchedStore
+from shallotfold._platform.ports import StoreChanges
+
+# Short enough that a watch whose answer was lost is noticed within the
+# bounds of a configuration change; each watch is a priced call.
+WATCH_WAIT_S = 4.0
+# Changes that come in quick succession are read together.
+GATHER_S = 0.1
+FIRST_PAUSE_S = 0.15
+LONGEST_PAUSE_S = 0.8
+
+
+class PrefixFollower:
+    """Keeps one prefix up to date."""
+
+    def __init__(
+        self,
+        store: WatchedStore,
+        prefix: str,
+        on_snapshot: Callable[[StoreChanges], None],
+        on_changes: Callable[[StoreChanges], None],
+        on_contact: Callable[[Exception | None], None],
+    ) -> None:
+        """Make a follower.
+
+        Args:
+            store: The store.
+            prefix: What to follow.
+            on_snapshot: Takes all values under the prefix.
+            on_changes: Takes what changed since.
+            on_contact: Told after each call why it failed; `None`: it did not.
+        """
+        self._store = store
+        self._prefix = prefix
+        self._on_snapshot = on_snapshot
+        self._on_changes = on_changes
+        self._on_contact = on_contact
+        self._revision: int | None = None
+        self._reachable: bool | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        self._task = asyncio.create_task(self._follow())
+
+    async def close(self) -> None:
+        """Stop following."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _follow(self) -> None:
+        pause_s = FIRST_PAUSE_S
+        while True:
+            try:
+                changed = await self._step()
+            except HistoryLostError as error:
+                logger.info("History lost, reading all again: {}", error)
+                self._revision = None
+            except StoreUnavailableError as error:
+                self._note_contact(error)
+                await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
+                pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
+                continue
+            except Exception as error:  # noqa: BLE001
+                # One unreadable document must not end all following.
+                logger.exception("Following {} failed", self._prefix)
+                self._note_contact(error)
+                self._revision = None
+                await asyncio.sleep(LONGEST_PAUSE_S)
+                continue
+            else:
+                self._note_contact(None)
+                if changed:
+                    await asyncio.sleep(GATHER_S)
+            pause_s = FIRST_PAUSE_S
+
+    async def _step(self) -> bool:
+        if self._revision is None:
+            snapshot = await self._store.snapshot(self._prefix)
+            self._revision = snapshot.revision
+            self._on_snapshot(snapshot)
+            return False
+        changes = await self._store.watch(
+            self._prefix, self._revision, WATCH_WAIT_S
+        )
+        self._revision = max(self._revision, changes.revision)
+        if changes.changed or changes.deleted:
+            self._on_changes(changes)
+            return True
+        return False
+
+    def _note_contact(self, error: Exception | None) -> None:
+        reachable = error is None
+        if reachable is not self._reachable:
+            self._reachable = reachable
+            decision_log.record(
+                "dependency_regained" if reachable else "dependency_lost",
+                dependency="store",
+                prefix=self._prefix,
+                error=None if error is None else str(error),
+                revision=self._revision,
+            )
+        self._on_contact(error)
--- /dev/null
+++ b/src/shallotfold/_gateway/upstream_pool.py
@@ -0,0 +1,158 @@
+"""Keep connections to upstreams and send requests on them."""
+
+import asyncio
+import collections
+from typing import Protocol
+
+import attrs
+from loguru import logger
+
+from shallotfold._gateway.model import Upstream
+from shallotfold._gateway.upstream_connection import AnswerReader
+from shallotfold._gateway.upstream_connection import UpstreamConnection
+
+CONNECT_TIMEOUT_S = 0.6
+# Peers that name no idle time are assumed to keep connections this long.
+DEFAULT_IDLE_S = 4.0
+# A connection this close to its idle limit may be closing already.
+IDLE_MARGIN_S = 1.0
+MAX_IDLE_CONNECTIONS = 24
+
+
+@attrs.define(eq=False)
+class Sending:
+    """One request on its way; `cancel` drops its connection."""
+
+    connection: UpstreamConnection | None = None
+    connecting: asyncio.Task[None] | None = None
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        """Drop the request; its reader hears nothing more."""
+        self.cancelled = True
+        if self.connecting is not None:
+            self.connecting.cancel()
+        if self.connection is not None:
+            self.connection.abort()
+
+
+class UnsentListener(AnswerReader, Protocol):
+    """An answer reader that also learns when nothing could be sent."""
+
+    def on_sent(self) -> None:
+        """The request is on its way: it may run from now on."""
+        ...
+
+    def on_unsent(self, reason: str) -> None:
+        """No connection was established, so that the request did not run."""
+        ...
+
+
+class UpstreamPool:
+    """Idle connections by address and incarnation of an upstream."""
+
+    def __init__(self) -> None:
+        self._idle_by_upstream: dict[
+            tuple[str, int, str], collections.deque[UpstreamConnection]
+        ] = {}
+        self._connecting: set[asyncio.Task[None]] = set()
+        self.connections_made = 0
+
+    async def close(self) -> None:
+        """Drop all idle connections and attempts to connect."""
+        tasks = list(self._connecting)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for idle in self._idle_by_upstream.values():
+            for connection in idle:
+                connection.abort()
+        self._idle_by_upstream.clear()
+
+    def send(
+        self, upstream: Upstream, data: bytes, listener: UnsentListener
+    ) -> Sending:
+        """Send a request on a kept connection or on a new one."""
+        kept = self._take_idle(upstream)
+        if kept is not None:
+            listener.on_sent()
+            kept.send(data, listener)
+            return Sending(connection=kept)
+        sending = Sending()
+        task = asyncio.get_running_loop().create_task(
+            self._connect_and_send(upstream, data, listener, sending)
+        )
+        sending.connecting = task
+        self._connecting.add(task)
+        task.add_done_callback(self._connecting.discard)
+        return sending
+
+    def release(self, upstream: Upstream, sending: Sending) -> None:
+        """Keep the connection of an answered request if it may be reused."""
+        connection, sending.connection = sending.connection, None
+        if connection is None or not connection.reusable:
+            return
+        idle = self._idle_by_upstream.setdefault(
+            _key(upstream), collections.deque()
+        )
+        if len(idle) >= MAX_IDLE_CONNECTIONS:
+            connection.abort()
+            return
+        idle.append(connection)
+
+    def keep_only(self, upstreams: list[Upstream]) -> None:
+        """Close idle connections to upstreams that left."""
+        kept = {_key(upstream) for upstream in upstreams}
+        for key in self._idle_by_upstream.keys() - kept:
+            for connection in self._idle_by_upstream.pop(key):
+                connection.abort()
+
+    def _take_idle(self, upstream: Upstream) -> UpstreamConnection | None:
+        idle = self._idle_by_upstream.get(_key(upstream))
+        now_s = asyncio.get_running_loop().time()
+        while idle:
+            connection = idle.pop()
+            limit_s = connection.keep_alive_s or DEFAULT_IDLE_S
+            # Whole seconds may have been rounded up.
+            usable_s = max(0.5, limit_s - IDLE_MARGIN_S)
+            if connection.connected and connection.reusable:
+                if now_s - connection.idle_since_s < usable_s:
+                    return connection
+                connection.abort()
+        return None
+
+    async def _connect_and_send(
+        self,
+        upstream: Upstream,
+        data: bytes,
+        listener: UnsentListener,
+        sending: Sending,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    UpstreamConnection, upstream.ip, upstream.port
+                )
+        except (OSError, TimeoutError) as error:
+            sending.connecting = None
+            if not sending.cancelled:
+                logger.info(
+                    "No connection to upstream {}: {!r}",
+                    upstream.upstream_id,
+                    error,
+                )
+                listener.on_unsent(repr(error))
+            return
+        sending.connecting = None
+        self.connections_made += 1
+        if sending.cancelled:
+            connection.abort()
+            return
+        sending.connection = connection
+        listener.on_sent()
+        connection.send(data, listener)
+
+
+def _key(upstream: Upstream) -> tuple[str, int, str]:
+    return upstream.ip, upstream.port, upstream.upstream_id
--- /dev/null
+++ b/src/shallotfold/_gateway/usage_reporting.py
@@ -0,0 +1,126 @@
+"""Report the usage of each window once, with figures frozen beforehand."""
+
+import asyncio
+from collections.abc import Callable
+import json
+
+from shallotfold._errors import PlatformError
+from shallotfold._errors import StoreConflictError
+from shallotfold._gateway import decision_log
+from shallotfold._gateway.duty_lease import DutyLease
+from shallotfold._gateway.ports import DutyCalls
+from shallotfold._gateway.ports import DutyOutcome
+from shallotfold._gateway.ports import WatchedStore
+from shallotfold._gateway.usage_counts import Counts
+from shallotfold._gateway.usage_counts import UsageCounts
+
+FROZEN_PREFIX = "shallotfold/usage/"
+CHECK_INTERVAL_S = 0.4
+# Peers' last counts of a window arrive within this time after its end.
+GATHERING_S = 1.6
+REPEAT_S = 0.8
+
+
+class UsageReporter:
+    """Sends what all hosts counted while this host holds the duties."""
+
+    def __init__(
+        self,
+        store: WatchedStore,
+        calls: DutyCalls,
+        lease: DutyLease,
+        counts: UsageCounts,
+        host: str,
+        lateness_s: float,
+        true_s: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._calls = calls
+        self._lease = lease
+        self._counts = counts
+        self._host = host
+        self._lateness_s = lateness_s
+        self._true_s = true_s
+        self._frozen: dict[int, Counts] = {}
+        self._reported: set[int] = set()
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to report."""
+        self._task = asyncio.create_task(self._report_regularly())
+
+    async def close(self) -> None:
+        """Stop reporting."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _report_regularly(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            for window in self._due_windows():
+                if not self._lease.holds:
+                    break
+                try:
+                    await self._report(window)
+                except PlatformError as error:
+                    decision_log.record(
+                        "usage_not_frozen", window=window, error=str(error)
+                    )
+                    await asyncio.sleep(REPEAT_S)
+
+    def _due_windows(self) -> list[int]:
+        now_s = self._true_s()
+        window_s = self._counts.window_s
+        newest = self._counts.window_at(now_s - GATHERING_S) - 1
+        oldest = self._counts.window_at(now_s - self._lateness_s - window_s)
+        return [
+            window
+            for window in range(oldest, newest + 1)
+            if window not in self._reported
+        ]
+
+    async def _report(self, window: int) -> None:
+        if window not in self._frozen:
+            counts = self._counts.total(window)
+            if not counts:
+                self._reported.add(window)
+                return
+            self._frozen[window] = await self._freeze(window, counts)
+        fencing = self._lease.fencing
+        if not self._lease.holds:
+            return
+        outcome = await self._calls.report_usage(
+            window, self._frozen[window], holder=self._host, fencing=fencing
+        )
+        decision_log.record(
+            "usage_reported",
+            window=window,
+            outcome=outcome.value,
+            fencing=fencing,
+            runs=sum(self._frozen[window].values()),
+        )
+        if outcome is DutyOutcome.DONE:
+            self._reported.add(window)
+        elif outcome is DutyOutcome.FENCED:
+            self._lease.resign("a higher fencing number was seen")
+        else:
+            await asyncio.sleep(REPEAT_S)
+
+    async def _freeze(self, window: int, counts: Counts) -> Counts:
+        """Fix the figures of a window for all holders; return the fixed ones.
+
+        A write without an answer may have happened, so that a conflict on the
+        next try is read back like one with another holder.
+        """
+        key = f"{FROZEN_PREFIX}{window}"
+        document = json.dumps(counts, sort_keys=True).encode()
+        try:
+            await self._store.compare_and_swap(key, 0, document)
+        except StoreConflictError:
+            found = await self._store.get(key)
+            if found is None:
+                raise
+            frozen: Counts = json.loads(found.value)
+            return frozen
+        return counts
--- /dev/null
+++ b/src/shallotfold/platform/documents.py
@@ -0,0 +1,137 @@
+"""Decode the documents that operators and upstreams put into the store."""
+
+import json
+from typing import Any
+
+from shallotfold._gateway.model import GatewayConfiguration
+from shallotfold._gateway.model import RequestLimits
+from shallotfold._gateway.model import Route
+from shallotfold._gateway.model import RouteKind
+from shallotfold._gateway.model import ScalingLimits
+from shallotfold._gateway.model import Service
+from shallotfold._gateway.model import SplitShare
+from shallotfold._gateway.model import Upstream
+from shallotfold._gateway.model import Workspace
+from shallotfold._gateway.wire_names import HeaderNames
+from shallotfold.platform import names
+
+_MS_PER_S = 1000.0
+_KIND_BY_NAME = {
+    "streaming": RouteKind.STREAM,
+    "non_idempotent": RouteKind.ONCE,
+    "idempotent": RouteKind.REPEATABLE,
+}
+_DRAINING_BY_STATE = {"ready": False, "draining": True}
+
+
+class PlatformDialect:
+    """The platform's spelling, as the gateway's `Dialect`."""
+
+    headers: HeaderNames = names.HEADERS
+    configuration_key = names.CONFIGURATION_KEY
+    upstreams_prefix = names.UPSTREAMS_PREFIX
+
+    def read_configuration(self, document: bytes) -> GatewayConfiguration:
+        """Decode a configuration; see `Dialect`."""
+        try:
+            content = json.loads(document)
+            tenants = content.get("Tenants", ())
+            return GatewayConfiguration(
+                version=int(content["Version"]),
+                routes=tuple(_route(r) for r in content["Routes"]),
+                services_by_name={
+                    s["Name"]: _service(s) for s in content["Services"]
+                },
+                workspaces_by_key={
+                    key: Workspace(t["Name"], t.get("Priority"))
+                    for t in tenants
+                    for key in t["ApiKeys"]
+                },
+                requires_keys="Tenants" in content,
+                limits=_limits(content.get("Limits", {})),
+            )
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ValueError(f"configuration lacks {error}") from error
+
+    def read_upstream(self, upstream_id: str, document: bytes) -> Upstream:
+        """Decode an upstream's registration; see `Dialect`."""
+        try:
+            content = json.loads(document)
+            ip, _, port = content["Address"].rpartition(":")
+            return Upstream(
+                upstream_id=upstream_id,
+                service=_text(content["Service"]),
+                ip=ip,
+                port=int(port),
+                data_centre=_text(content.get("Zone", "")),
+                slots=int(content.get("Slots", 0)),
+                draining=_DRAINING_BY_STATE[content["State"]],
+                cold_s=float(content.get("ColdRemainingMs", 0)) / _MS_PER_S,
+                # Also set on the entry itself: the start of its process.
+                born_ms=int(content.get("born", 0)),
+                spot=bool(content.get("SpotCapacity", False)),
+            )
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ValueError(f"registration lacks {error}") from error
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"text in place of {value!r}")
+    return value
+
+
+def _route(content: Any) -> Route:
+    split = content.get("TrafficSplit") or [
+        {"Service": content["Service"], "Weight": 1}
+    ]
+    return Route(
+        name=content["Name"],
+        host=content["Host"].lower(),
+        path_prefix=content["PathPrefix"],
+        kind=_KIND_BY_NAME[content["Kind"]],
+        timeout_s=content["TimeoutMs"] / _MS_PER_S,
+        target_s=content.get("TargetLatencyMs", content["TimeoutMs"])
+        / _MS_PER_S,
+        gap_target_s=content.get("GapTargetMs", 0) / _MS_PER_S,
+        priority=content.get("Priority", 0),
+        split=tuple(SplitShare(s["Service"], s["Weight"]) for s in split),
+        max_attempts=content.get("MaxAttempts", 1),
+        public=content.get("Public", False),
+        # Named after sessions, but it marks requests that declare a prompt.
+        reads_prompt=content.get("SessionAffinity", False),
+        resumable=content.get("StreamResumption", False),
+    )
+
+
+def _service(content: Any) -> Service:
+    engine = content.get("InferenceEngine") or {}
+    scaling = content.get("Scaling")
+    return Service(
+        name=content["Name"],
+        connection_limit=content.get("ConnectionLimit", 0),
+        engine_slots=engine.get("Slots", 0),
+        scaling=None
+        if scaling is None
+        else ScalingLimits(
+            minimum=scaling["Minimum"],
+            maximum=scaling["Maximum"],
+            boot_s=scaling["BootTimeS"],
+            spot_price_ratio=scaling.get("SpotPriceRatio", 1.0),
+            price_by_data_centre=scaling.get("ZonePrices", {}),
+        ),
+    )
+
+
+def _limits(content: Any) -> RequestLimits:
+    usual = RequestLimits()
+    header_ms = content.get("HeaderTimeoutMs")
+    idle_ms = content.get("IdleTimeoutMs")
+    return RequestLimits(
+        max_header_bytes=content.get("MaxHeaderBytes", usual.max_header_bytes),
+        max_body_bytes=content.get("MaxBodyBytes", usual.max_body_bytes),
+        header_timeout_s=header_ms / _MS_PER_S
+        if header_ms
+        else usual.header_timeout_s,
+        idle_timeout_s=idle_ms / _MS_PER_S if idle_ms else usual.idle_timeout_s,
+    )
--- /dev/null
+++ b/src/shallotfold/platform/duty_calls.py
@@ -0,0 +1,88 @@
+"""Make the calls that one host makes for all."""
+
+from http import HTTPStatus
+import json
+from typing import Any
+
+from shallotfold._gateway import decision_log
+from shallotfold._gateway.http_calls import CallFailedError
+from shallotfold._gateway.http_calls import HttpCaller
+from shallotfold._gateway.ports import DutyOutcome
+from shallotfold._gateway.ports import UpstreamCount
+from shallotfold._settings.addresses import Address
+from shallotfold.platform import names
+
+CALL_TIMEOUT_S = 1.5
+
+
+class PlatformDutyCalls:
+    """The platform's interface for duties, as the gateway's `DutyCalls`."""
+
+    def __init__(self, address: Address) -> None:
+        self._caller = HttpCaller(address.ip, address.port)
+
+    async def close(self) -> None:
+        """Drop the connections."""
+        await self._caller.close()
+
+    async def report_usage(
+        self, window: int, counts: dict[str, int], *, holder: str, fencing: int
+    ) -> DutyOutcome:
+        """Report usage; see `DutyCalls`."""
+        body = {"WindowNumber": window, "Counts": counts}
+        return await self._post(
+            names.USAGE, body, holder, fencing, DutyOutcome.FENCED
+        )
+
+    async def order_upstreams(
+        self, wanted: UpstreamCount, *, holder: str, fencing: int
+    ) -> DutyOutcome:
+        """Order upstreams; see `DutyCalls`."""
+        body: dict[str, Any] = {
+            "Service": wanted.service,
+            "Zone": wanted.data_centre,
+            "DesiredCount": wanted.count,
+        }
+        if wanted.spot:
+            body["SpotCapacity"] = True
+        # The platform answers 409 both for an old fence and for an order of
+        # reclaimable upstreams where none are to be had.
+        conflict = (
+            DutyOutcome.UNAVAILABLE if wanted.spot else DutyOutcome.FENCED
+        )
+        return await self._post(names.SCALING, body, holder, fencing, conflict)
+
+    async def _post(
+        self,
+        path: str,
+        body: Any,
+        holder: str,
+        fencing: int,
+        conflict: DutyOutcome,
+    ) -> DutyOutcome:
+        try:
+            answer = await self._caller.call(
+                "POST",
+                path,
+                body=json.dumps(body).encode(),
+                headers=(
+                    (b"Content-Type", b"application/json"),
+                    (names.DUTY_HOLDER, holder.encode()),
+                    (names.FENCING, b"%d" % fencing),
+                ),
+                timeout_s=CALL_TIMEOUT_S,
+            )
+        except CallFailedError as error:
+            decision_log.record("duty_call_failed", path=path, error=str(error))
+            return DutyOutcome.UNKNOWN
+        if answer.status == HTTPStatus.OK:
+            return DutyOutcome.DONE
+        decision_log.record(
+            "duty_call_refused",
+            path=path,
+            status=answer.status,
+            answer=answer.body[:200].decode("latin-1"),
+        )
+        if answer.status == HTTPStatus.CONFLICT:
+            return conflict
+        return DutyOutcome.UNKNOWN
--- /dev/null
+++ b/src/shallotfold/platform/store.py
@@ -0,0 +1,202 @@
+"""Speak the platform's store as the gateway's `WatchedStore`."""
+
+import base64
+from collections.abc import Sequence
+from http import HTTPStatus
+import json
+from typing import Any
+from urllib.parse import urlencode
+
+from shallotfold._errors import HistoryLostError
+from shallotfold._errors import LeaseLostError
+from shallotfold._errors import StoreConflictError
+from shallotfold._errors import StoreUnavailableError
+from shallotfold._gateway.http_calls import CallAnswer
+from shallotfold._gateway.http_calls import CallFailedError
+from shallotfold._gateway.http_calls import HttpCaller
+from shallotfold._platform.ports import Lease
+from shallotfold._platform.ports import StoreChanges
+from shallotfold._platform.ports import StoredValue
+from shallotfold._settings.addresses import Address
+from shallotfold.platform import names
+
+# The store usually answers within 4 ms.
+CALL_TIMEOUT_S = 1.0
+# How much later than asked for the answer of a watch may come.
+WATCH_MARGIN_S = 0.6
+_MS_PER_S = 1000.0
+_JSON = ((b"Content-Type", b"application/json"),)
+
+
+class PlatformStore:
+    """The platform's key-value store; calls are never repeated here."""
+
+    def __init__(self, address: Address) -> None:
+        self._caller = HttpCaller(address.ip, address.port)
+
+    @property
+    def calls(self) -> int:
+        """Calls made so far; each is priced."""
+        return self._caller.calls
+
+    async def close(self) -> None:
+        """Drop the connections."""
+        await self._caller.close()
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Read one key; see `Store`."""
+        answer = await self._call("GET", names.STORE_GET, {"Key": key})
+        if answer.status == HTTPStatus.NOT_FOUND:
+            return None
+        return _value(_content(answer))
+
+    async def list(self, prefix: str) -> Sequence[StoredValue]:
+        """Read all keys under a prefix; see `Store`."""
+        return (await self.snapshot(prefix)).changed
+
+    async def snapshot(self, prefix: str) -> StoreChanges:
+        """Read a prefix page by page; see `WatchedStore`."""
+        values: list[StoredValue] = []
+        revision = None
+        query = {"PathPrefix": prefix}
+        while True:
+            answer = await self._call("GET", names.STORE_RANGE, query)
+            page = _content(answer)
+            # Later pages may be newer: a watch must begin at the first one.
+            revision = page["At"] if revision is None else revision
+            values += [_value(entry) for entry in page["Entries"]]
+            if not page["HasMore"] or not page["Entries"]:
+                return StoreChanges(revision, tuple(values), ())
+            query = {"PathPrefix": prefix, "After": page["Entries"][-1]["Key"]}
+
+    async def watch(
+        self, prefix: str, after_revision: int, timeout_s: float
+    ) -> StoreChanges:
+        """Wait for changes; see `WatchedStore`."""
+        query = {
+            "PathPrefix": prefix,
+            "After": str(after_revision),
+            "WaitTimeoutMs": str(int(timeout_s * _MS_PER_S)),
+        }
+        answer = await self._call(
+            "GET",
+            names.STORE_WATCH,
+            query,
+            timeout_s=timeout_s + WATCH_MARGIN_S,
+        )
+        if answer.status == HTTPStatus.GONE:
+            raise HistoryLostError(f"{prefix} after {after_revision}")
+        content = _content(answer)
+        newest_by_key = {event["Key"]: event for event in content["events"]}
+        return StoreChanges(
+            content["At"],
+            tuple(
+                _value(event)
+                for event in newest_by_key.values()
+                if not event.get("Deleted")
+            ),
+            tuple(
+                key
+                for key, event in newest_by_key.items()
+                if event.get("Deleted")
+            ),
+        )
+
+    async def compare_and_swap(
+        self,
+        key: str,
+        expected_revision: int,
+        value: bytes,
+        lease_id: str = "",
+    ) -> int:
+        """Write a key at an expected revision; see `Store`."""
+        written = {
+            "Key": key,
+            "ValueData": base64.b64encode(value).decode(),
+            "LeaseId": int(lease_id or 0),
+        }
+        content = await self._transact(key, expected_revision, [written], [])
+        return int(content["Revision"])
+
+    async def delete(self, key: str, expected_revision: int) -> None:
+        """Delete a key at an expected revision; see `Store`."""
+        await self._transact(key, expected_revision, [], [key])
+
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        """Grant a lease; see `Store`."""
+        body = {"LifetimeMs": int(ttl_s * _MS_PER_S)}
+        content = _content(
+            await self._call("POST", names.STORE_LEASE, {}, body)
+        )
+        return Lease(str(content["LeaseId"]), content["LifetimeMs"] / _MS_PER_S)
+
+    async def renew_lease(self, lease_id: str) -> None:
+        """Renew a lease; see `Store`."""
+        path = f"{names.STORE_RENEW}/{lease_id}"
+        answer = await self._call("POST", path, {})
+        if answer.status == HTTPStatus.NOT_FOUND:
+            raise LeaseLostError(lease_id)
+        _content(answer)
+
+    async def revoke_lease(self, lease_id: str) -> None:
+        """End a lease; see `Store`."""
+        await self._call("DELETE", f"{names.STORE_END_LEASE}/{lease_id}", {})
+
+    async def _transact(
+        self,
+        key: str,
+        expected_revision: int,
+        write: "Sequence[Any]",
+        removals: "Sequence[str]",
+    ) -> Any:
+        body = {
+            "Expected": [{"Key": key, "Revision": expected_revision}],
+            "Write": write,
+            "Removals": removals,
+        }
+        answer = await self._call("POST", names.STORE_TRANSACTION, {}, body)
+        if answer.status == HTTPStatus.PRECONDITION_FAILED:
+            raise StoreConflictError(key, _found_revision(answer, key))
+        if answer.status == HTTPStatus.NOT_FOUND:
+            raise LeaseLostError(key)
+        return _content(answer)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: Any = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> CallAnswer:
+        target = f"{path}?{urlencode(query)}" if query else path
+        try:
+            return await self._caller.call(
+                method,
+                target,
+                body=b"" if body is None else json.dumps(body).encode(),
+                headers=() if body is None else _JSON,
+                timeout_s=timeout_s,
+            )
+        except CallFailedError as error:
+            raise StoreUnavailableError(str(error)) from error
+
+
+def _content(answer: CallAnswer) -> Any:
+    if answer.status != HTTPStatus.OK:
+        raise StoreUnavailableError(f"the store answered {answer.status}")
+    try:
+        return json.loads(answer.body)
+    except ValueError as error:
+        raise StoreUnavailableError("the store's answer is no JSON") from error
+
+
+def _value(entry: Any) -> StoredValue:
+    data = base64.b64decode(entry["ValueData"])
+    return StoredValue(entry["Key"], data, entry["Revision"])
+
+
+def _found_revision(answer: CallAnswer, key: str) -> int:
+    entries = json.loads(answer.body).get("Entries", ())
+    revisions = [e.get("Revision", 0) for e in entries if e.get("Key") == key]
+    return int(revisions[0]) if revisions else 0
