--- a/src/shallotfold/_cli/gateway_main.py
+++ b/src/shallotfold/_cli/gateway_main.py
@@ -50,20 +50,24 @@
         raise UsageError(
             f"no settings file; give --settings or set {SETTINGS_VARIABLE}"
         )
-    settings = load_platform_settings(pathlib.Path(path))
+    settings_path = pathlib.Path(path)
+    settings = load_platform_settings(settings_path)
     if options.check:
         print(f"{path}: no faults")
         return EXIT_OK
-    return run_process(_make_process(settings))
+    return run_process(_make_process(settings, settings_path))
 
 
-def _make_process(settings: GatewaySettings) -> GatewayProcess:
+def _make_process(
+    settings: GatewaySettings, settings_path: pathlib.Path
+) -> GatewayProcess:
     return GatewayProcess(
         settings,
         PlatformDialect(),
         names.READY_PATH,
         PlatformStore(settings.store_address),
         PlatformDutyCalls(settings.duties_address),
+        lambda: load_platform_settings(settings_path),
     )
 
 
--- a/src/shallotfold/_gateway/peers.py
+++ b/src/shallotfold/_gateway/peers.py
@@ -82,16 +82,17 @@
 
     Attributes:
         ip: Address of this host.
+        seed_ips: Hosts to ask when nobody is known, maybe stale.
         word_by_name: Newest word of each host.
     """
 
     def __init__(
-        self, name: str, incarnation: str, ip: str, seeds: tuple[str, ...]
+        self, name: str, incarnation: str, ip: str, seed_ips: tuple[str, ...]
     ) -> None:
         self._name = name
         self._incarnation = incarnation
         self.ip = ip
-        self._seeds = tuple(s for s in seeds if s != ip)
+        self.seed_ips = seed_ips
         self.word_by_name: dict[str, PeerWord] = {}
         self._alive: frozenset[str] = frozenset()
 
@@ -188,7 +189,7 @@
         """Return where to send the next word."""
         addresses = {word.ip for word in self.word_by_name.values()}
         if with_seeds or not addresses:
-            addresses |= set(self._seeds)
+            addresses |= set(self.seed_ips)
         addresses.discard(self.ip)
         return addresses
 
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -1,13 +1,17 @@
 """Run a gateway on one host: callers, peers, configuration and duties."""
 
 import asyncio
+from collections.abc import Callable
 from http import HTTPStatus
 import random
+import signal
 import time
 
+import attrs
 from loguru import logger
 import msgpack
 
+from shallotfold._errors import InvalidInputError
 from shallotfold._gateway import decision_log
 from shallotfold._gateway.caller_connection import CallerConnection
 from shallotfold._gateway.clocks import boot_s
@@ -61,8 +65,21 @@
         ready_path: bytes,
         store: WatchedStore,
         duty_calls: DutyCalls,
+        load_settings: Callable[[], GatewaySettings],
     ) -> None:
+        """Make a process.
+
+        Args:
+            settings: What it starts with.
+            dialect: How the platform spells things.
+            ready_path: Path on which readiness is asked for.
+            store: The platform's store.
+            duty_calls: The platform's interface for duties.
+            load_settings: Reads the settings again; raises
+                `InvalidInputError`.
+        """
         self._settings = settings
+        self._load_settings = load_settings
         self._dialect = dialect
         self._ready_path = ready_path
         self._store = store
@@ -137,6 +154,7 @@
             incarnation=self._incarnation,
         )
         loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         for address in (settings.ready_address, settings.peer_address):
             self._servers.append(
                 await loop.create_server(
@@ -180,8 +198,22 @@
         self._stopper = asyncio.get_running_loop().create_task(self._stop())
 
     def reload(self) -> None:
-        """Note that the settings file changed; addresses hold until a stop."""
-        decision_log.record("reload")
+        """Read the settings again; own addresses hold until a restart."""
+        try:
+            settings = self._load_settings()
+        except InvalidInputError as error:
+            decision_log.record("reload_refused", error=str(error))
+            return
+        before = attrs.asdict(self._settings, recurse=False)
+        after = attrs.asdict(settings, recurse=False)
+        changed = sorted(key for key in after if after[key] != before[key])
+        self._settings = settings
+        self._peers.seed_ips = settings.seed_ips
+        budget = self._gateway.dispatcher.budget
+        budget.ratio = settings.retry_ratio
+        budget.extra = settings.retry_extra
+        budget.window_s = settings.retry_window_s
+        decision_log.record("reload", changed=changed)
 
     async def wait_stopped(self) -> int:
         """Wait until the process may end."""
--- a/src/shallotfold/_gateway/store_following.py
+++ b/src/shallotfold/_gateway/store_following.py
@@ -15,6 +15,8 @@
 # Short enough that a watch whose answer was lost is noticed within the
 # bounds of a configuration change; each watch is a priced call.
 WATCH_WAIT_S = 4.0
+# After a failure a watch this short shows whether the store is back.
+PROBE_WAIT_S = 0.05
 # Changes that come in quick succession are read together.
 GATHER_S = 0.1
 FIRST_PAUSE_S = 0.15
@@ -92,9 +94,8 @@
             self._revision = snapshot.revision
             self._on_snapshot(snapshot)
             return False
-        changes = await self._store.watch(
-            self._prefix, self._revision, WATCH_WAIT_S
-        )
+        wait_s = WATCH_WAIT_S if self._reachable else PROBE_WAIT_S
+        changes = await self._store.watch(self._prefix, self._revision, wait_s)
         self._revision = max(self._revision, changes.revision)
         if changes.changed or changes.deleted:
             self._on_changes(changes)
--- a/src/shallotfold/_gateway/upstream_registry.py
+++ b/src/shallotfold/_gateway/upstream_registry.py
@@ -13,8 +13,10 @@
 
 # Live upstreams are registered again this long after the store's return.
 RETURN_GRACE_S = 2.2
-# A lapse this short a time after a failed call counts as part of an outage.
-OUTAGE_MEMORY_S = 3.0
+# Upstreams seldom leave together: when at least this many and this share of
+# them lapse at once, the store was away unnoticed.
+MASS_LAPSE_COUNT = 3
+MASS_LAPSE_SHARE = 0.5
 
 
 @attrs.define
@@ -54,8 +56,8 @@
         self, values_by_id: dict[str, StoredValue], revision: int, now_s: float
     ) -> None:
         """Take the whole list as it was at a revision."""
-        for upstream_id in self._entry_by_id.keys() - values_by_id.keys():
-            self._remove(upstream_id, revision, now_s)
+        lapsed = self._entry_by_id.keys() - values_by_id.keys()
+        self._remove_all(lapsed, revision, now_s)
         for upstream_id, value in values_by_id.items():
             self._put(upstream_id, value)
         self.revision = max(self.revision, revision)
@@ -70,8 +72,7 @@
         """Take what changed up to a revision."""
         for upstream_id, value in values_by_id.items():
             self._put(upstream_id, value)
-        for upstream_id in deleted:
-            self._remove(upstream_id, revision, now_s)
+        self._remove_all(set(deleted), revision, now_s)
         self.revision = max(self.revision, revision)
 
     def expire(self, now_s: float) -> list[str]:
@@ -115,18 +116,28 @@
             return
         self._entry_by_id[upstream_id] = _Entry(value.value, value.revision)
 
-    def _remove(self, upstream_id: str, revision: int, now_s: float) -> None:
+    def _remove_all(
+        self, upstream_ids: set[str], revision: int, now_s: float
+    ) -> None:
+        known = len(self._entry_by_id)
+        lapsed = len(upstream_ids & self._entry_by_id.keys())
+        if lapsed >= max(MASS_LAPSE_COUNT, known * MASS_LAPSE_SHARE):
+            self.back_s = now_s
+            self.trouble_s = now_s
+        doubted = self.in_outage(now_s)
+        for upstream_id in upstream_ids:
+            self._remove(upstream_id, revision, now_s, doubted=doubted)
+
+    def _remove(
+        self, upstream_id: str, revision: int, now_s: float, *, doubted: bool
+    ) -> None:
         entry = self._entry_by_id.get(upstream_id)
         if entry is None or entry.revision > revision:
             return
         self._deleted_at[upstream_id] = revision
-        recently = (
-            self.trouble_s is not None
-            and now_s - self.trouble_s < OUTAGE_MEMORY_S
-        )
-        if not self.in_outage(now_s) and not recently:
+        if not doubted:
             del self._entry_by_id[upstream_id]
         elif entry.doubted_until_s is None:
             entry.doubted_until_s = (
-                max(now_s, self.back_s or now_s) + RETURN_GRACE_S
-            )
+                now_s if self.back_s is None else self.back_s
+            ) + RETURN_GRACE_S
