--- a/src/shallotfold/_gateway/upstream_connection.py
+++ b/src/shallotfold/_gateway/upstream_connection.py
@@ -1,6 +1,7 @@
 """Send one request at a time on a connection and read the answer exactly."""
 
 import asyncio
+import errno
 from http import HTTPStatus
 import socket
 from typing import Protocol
@@ -124,6 +125,20 @@
             return
         self._fail("connection closed" if exc is None else str(exc))
 
+    def eof_received(self) -> bool:
+        """Tell an orderly end from a reset that was read as an end.
+
+        The loop may see the end of the stream before the error behind it; an
+        answer without a length is whole only after an orderly end.
+        """
+        transport = self._transport
+        sock = transport.get_extra_info("socket") if transport else None
+        if sock is not None:
+            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if error:
+                self._fail(f"connection reset ({errno.errorcode.get(error)})")
+        return False
+
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived."""
         if self._reader is None:
