--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 from http import HTTPStatus
 import random
 import signal
@@ -24,6 +25,7 @@
 from shallotfold._gateway.messages import IncomingRequest
 from shallotfold._gateway.messages import plain_answer
 from shallotfold._gateway.model import RequestLimits
+from shallotfold._gateway.model import Service
 from shallotfold._gateway.model import Upstream
 from shallotfold._gateway.peers import OwnWord
 from shallotfold._gateway.peers import PeerLink
@@ -38,6 +40,7 @@
 from shallotfold._gateway.serving import Gateway
 from shallotfold._gateway.settings import GatewaySettings
 from shallotfold._gateway.store_following import PrefixFollower
+from shallotfold._gateway.upstream_ordering import UpstreamOrdering
 from shallotfold._gateway.upstream_registry import UpstreamRegistry
 from shallotfold._gateway.usage_counts import UsageCounts
 from shallotfold._gateway.usage_reporting import UsageReporter
@@ -118,6 +121,14 @@
             settings.usage_lateness_s,
             self._true_s,
         )
+        self._ordering = UpstreamOrdering(
+            duty_calls,
+            self._lease,
+            settings.host,
+            self._services,
+            self._upstreams,
+            self._in_flight,
+        )
         self._followers = [
             PrefixFollower(
                 store,
@@ -170,11 +181,13 @@
         await self._gateway.start(address.ip, address.port)
         await self._lease.start()
         await self._reporter.start()
+        await self._ordering.start()
         self._housekeeper = loop.create_task(self._keep_house())
         decision_log.record("start", seeds=len(settings.seed_ips))
 
     async def close(self) -> None:
         """Release everything."""
+        await self._ordering.close()
         await self._reporter.close()
         await self._lease.close()
         if self._housekeeper is not None:
@@ -194,8 +207,11 @@
     def request_shutdown(self) -> None:
         """Begin an orderly stop."""
         decision_log.record("stopping", grace_s=self._settings.grace_period_s)
-        self._gateway.stop_accepting()
-        self._stopper = asyncio.get_running_loop().create_task(self._stop())
+        grace_s = self._settings.grace_period_s - STOP_MARGIN_S
+        self._gateway.begin_stop(grace_s)
+        self._stopper = asyncio.get_running_loop().create_task(
+            self._stop(grace_s)
+        )
 
     def reload(self) -> None:
         """Read the settings again; own addresses hold until a restart."""
@@ -280,6 +296,23 @@
         names = [word.name for word in alive if not word.stopping]
         return all(self._settings.host < name for name in names)
 
+    def _services(self) -> list[Service]:
+        table = self._gateway.table
+        if table is None:
+            return []
+        return list(table.configuration.services_by_name.values())
+
+    def _upstreams(self) -> Iterable[Upstream]:
+        return self._gateway.dispatcher.upstreams_by_id.values()
+
+    def _in_flight(self, service: str) -> int:
+        dispatcher = self._gateway.dispatcher
+        return sum(
+            dispatcher.placement.loads.total(upstream.upstream_id).requests
+            for upstream in dispatcher.upstreams_by_id.values()
+            if upstream.service == service
+        )
+
     def _on_configuration(self, changes: StoreChanges) -> None:
         for value in changes.changed:
             if value.key == self._dialect.configuration_key:
@@ -481,9 +514,8 @@
             "holds_duties": float(self._lease.holds),
         }
 
-    async def _stop(self) -> None:
+    async def _stop(self, grace_s: float) -> None:
         """Serve what is open, then end within the grace period."""
-        grace_s = self._settings.grace_period_s - STOP_MARGIN_S
         # Callers with an idle connection may use it until they hear
         # otherwise, so that the sockets stay open for most of the time.
         await asyncio.sleep(grace_s)
--- a/src/shallotfold/_gateway/serving.py
+++ b/src/shallotfold/_gateway/serving.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 import itertools
+import math
 import random
 from typing import Any
 
@@ -39,9 +40,9 @@
 # Callers may use a kept connection until four fifths of the idle limit; a
 # little later it may be closed.
 SWEEP_INTERVAL_S = 0.25
-# While the process stops, requests are accepted for this long, so that they
-# end before the process does.
-ACCEPT_WHILE_STOPPING_S = 3.5
+# While the process stops, every request is accepted for this long; later ones
+# only if their time-out is over before the process ends.
+ACCEPT_WHILE_STOPPING_S = 2.5
 # A host that knows no configuration yet usually learns it within this time.
 START_RETRY_AFTER_S = 0.5
 
@@ -62,6 +63,7 @@
         pool: Connections to upstreams.
         table: Routes in force; `None` before the first configuration.
         stopping_s: When an orderly stop began, on the boot clock.
+        ends_s: When the process ends after an orderly stop began.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         self.pool = UpstreamPool()
         self.table: RouteTable | None = None
         self.stopping_s: float | None = None
+        self.ends_s = math.inf
         self.hosts = 1
         self._usage = usage
         self._wall_s = wall_s
@@ -116,9 +119,14 @@
             connection.close()
         await self.pool.close()
 
-    def stop_accepting(self) -> None:
-        """Begin an orderly stop: answers ask callers to leave."""
+    def begin_stop(self, grace_s: float) -> None:
+        """Begin an orderly stop: answers ask callers to leave.
+
+        Args:
+            grace_s: Time until the process ends.
+        """
         self.stopping_s = boot_s()
+        self.ends_s = self.stopping_s + grace_s
 
     def close_idle_connections(self) -> None:
         """Close the connections on which nothing is under way."""
@@ -189,12 +197,12 @@
         """Check a request against the configuration in force."""
         if self.table is None:
             return _Rejection(503, "no configuration known yet")
-        if self._stops_too_soon(boot_s()):
-            return _Rejection(503, "this host is stopping")
         host = find_header(request.headers, b"host") or b""
         route = self.table.find(host.decode("latin-1"), request.path)
         if route is None:
             return _Rejection(404, "no route for host and path")
+        if self._stops_too_soon(route.timeout_s):
+            return _Rejection(503, "this host is stopping")
         configuration = self.table.configuration
         if route.public or not configuration.requires_keys:
             return Admission(route, None, route.priority)
@@ -248,10 +256,13 @@
 
     # Helpers.
 
-    def _stops_too_soon(self, now_s: float) -> bool:
+    def _stops_too_soon(self, timeout_s: float) -> bool:
+        if self.stopping_s is None:
+            return False
+        now_s = boot_s()
         return (
-            self.stopping_s is not None
-            and now_s - self.stopping_s > ACCEPT_WHILE_STOPPING_S
+            now_s > self.stopping_s + ACCEPT_WHILE_STOPPING_S
+            and now_s + timeout_s > self.ends_s
         )
 
     def _reject(
--- /dev/null
+++ b/src/shallotfold/_gateway/upstream_ordering.py
@@ -0,0 +1,97 @@
+"""Send the orders of the scaling planner while this host holds the duties."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from shallotfold._gateway import decision_log
+from shallotfold._gateway.clocks import boot_s
+from shallotfold._gateway.duty_lease import DutyLease
+from shallotfold._gateway.model import Service
+from shallotfold._gateway.model import Upstream
+from shallotfold._gateway.ports import DutyCalls
+from shallotfold._gateway.ports import DutyOutcome
+from shallotfold._gateway.scaling import ScalingPlanner
+
+CHECK_INTERVAL_S = 0.5
+
+
+class UpstreamOrdering:
+    """Keeps as many upstreams ordered as the planner wants."""
+
+    def __init__(
+        self,
+        calls: DutyCalls,
+        lease: DutyLease,
+        host: str,
+        services: Callable[[], Iterable[Service]],
+        upstreams: Callable[[], Iterable[Upstream]],
+        in_flight: Callable[[str], int],
+    ) -> None:
+        """Make it.
+
+        Args:
+            calls: Where orders go.
+            lease: Held while orders may be sent.
+            host: Name of this host.
+            services: Returns the services in force.
+            upstreams: Returns the upstreams that are registered.
+            in_flight: Returns the requests that all hosts have at a service.
+        """
+        self._calls = calls
+        self._lease = lease
+        self._host = host
+        self._services = services
+        self._upstreams = upstreams
+        self._in_flight = in_flight
+        self._planner = ScalingPlanner()
+        self._fencing = 0
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to order."""
+        self._task = asyncio.create_task(self._order_regularly())
+
+    async def close(self) -> None:
+        """Stop ordering."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _order_regularly(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            now_s = boot_s()
+            for service in self._services():
+                self._planner.note_demand(
+                    service.name, self._in_flight(service.name), now_s
+                )
+            if self._lease.holds:
+                await self._order_once()
+
+    async def _order_once(self) -> None:
+        fencing = self._lease.fencing
+        if fencing != self._fencing:
+            self._fencing = fencing
+            self._planner.forget()
+        for service in self._services():
+            wanted = self._planner.plan(service, self._upstreams(), boot_s())
+            for order in wanted:
+                if not self._lease.holds:
+                    return
+                outcome = await self._calls.order_upstreams(
+                    order, holder=self._host, fencing=fencing
+                )
+                self._planner.note_outcome(order, outcome, boot_s())
+                decision_log.record(
+                    "upstreams_ordered",
+                    service=order.service,
+                    at=order.data_centre,
+                    spot=order.spot,
+                    count=order.count,
+                    outcome=outcome.value,
+                    fencing=fencing,
+                )
+                if outcome is DutyOutcome.FENCED:
+                    self._lease.resign("a higher fencing number was seen")
+                    return
