Move our own service protocol to _services

Cause: the adapter of the users' platform is shallotfold.platform; a package named _platform beside it would be taken for it. Change: moved and renamed only.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -11,7 +11,7 @@
 from benchmarks.topology import Topology
 from shallotfold._fleet.configuration_store import ConfigurationStore
 from shallotfold._model.serialization import dump_configuration
-from shallotfold._platform.http_store import HttpStore
+from shallotfold._services.http_store import HttpStore
 
 
 @attrs.define
--- a/src/shallotfold/_controller/duty_calls.py
+++ b/src/shallotfold/_controller/duty_calls.py
@@ -14,7 +14,7 @@
 from shallotfold._fleet import audit
 from shallotfold._fleet import duties
 from shallotfold._fleet.verified_write import write_verified
-from shallotfold._platform.ports import Store
+from shallotfold._services.ports import Store
 
 AUDIT_TRIES = 20
 
--- a/src/shallotfold/_controller/effects.py
+++ b/src/shallotfold/_controller/effects.py
@@ -8,8 +8,8 @@
 from shallotfold._fleet.order_journal import OrderJournal
 from shallotfold._fleet.usage_ledger import FrozenWindow
 from shallotfold._fleet.usage_ledger import UsageHead
-from shallotfold._platform.ports import UpstreamOrder
-from shallotfold._platform.ports import UsageReport
+from shallotfold._services.ports import UpstreamOrder
+from shallotfold._services.ports import UsageReport
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_controller/events.py
+++ b/src/shallotfold/_controller/events.py
@@ -18,7 +18,7 @@
 from shallotfold._model.events import Event as Event
 from shallotfold._model.events import Tick as Tick
 from shallotfold._model.upstreams import HostRecord
-from shallotfold._platform.ports import UsageReport
+from shallotfold._services.ports import UsageReport
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_controller/knowledge_calls.py
+++ b/src/shallotfold/_controller/knowledge_calls.py
@@ -9,8 +9,8 @@
 from shallotfold._errors import PlatformError
 from shallotfold._errors import ShallotfoldError
 from shallotfold._fleet.configuration_reader import ConfigurationReader
-from shallotfold._platform.ports import HostList
-from shallotfold._platform.ports import Store
+from shallotfold._services.ports import HostList
+from shallotfold._services.ports import Store
 
 
 @attrs.define
--- a/src/shallotfold/_controller/order_calls.py
+++ b/src/shallotfold/_controller/order_calls.py
@@ -20,8 +20,8 @@
 from shallotfold._fleet.usage_flush import UsageFlush
 from shallotfold._fleet.usage_flush import decode_flush
 from shallotfold._fleet.verified_write import write_verified
-from shallotfold._platform.ports import Store
-from shallotfold._platform.ports import UpstreamOrders
+from shallotfold._services.ports import Store
+from shallotfold._services.ports import UpstreamOrders
 
 
 @attrs.define
--- a/src/shallotfold/_controller/process.py
+++ b/src/shallotfold/_controller/process.py
@@ -14,11 +14,11 @@
 from shallotfold._controller.shell import ControllerShell
 from shallotfold._controller.state import ControllerState
 from shallotfold._controller.usage_calls import UsageCalls
-from shallotfold._platform.http_hosts import HttpHostList
-from shallotfold._platform.http_orders import HttpUpstreamOrders
-from shallotfold._platform.http_store import HttpStore
-from shallotfold._platform.http_usage import HttpUsageReports
 from shallotfold._runtime.metrics import Metrics
+from shallotfold._services.http_hosts import HttpHostList
+from shallotfold._services.http_orders import HttpUpstreamOrders
+from shallotfold._services.http_store import HttpStore
+from shallotfold._services.http_usage import HttpUsageReports
 from shallotfold._settings.controller import ControllerSettings
 
 EXIT_ORDERLY = 0
--- a/src/shallotfold/_controller/usage.py
+++ b/src/shallotfold/_controller/usage.py
@@ -22,7 +22,7 @@
 from shallotfold._fleet.usage_ledger import UsageHead
 from shallotfold._fleet.usage_ledger import freeze_window
 from shallotfold._fleet.usage_ledger import head_after
-from shallotfold._platform.ports import UsageReport
+from shallotfold._services.ports import UsageReport
 
 if TYPE_CHECKING:
     from shallotfold._controller import events
--- a/src/shallotfold/_controller/usage_calls.py
+++ b/src/shallotfold/_controller/usage_calls.py
@@ -22,9 +22,9 @@
 from shallotfold._fleet.usage_flush import encode_flush
 from shallotfold._fleet.usage_flush import flush_key
 from shallotfold._fleet.verified_write import write_verified
-from shallotfold._platform.ports import Store
-from shallotfold._platform.ports import UsageReport
-from shallotfold._platform.ports import UsageReports
+from shallotfold._services.ports import Store
+from shallotfold._services.ports import UsageReport
+from shallotfold._services.ports import UsageReports
 
 
 @attrs.define
--- a/src/shallotfold/_entry/claim_runner.py
+++ b/src/shallotfold/_entry/claim_runner.py
@@ -20,7 +20,7 @@
 from shallotfold._model.requests import Outcome
 from shallotfold._model.requests import RecordedAnswer
 from shallotfold._model.requests import RefusalCode
-from shallotfold._platform.ports import Store
+from shallotfold._services.ports import Store
 
 CLAIM_TIMEOUT_S = 2.0
 RETRY_DELAY_S = 0.05
--- a/src/shallotfold/_entry/configuration_sync.py
+++ b/src/shallotfold/_entry/configuration_sync.py
@@ -25,8 +25,8 @@
 from shallotfold._fleet.manifest import Manifest
 from shallotfold._fleet.manifest import load_manifest
 from shallotfold._model.serialization import document_sha256
-from shallotfold._platform.ports import Store
-from shallotfold._platform.ports import StoreChanges
+from shallotfold._services.ports import Store
+from shallotfold._services.ports import StoreChanges
 from shallotfold._wire.messages import PeerMessage
 
 # A watch is one store call; the whole fleet makes a hundred a second at most
--- a/src/shallotfold/_entry/fleet_parts.py
+++ b/src/shallotfold/_entry/fleet_parts.py
@@ -7,9 +7,9 @@
 from shallotfold._entry.peer_network import PeerNetworkSettings
 from shallotfold._entry.shell import EntryShell
 from shallotfold._entry.shell import Part
-from shallotfold._platform.http_hosts import HttpHostList
-from shallotfold._platform.http_store import HttpStore
-from shallotfold._platform.ports import Store
+from shallotfold._services.http_hosts import HttpHostList
+from shallotfold._services.http_store import HttpStore
+from shallotfold._services.ports import Store
 from shallotfold._settings.entry import EntrySettings
 
 
--- a/src/shallotfold/_entry/host_sync.py
+++ b/src/shallotfold/_entry/host_sync.py
@@ -11,7 +11,7 @@
 from shallotfold._entry import events
 from shallotfold._errors import PlatformError
 from shallotfold._model.upstreams import HostRecord
-from shallotfold._platform.ports import HostList
+from shallotfold._services.ports import HostList
 
 POLL_INTERVAL_S = 2.0
 LARGE_LIST_POLL_INTERVAL_S = 10.0
--- a/src/shallotfold/_entry/process.py
+++ b/src/shallotfold/_entry/process.py
@@ -25,9 +25,9 @@
 from shallotfold._model.configuration import Configuration
 from shallotfold._model.serialization import document_sha256
 from shallotfold._model.serialization import load_configuration
-from shallotfold._platform.http_cache_events import HttpCacheEvents
-from shallotfold._platform.http_loads import HttpLoadReports
 from shallotfold._runtime.metrics import Metrics
+from shallotfold._services.http_cache_events import HttpCacheEvents
+from shallotfold._services.http_loads import HttpLoadReports
 from shallotfold._settings.entry import EntrySettings
 
 EXIT_ORDERLY = 0
--- a/src/shallotfold/_entry/store_parts.py
+++ b/src/shallotfold/_entry/store_parts.py
@@ -11,7 +11,7 @@
 from shallotfold._entry.shell import EntryShell
 from shallotfold._entry.shell import Part
 from shallotfold._entry.usage_flusher import UsageFlusher
-from shallotfold._platform.http_store import HttpStore
+from shallotfold._services.http_store import HttpStore
 from shallotfold._settings.entry import EntrySettings
 
 
--- a/src/shallotfold/_entry/upstream_watch.py
+++ b/src/shallotfold/_entry/upstream_watch.py
@@ -13,8 +13,8 @@
 from shallotfold._entry.state import EntryState
 from shallotfold._errors import PlatformError
 from shallotfold._model.configuration import Upstream
-from shallotfold._platform.http_cache_events import CacheEvents
-from shallotfold._platform.ports import LoadReports
+from shallotfold._services.http_cache_events import CacheEvents
+from shallotfold._services.ports import LoadReports
 
 LOAD_INTERVAL_S = 0.5
 CACHE_INTERVAL_S = 1.0
--- a/src/shallotfold/_entry/usage_flusher.py
+++ b/src/shallotfold/_entry/usage_flusher.py
@@ -26,7 +26,7 @@
 from shallotfold._fleet.usage_ledger import HEAD_PREFIX
 from shallotfold._fleet.usage_ledger import decode_head
 from shallotfold._fleet.verified_write import write_verified
-from shallotfold._platform.ports import Store
+from shallotfold._services.ports import Store
 
 SETTLED_PERIOD_S = 120.0
 MAX_TRIES = 3
--- a/src/shallotfold/_fleet/audit.py
+++ b/src/shallotfold/_fleet/audit.py
@@ -16,7 +16,7 @@
 
 from shallotfold._errors import StoreConflictError
 from shallotfold._errors import StoreUnavailableError
-from shallotfold._platform.ports import Store
+from shallotfold._services.ports import Store
 
 AUDIT_PREFIX = "audit/"
 SEGMENTS = 32
--- a/src/shallotfold/_fleet/claims.py
+++ b/src/shallotfold/_fleet/claims.py
@@ -14,8 +14,8 @@
 from shallotfold._errors import StoreConflictError
 from shallotfold._errors import StoredValueError
 from shallotfold._model.requests import RecordedAnswer
-from shallotfold._platform.ports import Store
-from shallotfold._platform.ports import StoredValue
+from shallotfold._services.ports import Store
+from shallotfold._services.ports import StoredValue
 
 CLAIM_PREFIX = "claims/"
 MAX_RECORDED_BYTES = 900_000
--- a/src/shallotfold/_fleet/configuration_reader.py
+++ b/src/shallotfold/_fleet/configuration_reader.py
@@ -16,7 +16,7 @@
 from shallotfold._model.serialization import document_sha256
 from shallotfold._model.serialization import dump_configuration
 from shallotfold._model.serialization import load_configuration
-from shallotfold._platform.ports import Store
+from shallotfold._services.ports import Store
 
 _READ_ATTEMPTS = 3
 _PARALLEL_READS = 8
--- a/src/shallotfold/_fleet/configuration_store.py
+++ b/src/shallotfold/_fleet/configuration_store.py
@@ -30,7 +30,7 @@
 from shallotfold._model.serialization import document_sha256
 from shallotfold._model.serialization import dump_configuration
 from shallotfold._model.serialization import load_configuration
-from shallotfold._platform.ports import Store
+from shallotfold._services.ports import Store
 
 MAX_VALUE_BYTES = 1_000_000
 VERSIONS_BETWEEN_SWEEPS = 64
--- a/src/shallotfold/_fleet/duties.py
+++ b/src/shallotfold/_fleet/duties.py
@@ -12,7 +12,7 @@
 import attrs
 from cattrs.preconf.json import make_converter
 
-from shallotfold._platform.ports import StoredValue
+from shallotfold._services.ports import StoredValue
 
 DUTIES_PREFIX = "duties/"
 ORDERS_PREFIX = "orders/"
--- a/src/shallotfold/_fleet/order_journal.py
+++ b/src/shallotfold/_fleet/order_journal.py
@@ -10,7 +10,7 @@
 import attrs
 from cattrs.preconf.json import make_converter
 
-from shallotfold._platform.ports import UpstreamOrder
+from shallotfold._services.ports import UpstreamOrder
 
 _CONVERTER = make_converter()
 
--- a/src/shallotfold/_fleet/usage_flush.py
+++ b/src/shallotfold/_fleet/usage_flush.py
@@ -11,7 +11,7 @@
 import msgpack
 
 from shallotfold._errors import PlatformError
-from shallotfold._platform.ports import StoredValue
+from shallotfold._services.ports import StoredValue
 from shallotfold._wire.usage_messages import UsageCount
 
 FLUSH_PREFIX = "usage/flush/"
--- a/src/shallotfold/_fleet/usage_ledger.py
+++ b/src/shallotfold/_fleet/usage_ledger.py
@@ -16,7 +16,7 @@
 
 from shallotfold._fleet.duties import shard_of
 from shallotfold._fleet.usage_flush import UsageFlush
-from shallotfold._platform.ports import UsageFigures
+from shallotfold._services.ports import UsageFigures
 from shallotfold._wire.usage_messages import UsageCount
 
 HEAD_PREFIX = "usage/head/"
--- a/src/shallotfold/_fleet/verified_write.py
+++ b/src/shallotfold/_fleet/verified_write.py
@@ -2,7 +2,7 @@
 
 from shallotfold._errors import StoreConflictError
 from shallotfold._errors import StoreUnavailableError
-from shallotfold._platform.ports import Store
+from shallotfold._services.ports import Store
 
 MAX_TRIES = 3
 
--- a/src/shallotfold/_gateway/ports.py
+++ b/src/shallotfold/_gateway/ports.py
@@ -8,8 +8,8 @@
 from shallotfold._gateway.model import GatewayConfiguration
 from shallotfold._gateway.model import Upstream
 from shallotfold._gateway.wire_names import HeaderNames
-from shallotfold._platform.ports import Store
-from shallotfold._platform.ports import StoreChanges
+from shallotfold._services.ports import Store
+from shallotfold._services.ports import StoreChanges
 
 
 class WatchedStore(Store, Protocol):
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -44,8 +44,8 @@
 from shallotfold._gateway.upstream_registry import UpstreamRegistry
 from shallotfold._gateway.usage_counts import UsageCounts
 from shallotfold._gateway.usage_reporting import UsageReporter
-from shallotfold._platform.ports import StoreChanges
-from shallotfold._platform.ports import StoredValue
+from shallotfold._services.ports import StoreChanges
+from shallotfold._services.ports import StoredValue
 
 SNAPSHOT_PATH = b"/peer/snapshot"
 METRICS_PATH = b"/metrics"
--- a/src/shallotfold/_gateway/store_following.py
+++ b/src/shallotfold/_gateway/store_following.py
@@ -10,7 +10,7 @@
 from shallotfold._errors import StoreUnavailableError
 from shallotfold._gateway import decision_log
 from shallotfold._gateway.ports import WatchedStore
-from shallotfold._platform.ports import StoreChanges
+from shallotfold._services.ports import StoreChanges
 
 # Short enough that a watch whose answer was lost is noticed within the
 # bounds of a configuration change; each watch is a priced call.
--- a/src/shallotfold/_gateway/upstream_registry.py
+++ b/src/shallotfold/_gateway/upstream_registry.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from shallotfold._platform.ports import StoredValue
+from shallotfold._services.ports import StoredValue
 
 # Live upstreams are registered again this long after the store's return.
 RETURN_GRACE_S = 2.2
--- a/src/shallotfold/_operator/auditing.py
+++ b/src/shallotfold/_operator/auditing.py
@@ -12,7 +12,7 @@
 from shallotfold._fleet.audit import append_patiently
 from shallotfold._fleet.manifest import Submission
 from shallotfold._model.differences import Change
-from shallotfold._platform.ports import Store
+from shallotfold._services.ports import Store
 
 APPEND_TRIES = 4
 
--- a/src/shallotfold/_operator/commands/audit.py
+++ b/src/shallotfold/_operator/commands/audit.py
@@ -11,7 +11,7 @@
 from shallotfold._fleet.configuration_store import ConfigurationStore
 from shallotfold._operator.auditing import missing_records
 from shallotfold._operator.commands.context import CommandContext
-from shallotfold._platform.ports import Store
+from shallotfold._services.ports import Store
 
 
 async def audit(context: CommandContext, wanted: AuditFilter) -> None:
--- a/src/shallotfold/_operator/commands/configuration.py
+++ b/src/shallotfold/_operator/commands/configuration.py
@@ -19,7 +19,7 @@
 from shallotfold._model.serialization import load_configuration
 from shallotfold._operator.auditing import record_submission
 from shallotfold._operator.commands.context import CommandContext
-from shallotfold._platform.ports import Store
+from shallotfold._services.ports import Store
 
 READ_TRIES = 4
 FIRST_RETRY_DELAY_S = 0.1
--- a/src/shallotfold/_operator/commands/context.py
+++ b/src/shallotfold/_operator/commands/context.py
@@ -12,8 +12,8 @@
 
 from shallotfold._errors import UsageError
 from shallotfold._operator.output import Output
-from shallotfold._platform.http_store import HttpStore
-from shallotfold._platform.ports import Store
+from shallotfold._services.http_store import HttpStore
+from shallotfold._services.ports import Store
 from shallotfold._settings.loading import load_settings
 from shallotfold._settings.operator import OperatorSettings
 
--- a/src/shallotfold/_operator/commands/keys.py
+++ b/src/shallotfold/_operator/commands/keys.py
@@ -11,7 +11,7 @@
 from shallotfold._operator.commands.context import CommandContext
 from shallotfold._operator.keys import NewKey
 from shallotfold._operator.keys import new_key
-from shallotfold._platform.ports import Store
+from shallotfold._services.ports import Store
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_operator/commands/usage.py
+++ b/src/shallotfold/_operator/commands/usage.py
@@ -7,8 +7,8 @@
 from shallotfold._fleet.usage_ledger import FROZEN_PREFIX
 from shallotfold._fleet.usage_ledger import decode_frozen
 from shallotfold._operator.commands.context import CommandContext
-from shallotfold._platform.ports import Store
-from shallotfold._platform.ports import UsageFigures
+from shallotfold._services.ports import Store
+from shallotfold._services.ports import UsageFigures
 
 
 @attrs.frozen(kw_only=True, order=True)
--- a/src/shallotfold/_platform/fenced_http.py
+++ b/src/shallotfold/_services/fenced_http.py
@@ -18,7 +18,7 @@
 import attrs
 
 from shallotfold._errors import PlatformError
-from shallotfold._platform.http_json import JsonAnswer
+from shallotfold._services.http_json import JsonAnswer
 
 LINGER_RESET = struct.pack("ii", 1, 0)
 MS_PER_S = 1000
--- a/src/shallotfold/_platform/http_cache_events.py
+++ b/src/shallotfold/_services/http_cache_events.py
@@ -4,7 +4,7 @@
 import cattrs
 
 from shallotfold._errors import PlatformError
-from shallotfold._platform.http_json import JsonClient
+from shallotfold._services.http_json import JsonClient
 
 CALL_TIMEOUT_S = 1.0
 
--- a/src/shallotfold/_platform/http_hosts.py
+++ b/src/shallotfold/_services/http_hosts.py
@@ -8,7 +8,7 @@
 
 from shallotfold._errors import PlatformError
 from shallotfold._model.upstreams import HostRecord
-from shallotfold._platform.http_json import JsonClient
+from shallotfold._services.http_json import JsonClient
 
 CALL_TIMEOUT_S = 2.0
 
--- a/src/shallotfold/_platform/http_loads.py
+++ b/src/shallotfold/_services/http_loads.py
@@ -5,7 +5,7 @@
 
 from shallotfold._errors import PlatformError
 from shallotfold._model.upstreams import UpstreamLoad
-from shallotfold._platform.http_json import JsonClient
+from shallotfold._services.http_json import JsonClient
 
 CALL_TIMEOUT_S = 1.0
 
--- a/src/shallotfold/_platform/http_orders.py
+++ b/src/shallotfold/_services/http_orders.py
@@ -8,9 +8,9 @@
 from shallotfold._errors import OrderOutcomeUnknownError
 from shallotfold._errors import OrderRefusedError
 from shallotfold._errors import PlatformError
-from shallotfold._platform.fenced_http import FencedHttpClient
-from shallotfold._platform.http_json import JsonAnswer
-from shallotfold._platform.ports import UpstreamOrder
+from shallotfold._services.fenced_http import FencedHttpClient
+from shallotfold._services.http_json import JsonAnswer
+from shallotfold._services.ports import UpstreamOrder
 
 LOOK_UP_TIMEOUT_S = 2.0
 
--- a/src/shallotfold/_platform/http_store.py
+++ b/src/shallotfold/_services/http_store.py
@@ -13,12 +13,12 @@
 from shallotfold._errors import StoreConflictError
 from shallotfold._errors import StoreUnavailableError
 from shallotfold._errors import ValueTooLargeError
-from shallotfold._platform import store_messages
-from shallotfold._platform.http_json import JsonAnswer
-from shallotfold._platform.http_json import JsonClient
-from shallotfold._platform.ports import Lease
-from shallotfold._platform.ports import StoreChanges
-from shallotfold._platform.ports import StoredValue
+from shallotfold._services import store_messages
+from shallotfold._services.http_json import JsonAnswer
+from shallotfold._services.http_json import JsonClient
+from shallotfold._services.ports import Lease
+from shallotfold._services.ports import StoreChanges
+from shallotfold._services.ports import StoredValue
 
 CALL_TIMEOUT_S = 2.0
 
--- a/src/shallotfold/_platform/http_usage.py
+++ b/src/shallotfold/_services/http_usage.py
@@ -6,8 +6,8 @@
 
 from shallotfold._errors import PlatformError
 from shallotfold._errors import ReportConflictError
-from shallotfold._platform.fenced_http import FencedHttpClient
-from shallotfold._platform.ports import UsageReport
+from shallotfold._services.fenced_http import FencedHttpClient
+from shallotfold._services.ports import UsageReport
 
 
 @attrs.define
--- a/src/shallotfold/_platform/store_messages.py
+++ b/src/shallotfold/_services/store_messages.py
@@ -6,7 +6,7 @@
 import attrs
 import cattrs
 
-from shallotfold._platform.ports import StoredValue
+from shallotfold._services.ports import StoredValue
 
 MAX_VALUE_BYTES = 1_000_000
 
--- a/src/shallotfold/_standin/orders.py
+++ b/src/shallotfold/_standin/orders.py
@@ -8,7 +8,7 @@
 from shallotfold._model.upstreams import HostRecord
 from shallotfold._model.upstreams import HostRole
 from shallotfold._model.upstreams import HostState
-from shallotfold._platform.ports import UpstreamOrder
+from shallotfold._services.ports import UpstreamOrder
 from shallotfold._settings.standin import SpareEngine
 from shallotfold._standin.hosts import HostListStandin
 
--- a/src/shallotfold/_standin/store.py
+++ b/src/shallotfold/_standin/store.py
@@ -15,10 +15,10 @@
 from shallotfold._errors import StoreConflictError
 from shallotfold._errors import StoreUnavailableError
 from shallotfold._errors import ValueTooLargeError
-from shallotfold._platform.ports import Lease
-from shallotfold._platform.ports import StoreChanges
-from shallotfold._platform.ports import StoredValue
-from shallotfold._platform.store_messages import MAX_VALUE_BYTES
+from shallotfold._services.ports import Lease
+from shallotfold._services.ports import StoreChanges
+from shallotfold._services.ports import StoredValue
+from shallotfold._services.store_messages import MAX_VALUE_BYTES
 
 WATCH_POLL_S = 0.1
 
--- a/src/shallotfold/_standin/store_http.py
+++ b/src/shallotfold/_standin/store_http.py
@@ -12,7 +12,7 @@
 from shallotfold._errors import StoreConflictError
 from shallotfold._errors import StoreUnavailableError
 from shallotfold._errors import ValueTooLargeError
-from shallotfold._platform import store_messages
+from shallotfold._services import store_messages
 from shallotfold._standin.http_common import drop_connection
 from shallotfold._standin.store import StoreStandin
 
--- a/src/shallotfold/_standin/usage.py
+++ b/src/shallotfold/_standin/usage.py
@@ -3,7 +3,7 @@
 import attrs
 
 from shallotfold._errors import ReportConflictError
-from shallotfold._platform.ports import UsageReport
+from shallotfold._services.ports import UsageReport
 
 
 @attrs.define
--- a/src/shallotfold/platform/store.py
+++ b/src/shallotfold/platform/store.py
@@ -14,9 +14,9 @@
 from shallotfold._gateway.http_calls import CallAnswer
 from shallotfold._gateway.http_calls import CallFailedError
 from shallotfold._gateway.http_calls import HttpCaller
-from shallotfold._platform.ports import Lease
-from shallotfold._platform.ports import StoreChanges
-from shallotfold._platform.ports import StoredValue
+from shallotfold._services.ports import Lease
+from shallotfold._services.ports import StoreChanges
+from shallotfold._services.ports import StoredValue
 from shallotfold._settings.addresses import Address
 from shallotfold.platform import names
 
--- a/tests/controller/launcher.py
+++ b/tests/controller/launcher.py
@@ -18,8 +18,8 @@
 from shallotfold._cli import controller_main
 from shallotfold._controller import orders
 from shallotfold._controller.lease_fence import LeaseFence
-from shallotfold._platform import fenced_http
-from shallotfold._platform.fenced_http import FencedHttpClient
+from shallotfold._services import fenced_http
+from shallotfold._services.fenced_http import FencedHttpClient
 
 FREEZE_AT_SEND = 2
 PLAN_PERIOD_S = 1.0
--- a/tests/controller/processes.py
+++ b/tests/controller/processes.py
@@ -30,7 +30,7 @@
 from shallotfold._model.configuration import Offer
 from shallotfold._model.configuration import RequestClass
 from shallotfold._model.serialization import dump_configuration
-from shallotfold._platform.http_store import HttpStore
+from shallotfold._services.http_store import HttpStore
 from shallotfold._wire.usage_messages import UsageCount
 
 LOOPBACK = "127.77.41.1"
--- a/tests/controller/simulation.py
+++ b/tests/controller/simulation.py
@@ -26,11 +26,11 @@
 from shallotfold._model.upstreams import HostRecord
 from shallotfold._model.upstreams import HostRole
 from shallotfold._model.upstreams import HostState
-from shallotfold._platform.ports import Lease
-from shallotfold._platform.ports import StoreChanges
-from shallotfold._platform.ports import StoredValue
-from shallotfold._platform.ports import UpstreamOrder
-from shallotfold._platform.ports import UsageReport
+from shallotfold._services.ports import Lease
+from shallotfold._services.ports import StoreChanges
+from shallotfold._services.ports import StoredValue
+from shallotfold._services.ports import UpstreamOrder
+from shallotfold._services.ports import UsageReport
 from shallotfold._settings.standin import SpareEngine
 from shallotfold._standin.hosts import HostListStandin
 from shallotfold._standin.orders import OrdersStandin
--- a/tests/entry/live_fleet.py
+++ b/tests/entry/live_fleet.py
@@ -21,8 +21,8 @@
 from shallotfold._model.upstreams import HostRecord
 from shallotfold._model.upstreams import HostRole
 from shallotfold._model.upstreams import HostState
-from shallotfold._platform.ports import StoreChanges
-from shallotfold._platform.ports import StoredValue
+from shallotfold._services.ports import StoreChanges
+from shallotfold._services.ports import StoredValue
 from shallotfold._settings.addresses import Address
 from shallotfold._standin.store import StoreStandin
 
--- a/tests/entry/test_configuration_sync.py
+++ b/tests/entry/test_configuration_sync.py
@@ -22,7 +22,7 @@
 from shallotfold._model.serialization import document_sha256
 from shallotfold._model.serialization import dump_configuration
 from shallotfold._model.upstreams import HostRecord
-from shallotfold._platform.ports import StoredValue
+from shallotfold._services.ports import StoredValue
 from shallotfold._standin.store import StoreFault
 from shallotfold._standin.store import StoreStandin
 from shallotfold._wire.messages import PeerMessage
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -13,7 +13,7 @@
 from shallotfold._entry.state import EntryState
 from shallotfold._fleet.configuration_store import ConfigurationStore
 from shallotfold._model.serialization import dump_configuration
-from shallotfold._platform.http_store import HttpStore
+from shallotfold._services.http_store import HttpStore
 from shallotfold._settings.addresses import Address
 from shallotfold._settings.common import PlatformSettings
 from shallotfold._settings.standin import PlatformStandinSettings
--- a/tests/entry/test_upstream_watch.py
+++ b/tests/entry/test_upstream_watch.py
@@ -8,8 +8,8 @@
 from shallotfold._entry.upstream_watch import UpstreamWatch
 from shallotfold._errors import PlatformError
 from shallotfold._model.upstreams import UpstreamLoad
-from shallotfold._platform.http_cache_events import CacheEvent
-from shallotfold._platform.http_cache_events import CacheEvents
+from shallotfold._services.http_cache_events import CacheEvent
+from shallotfold._services.http_cache_events import CacheEvents
 from tests.entry import serving as s
 
 LOAD = UpstreamLoad(running=1, queued=0, slots=8)
--- a/tests/operator/commands/test_usage.py
+++ b/tests/operator/commands/test_usage.py
@@ -3,7 +3,7 @@
 from shallotfold._fleet.usage_ledger import encode_frozen
 from shallotfold._fleet.usage_ledger import frozen_key
 from shallotfold._operator.commands.usage import read_usage
-from shallotfold._platform.ports import UsageFigures
+from shallotfold._services.ports import UsageFigures
 from shallotfold._standin.store import StoreStandin
 
 
--- a/tests/platform/test_fenced_http.py
+++ b/tests/services/test_fenced_http.py
@@ -9,8 +9,8 @@
 import pytest
 
 from shallotfold._errors import PlatformError
-from shallotfold._platform.fenced_http import FencedHttpClient
 from shallotfold._runtime.loop import new_event_loop
+from shallotfold._services.fenced_http import FencedHttpClient
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 WAIT_S = 10.0
--- a/tests/platform/test_http_reads.py
+++ b/tests/services/test_http_reads.py
@@ -9,8 +9,8 @@
 from shallotfold._errors import PlatformError
 from shallotfold._model.upstreams import HostState
 from shallotfold._model.upstreams import UpstreamLoad
-from shallotfold._platform.http_hosts import HttpHostList
-from shallotfold._platform.http_loads import HttpLoadReports
+from shallotfold._services.http_hosts import HttpHostList
+from shallotfold._services.http_loads import HttpLoadReports
 from shallotfold._settings.addresses import Address
 from shallotfold._settings.standin import EngineSettings
 from shallotfold._settings.standin import ListedHost
--- a/tests/platform/test_http_store.py
+++ b/tests/services/test_http_store.py
@@ -9,8 +9,8 @@
 from shallotfold._errors import StoreConflictError
 from shallotfold._errors import StoreUnavailableError
 from shallotfold._errors import ValueTooLargeError
-from shallotfold._platform.http_store import HttpStore
-from shallotfold._platform.ports import Store
+from shallotfold._services.http_store import HttpStore
+from shallotfold._services.ports import Store
 from shallotfold._settings.addresses import Address
 from shallotfold._settings.standin import PlatformStandinSettings
 from shallotfold._standin.platform_http import make_platform_server
--- a/tests/standin/test_platform.py
+++ b/tests/standin/test_platform.py
@@ -6,9 +6,9 @@
 from shallotfold._model.upstreams import HostRecord
 from shallotfold._model.upstreams import HostRole
 from shallotfold._model.upstreams import HostState
-from shallotfold._platform.ports import UpstreamOrder
-from shallotfold._platform.ports import UsageFigures
-from shallotfold._platform.ports import UsageReport
+from shallotfold._services.ports import UpstreamOrder
+from shallotfold._services.ports import UsageFigures
+from shallotfold._services.ports import UsageReport
 from shallotfold._settings.standin import SpareEngine
 from shallotfold._standin.hosts import HostListStandin
 from shallotfold._standin.orders import OrdersStandin
--- a/tests/standin/test_store.py
+++ b/tests/standin/test_store.py
@@ -8,7 +8,7 @@
 from shallotfold._errors import LeaseLostError
 from shallotfold._errors import StoreConflictError
 from shallotfold._errors import StoreUnavailableError
-from shallotfold._platform.ports import Store
+from shallotfold._services.ports import Store
 from shallotfold._standin.store import StoreFault
 from shallotfold._standin.store import StoreStandin
 
