--- /dev/null
+++ b/tests/gateway/test_dispatcher.py
@@ -0,0 +1,244 @@
+"""Check where requests go, when they are repeated and how they end."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from shallotfold._gateway import effects
+from shallotfold._gateway import events
+from shallotfold._gateway.model import RouteKind
+from tests.gateway.making import Desk
+from tests.gateway.making import make_prompt
+from tests.gateway.making import make_route
+from tests.gateway.making import make_upstream
+
+A = make_upstream("a")
+B = make_upstream("b")
+ONCE = make_route(RouteKind.ONCE, max_attempts=2)
+STREAM = make_route(RouteKind.STREAM, max_attempts=2)
+RESUMABLE = make_route(RouteKind.STREAM, max_attempts=2, resumable=True)
+
+
+def test_a_request_without_an_upstream_is_refused_at_once():
+    (refusal,) = Desk().arrive()
+    assert isinstance(refusal, effects.Refuse)
+    assert 0.25 <= refusal.retry_after_s <= 1.0
+
+
+def test_a_draining_upstream_gets_nothing():
+    desk = Desk(make_upstream("a", draining=True))
+    (refusal,) = desk.arrive()
+    assert isinstance(refusal, effects.Refuse)
+
+
+def test_the_attempt_gets_the_smaller_of_deadline_and_time_out():
+    desk = Desk(A)
+    (send,) = desk.arrive(deadline_s=2.0)
+    assert isinstance(send, effects.SendAttempt)
+    assert 1.9 <= send.allowed_s <= 2.0
+    (send,) = desk.arrive(2, make_route(timeout_s=0.5), deadline_s=2.0)
+    assert isinstance(send, effects.SendAttempt)
+    assert 0.4 <= send.allowed_s <= 0.5
+
+
+def test_the_final_answer_goes_out_at_the_time_out():
+    desk = Desk(A)
+    desk.arrive(route=make_route(RouteKind.ONCE, timeout_s=0.8))
+    assert not desk.after(0.75)
+    cancel, fail = desk.after(0.1)
+    assert isinstance(cancel, effects.CancelAttempt)
+    assert isinstance(fail, effects.Fail)
+    assert fail.timed_out
+
+
+@pytest.mark.parametrize("route", [ONCE, STREAM])
+def test_what_may_run_once_is_not_sent_again_after_a_break(route):
+    desk = Desk(A, B)
+    desk.arrive(route=route)
+    (fail,) = desk.feed(
+        events.AttemptBroken(now_s=desk.now_s, request=1, answered=False)
+    )
+    assert isinstance(fail, effects.Fail)
+    assert not fail.timed_out
+
+
+@pytest.mark.parametrize("route", [make_route(), RESUMABLE])
+def test_what_may_run_twice_goes_on_at_another_upstream(route):
+    desk = Desk(A, B)
+    desk.arrive(route=route)
+    first = desk.sent_to()
+    desk.feed(events.AttemptBroken(now_s=desk.now_s, request=1, answered=True))
+    assert desk.sent_to() != first
+
+
+def test_an_unrun_request_is_refused_when_no_attempt_is_left():
+    desk = Desk(A, B)
+    desk.arrive(route=make_route(RouteKind.ONCE, max_attempts=1))
+    (refusal,) = desk.feed(events.AttemptRejected(now_s=desk.now_s, request=1))
+    assert isinstance(refusal, effects.Refuse)
+
+
+def test_a_request_that_may_have_run_is_never_called_unrun():
+    desk = Desk(A, B)
+    desk.arrive()
+    desk.feed(events.AttemptBroken(now_s=desk.now_s, request=1, answered=False))
+    (fail,) = desk.feed(events.AttemptRejected(now_s=desk.now_s, request=1))
+    assert isinstance(fail, effects.Fail)
+
+
+def test_no_connection_costs_no_attempt():
+    desk = Desk(A, B)
+    desk.arrive(route=make_route(RouteKind.ONCE, max_attempts=1))
+    first = desk.sent_to()
+    desk.feed(events.AttemptUnsent(now_s=desk.now_s, request=1))
+    assert desk.sent_to() != first
+
+
+def test_the_upstream_s_own_failure_is_repeated_and_else_delivered():
+    desk = Desk(A, B)
+    desk.arrive()
+    desk.feed(events.AttemptFailed(now_s=desk.now_s, request=1))
+    desk.sent_to()
+    (delivered,) = desk.feed(events.AttemptFailed(now_s=desk.now_s, request=1))
+    assert isinstance(delivered, effects.DeliverFailure)
+
+
+def test_second_sends_stop_when_the_budget_is_spent():
+    desk = Desk(A, B, extra=0.0)
+    desk.arrive()
+    (fail,) = desk.feed(
+        events.AttemptBroken(now_s=desk.now_s, request=1, answered=False)
+    )
+    assert isinstance(fail, effects.Fail)
+
+
+def test_a_silent_repeatable_attempt_moves_while_time_is_left():
+    desk = Desk(A, B)
+    desk.arrive(route=make_route(target_s=0.2))
+    first = desk.sent_to()
+    assert not desk.after(0.3)
+    cancel, send = desk.after(0.2)
+    assert isinstance(cancel, effects.CancelAttempt)
+    assert isinstance(send, effects.SendAttempt)
+    assert send.upstream.upstream_id != first
+
+
+def test_a_silent_attempt_that_may_run_once_stays():
+    desk = Desk(A, B)
+    desk.arrive(route=ONCE)
+    assert not desk.after(2.0)
+
+
+def test_a_caller_that_left_ends_the_work():
+    desk = Desk(A)
+    desk.arrive()
+    (cancel,) = desk.feed(events.CallerLeft(now_s=desk.now_s, request=1))
+    assert isinstance(cancel, effects.CancelAttempt)
+    assert desk.dispatcher.open_requests == 0
+
+
+def test_another_upstream_at_the_address_is_left_alone_afterwards():
+    desk = Desk(A, B)
+    desk.arrive()
+    first = desk.sent_to()
+    desk.feed(
+        events.AttemptRejected(now_s=desk.now_s, request=1, wrong_upstream=True)
+    )
+    for request in range(2, 6):
+        desk.arrive(request)
+        assert desk.sent_to() != first
+
+
+class TestPrefixLoad:
+    """Many requests share few long prefixes."""
+
+    def test_one_prefix_stays_at_one_upstream_for_all_hosts(self):
+        upstreams = [make_upstream(name) for name in "abcdef"]
+        chosen = set()
+        for host in range(4):
+            desk = Desk(*upstreams)
+            desk.arrive(host, prompt=make_prompt("site-7"))
+            chosen.add(desk.sent_to())
+        assert len(chosen) == 1
+
+    def test_a_hot_prefix_spreads_when_its_upstream_is_behind(self):
+        upstreams = [make_upstream(name, slots=64) for name in "abcd"]
+        desk = Desk(*upstreams)
+        chosen = []
+        for request in range(40):
+            desk.arrive(request, prompt=make_prompt("site-7"))
+            chosen.append(desk.sent_to())
+        assert set(chosen) == set("abcd")
+
+
+OUTCOMES = strategies.sampled_from(
+    [
+        "unsent",
+        "rejected",
+        "misplaced",
+        "progressed",
+        "broken",
+        "failed",
+        "succeeded",
+        "left",
+        "wait",
+    ]
+)
+
+
+@hypothesis.given(
+    steps=strategies.lists(OUTCOMES, max_size=12),
+    route=strategies.sampled_from([ONCE, STREAM, RESUMABLE, make_route()]),
+)
+def test_promises_hold_whatever_upstreams_do(steps, route):
+    """Attempts stay bounded; "not run" is true; each request ends once."""
+    desk = Desk(A, B, make_upstream("c"))
+    seen = list(desk.arrive(route=route))
+    may_have_run = False
+    runs = 0
+    for step in steps:
+        if desk.dispatcher.open_requests == 0:
+            break
+        if step == "wait":
+            found = desk.after(0.9)
+        else:
+            found = desk.feed(_event(step, desk.now_s))
+        if step in ("broken", "failed"):
+            runs += 1
+        # An attempt that is dropped without an answer may have run as well.
+        may_have_run = may_have_run or runs > 0
+        may_have_run = may_have_run or any(
+            isinstance(e, effects.CancelAttempt) for e in found
+        )
+        assert not may_have_run or not any(
+            isinstance(e, effects.Refuse) for e in found
+        )
+        seen += found
+    finals = [
+        e
+        for e in seen
+        if isinstance(e, effects.Refuse | effects.Fail | effects.DeliverFailure)
+    ]
+    assert len(finals) <= 1
+    numbers = [e.number for e in seen if isinstance(e, effects.SendAttempt)]
+    assert max(numbers, default=0) <= route.max_attempts
+    if not route.repeatable:
+        assert runs <= 1
+
+
+def _event(step: str, now_s: float) -> events.Event:
+    if step == "broken":
+        return events.AttemptBroken(now_s=now_s, request=1, answered=False)
+    if step == "misplaced":
+        return events.AttemptRejected(
+            now_s=now_s, request=1, wrong_upstream=True
+        )
+    kinds = {
+        "unsent": events.AttemptUnsent,
+        "rejected": events.AttemptRejected,
+        "progressed": events.AttemptProgressed,
+        "failed": events.AttemptFailed,
+        "succeeded": events.AttemptSucceeded,
+        "left": events.CallerLeft,
+    }
+    return kinds[step](now_s=now_s, request=1)
