--- a/tests/gateway/making.py
+++ b/tests/gateway/making.py
@@ -15,6 +15,7 @@
 from shallotfold._gateway.model import Workspace
 from shallotfold._gateway.placement import Placement
 from shallotfold._gateway.retry_budget import RetryBudget
+from shallotfold._model.events import Event
 
 SERVICE = "writers"
 
@@ -110,7 +111,7 @@
             )
         )
 
-    def feed(self, event: events.Event) -> list[effects.Effect]:
+    def feed(self, event: Event) -> list[effects.Effect]:
         self.effects = self.dispatcher.reduce(event)
         return self.effects
 
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -6,7 +6,9 @@
 
 from shallotfold._gateway import effects
 from shallotfold._gateway import events
+from shallotfold._gateway.model import Route
 from shallotfold._gateway.model import RouteKind
+from shallotfold._model.events import Event
 from tests.gateway.making import Desk
 from tests.gateway.making import make_prompt
 from tests.gateway.making import make_route
@@ -19,19 +21,19 @@
 RESUMABLE = make_route(RouteKind.STREAM, max_attempts=2, resumable=True)
 
 
-def test_a_request_without_an_upstream_is_refused_at_once():
+def test_a_request_without_an_upstream_is_refused_at_once() -> None:
     (refusal,) = Desk().arrive()
     assert isinstance(refusal, effects.Refuse)
     assert 0.25 <= refusal.retry_after_s <= 1.0
 
 
-def test_a_draining_upstream_gets_nothing():
+def test_a_draining_upstream_gets_nothing() -> None:
     desk = Desk(make_upstream("a", draining=True))
     (refusal,) = desk.arrive()
     assert isinstance(refusal, effects.Refuse)
 
 
-def test_the_attempt_gets_the_smaller_of_deadline_and_time_out():
+def test_the_attempt_gets_the_smaller_of_deadline_and_time_out() -> None:
     desk = Desk(A)
     (send,) = desk.arrive(deadline_s=2.0)
     assert isinstance(send, effects.SendAttempt)
@@ -41,7 +43,7 @@
     assert 0.4 <= send.allowed_s <= 0.5
 
 
-def test_the_final_answer_goes_out_at_the_time_out():
+def test_the_final_answer_goes_out_at_the_time_out() -> None:
     desk = Desk(A)
     desk.arrive(route=make_route(RouteKind.ONCE, timeout_s=0.8))
     assert not desk.after(0.75)
@@ -52,7 +54,9 @@
 
 
 @pytest.mark.parametrize("route", [ONCE, STREAM])
-def test_what_may_run_once_is_not_sent_again_after_a_break(route):
+def test_what_may_run_once_is_not_sent_again_after_a_break(
+    route: Route,
+) -> None:
     desk = Desk(A, B)
     desk.arrive(route=route)
     (fail,) = desk.feed(
@@ -63,7 +67,7 @@
 
 
 @pytest.mark.parametrize("route", [make_route(), RESUMABLE])
-def test_what_may_run_twice_goes_on_at_another_upstream(route):
+def test_what_may_run_twice_goes_on_at_another_upstream(route: Route) -> None:
     desk = Desk(A, B)
     desk.arrive(route=route)
     first = desk.sent_to()
@@ -71,14 +75,14 @@
     assert desk.sent_to() != first
 
 
-def test_an_unrun_request_is_refused_when_no_attempt_is_left():
+def test_an_unrun_request_is_refused_when_no_attempt_is_left() -> None:
     desk = Desk(A, B)
     desk.arrive(route=make_route(RouteKind.ONCE, max_attempts=1))
     (refusal,) = desk.feed(events.AttemptRejected(now_s=desk.now_s, request=1))
     assert isinstance(refusal, effects.Refuse)
 
 
-def test_a_request_that_may_have_run_is_never_called_unrun():
+def test_a_request_that_may_have_run_is_never_called_unrun() -> None:
     desk = Desk(A, B)
     desk.arrive()
     desk.feed(events.AttemptBroken(now_s=desk.now_s, request=1, answered=False))
@@ -86,7 +90,7 @@
     assert isinstance(fail, effects.Fail)
 
 
-def test_no_connection_costs_no_attempt():
+def test_no_connection_costs_no_attempt() -> None:
     desk = Desk(A, B)
     desk.arrive(route=make_route(RouteKind.ONCE, max_attempts=1))
     first = desk.sent_to()
@@ -94,7 +98,7 @@
     assert desk.sent_to() != first
 
 
-def test_the_upstream_s_own_failure_is_repeated_and_else_delivered():
+def test_the_upstream_s_own_failure_is_repeated_and_else_delivered() -> None:
     desk = Desk(A, B)
     desk.arrive()
     desk.feed(events.AttemptFailed(now_s=desk.now_s, request=1))
@@ -103,7 +107,7 @@
     assert isinstance(delivered, effects.DeliverFailure)
 
 
-def test_second_sends_stop_when_the_budget_is_spent():
+def test_second_sends_stop_when_the_budget_is_spent() -> None:
     desk = Desk(A, B, extra=0.0)
     desk.arrive()
     (fail,) = desk.feed(
@@ -112,7 +116,7 @@
     assert isinstance(fail, effects.Fail)
 
 
-def test_a_silent_repeatable_attempt_moves_while_time_is_left():
+def test_a_silent_repeatable_attempt_moves_while_time_is_left() -> None:
     desk = Desk(A, B)
     desk.arrive(route=make_route(target_s=0.2))
     first = desk.sent_to()
@@ -123,13 +127,13 @@
     assert send.upstream.upstream_id != first
 
 
-def test_a_silent_attempt_that_may_run_once_stays():
+def test_a_silent_attempt_that_may_run_once_stays() -> None:
     desk = Desk(A, B)
     desk.arrive(route=ONCE)
     assert not desk.after(2.0)
 
 
-def test_a_caller_that_left_ends_the_work():
+def test_a_caller_that_left_ends_the_work() -> None:
     desk = Desk(A)
     desk.arrive()
     (cancel,) = desk.feed(events.CallerLeft(now_s=desk.now_s, request=1))
@@ -137,7 +141,7 @@
     assert desk.dispatcher.open_requests == 0
 
 
-def test_another_upstream_at_the_address_is_left_alone_afterwards():
+def test_another_upstream_at_the_address_is_left_alone_afterwards() -> None:
     desk = Desk(A, B)
     desk.arrive()
     first = desk.sent_to()
@@ -152,7 +156,7 @@
 class TestPrefixLoad:
     """Many requests share few long prefixes."""
 
-    def test_one_prefix_stays_at_one_upstream_for_all_hosts(self):
+    def test_one_prefix_stays_at_one_upstream_for_all_hosts(self) -> None:
         upstreams = [make_upstream(name) for name in "abcdef"]
         chosen = set()
         for host in range(4):
@@ -161,7 +165,7 @@
             chosen.add(desk.sent_to())
         assert len(chosen) == 1
 
-    def test_a_hot_prefix_spreads_when_its_upstream_is_behind(self):
+    def test_a_hot_prefix_spreads_when_its_upstream_is_behind(self) -> None:
         upstreams = [make_upstream(name, slots=64) for name in "abcd"]
         desk = Desk(*upstreams)
         chosen = []
@@ -190,7 +194,9 @@
     steps=strategies.lists(OUTCOMES, max_size=12),
     route=strategies.sampled_from([ONCE, STREAM, RESUMABLE, make_route()]),
 )
-def test_promises_hold_whatever_upstreams_do(steps, route):
+def test_promises_hold_whatever_upstreams_do(
+    steps: list[str], route: Route
+) -> None:
     """Attempts stay bounded; "not run" is true; each request ends once."""
     desk = Desk(A, B, make_upstream("c"))
     seen = list(desk.arrive(route=route))
@@ -226,7 +232,7 @@
         assert runs <= 1
 
 
-def _event(step: str, now_s: float) -> events.Event:
+def _event(step: str, now_s: float) -> Event:
     if step == "broken":
         return events.AttemptBroken(now_s=now_s, request=1, answered=False)
     if step == "misplaced":
--- a/tests/gateway/test_scaling.py
+++ b/tests/gateway/test_scaling.py
@@ -2,11 +2,12 @@
 
 from shallotfold._gateway.model import ScalingLimits
 from shallotfold._gateway.model import Service
+from shallotfold._gateway.model import Upstream
 from shallotfold._gateway.ports import DutyOutcome
 from shallotfold._gateway.ports import UpstreamCount
 from shallotfold._gateway.scaling import ScalingPlanner
-from tests.gateway.making import make_upstream
 from tests.gateway.making import SERVICE
+from tests.gateway.making import make_upstream
 
 PLACES = ("a", "b", "c", "d")
 
@@ -37,7 +38,7 @@
         self.orders = 0
         self.fewest = len(PLACES)
 
-    def upstreams(self):
+    def upstreams(self) -> list[Upstream]:
         return [
             make_upstream(f"{place}{spot}{n}", data_centre=place, spot=spot)
             for (place, spot), count in self.counts.items()
@@ -66,7 +67,7 @@
         return DutyOutcome.DONE
 
 
-def test_cheap_upstreams_replace_the_others_without_a_gap():
+def test_cheap_upstreams_replace_the_others_without_a_gap() -> None:
     cloud = Cloud()
     cloud.run(0.0, 20)
     assert cloud.fewest >= len(PLACES)
@@ -74,7 +75,7 @@
     assert all(cloud.counts[place, False] == 0 for place in PLACES)
 
 
-def test_a_settled_fleet_is_not_ordered_again():
+def test_a_settled_fleet_is_not_ordered_again() -> None:
     cloud = Cloud()
     cloud.run(0.0, 20)
     orders = cloud.orders
@@ -82,7 +83,9 @@
     assert cloud.orders == orders
 
 
-def test_a_reclaimed_data_centre_gets_an_ordinary_one_while_none_is_had():
+def test_a_reclaimed_data_centre_gets_an_ordinary_one_while_none_is_had() -> (
+    None
+):
     cloud = Cloud()
     cloud.run(0.0, 20)
     cloud.counts["b", True] = 0
@@ -95,7 +98,7 @@
     assert cloud.counts["b", False] == 0
 
 
-def test_load_without_cheap_upstreams_is_met_by_ordinary_ones():
+def test_load_without_cheap_upstreams_is_met_by_ordinary_ones() -> None:
     cloud = Cloud()
     cloud.run(0.0, 20)
     for place in PLACES:
@@ -106,13 +109,13 @@
     assert sum(cloud.counts.values()) >= 10
 
 
-def test_dear_spot_is_not_ordered():
+def test_dear_spot_is_not_ordered() -> None:
     cloud = Cloud(spot_price_ratio=0.9)
     cloud.run(0.0, 20)
     assert all(not cloud.counts.get((place, True)) for place in PLACES)
 
 
-def test_an_order_that_was_lost_is_repeated():
+def test_an_order_that_was_lost_is_repeated() -> None:
     cloud = Cloud()
     cloud.run(0.0, 20)
     cloud.counts["c", True] = 1
--- a/tests/gateway/test_upstream_registry.py
+++ b/tests/gateway/test_upstream_registry.py
@@ -17,13 +17,13 @@
     return registry
 
 
-def test_a_removal_in_calm_counts_at_once():
+def test_a_removal_in_calm_counts_at_once() -> None:
     registry = make_registry()
     registry.take_changes({}, ["a"], 6, 10.0)
     assert set(registry.documents_by_id()) == set("bcde")
 
 
-def test_a_lapse_after_an_outage_is_believed_after_the_grace():
+def test_a_lapse_after_an_outage_is_believed_after_the_grace() -> None:
     registry = make_registry()
     registry.note_failure(10.0)
     registry.note_answer(12.0)
@@ -34,7 +34,7 @@
     assert "a" not in registry.documents_by_id()
 
 
-def test_an_upstream_that_returns_within_the_grace_stays():
+def test_an_upstream_that_returns_within_the_grace_stays() -> None:
     registry = make_registry()
     registry.note_failure(10.0)
     registry.note_answer(12.0)
@@ -44,14 +44,14 @@
     assert "a" in registry.documents_by_id()
 
 
-def test_nothing_is_given_up_while_the_store_is_away():
+def test_nothing_is_given_up_while_the_store_is_away() -> None:
     registry = make_registry()
     registry.note_failure(10.0)
     registry.take_changes({}, ["a"], 6, 10.1)
     assert not registry.expire(60.0)
 
 
-def test_a_leaving_upstream_counts_as_leaving_during_an_outage():
+def test_a_leaving_upstream_counts_as_leaving_during_an_outage() -> None:
     registry = make_registry()
     registry.note_failure(10.0)
     draining = StoredValue("a", b'{"State":"draining"}', 8)
@@ -59,7 +59,7 @@
     assert registry.documents_by_id()["a"] == (b'{"State":"draining"}', 8)
 
 
-def test_upstreams_that_lapse_together_are_doubted():
+def test_upstreams_that_lapse_together_are_doubted() -> None:
     """The store was away for so short a time that no call failed."""
     registry = make_registry()
     registry.take_changes({}, ["a", "b", "c"], 6, 10.0)
@@ -67,7 +67,7 @@
     assert sorted(registry.expire(10.0 + RETURN_GRACE_S)) == ["a", "b", "c"]
 
 
-def test_older_words_do_not_undo_newer_ones():
+def test_older_words_do_not_undo_newer_ones() -> None:
     registry = make_registry()
     registry.take_changes(values("a", revision=9), [], 9, 1.0)
     registry.take_changes(values("a", revision=7), [], 9, 1.0)
--- a/tests/gateway/test_usage_counts.py
+++ b/tests/gateway/test_usage_counts.py
@@ -3,7 +3,7 @@
 from shallotfold._gateway.usage_counts import UsageCounts
 
 
-def test_counts_of_all_hosts_are_added_once():
+def test_counts_of_all_hosts_are_added_once() -> None:
     counts = UsageCounts(window_s=5.0)
     counts.add("north", 12.0)
     counts.add("north", 14.9)
@@ -14,14 +14,14 @@
     assert counts.total(3) == {"north": 1}
 
 
-def test_a_restarted_host_adds_to_what_its_former_life_counted():
+def test_a_restarted_host_adds_to_what_its_former_life_counted() -> None:
     counts = UsageCounts(window_s=5.0)
     counts.hear("h2/1", {2: {"north": 3}})
     counts.hear("h2/2", {2: {"north": 2}})
     assert counts.total(2) == {"north": 5}
 
 
-def test_old_windows_are_forgotten():
+def test_old_windows_are_forgotten() -> None:
     counts = UsageCounts(window_s=5.0)
     for window in range(50):
         counts.add("north", window * 5.0)
