--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -239,7 +239,7 @@
         return events.AttemptRejected(
             now_s=now_s, request=1, wrong_upstream=True
         )
-    kinds = {
+    kinds: dict[str, type[events.AttemptEvent]] = {
         "unsent": events.AttemptUnsent,
         "rejected": events.AttemptRejected,
         "progressed": events.AttemptProgressed,
