Test connections and the whole path over real sockets

Change: stand-in upstreams; a head that arrives in one piece is measured too (found by the new test: a 900 byte header passed a limit of 500).

--- a/src/shallotfold/_gateway/caller_connection.py
+++ b/src/shallotfold/_gateway/caller_connection.py
@@ -65,7 +65,7 @@
         self._serving = False
         self._keep_alive = True
         self._broken = False
-        self._head_bytes = 0
+        self._unparsed_bytes = 0
         self._reset_request()
         self.last_active_s = self._loop.time()
         self.request_started_s: float | None = None
@@ -78,6 +78,8 @@
         self._body = bytearray()
         self._has_length = False
         self._body_too_large = False
+        self._head_bytes = 0
+        self._head_too_large = False
 
     # The transport calls these.
 
@@ -104,7 +106,7 @@
         if self.request_started_s is None:
             self.request_started_s = self.last_active_s
         if not self.head_complete:
-            self._head_bytes += len(data)
+            self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -131,6 +133,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header."""
+        self._head_bytes += len(name) + len(value) + len(b": \r\n")
         lowered = name.lower()
         self._headers.append((lowered, value))
         self._spelled_names.append(name)
@@ -142,7 +145,8 @@
     def on_headers_complete(self) -> None:
         """Note that the head is in."""
         self.head_complete = True
-        self._head_bytes = 0
+        self._unparsed_bytes = 0
+        self._head_too_large = self._head_is_too_large()
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
@@ -155,6 +159,9 @@
         """Queue the request that is now whole."""
         if self._broken:
             return
+        if self._head_too_large:
+            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            return
         if self._body_too_large:
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
@@ -173,6 +180,7 @@
         )
         self._body = bytearray()
         self.request_started_s = None
+        self._unparsed_bytes = 0
         if self._transport and len(self._waiting) >= MAX_WAITING_REQUESTS:
             self._transport.pause_reading()
 
@@ -230,7 +238,9 @@
         self._reject(HTTPStatus.REQUEST_TIMEOUT)
 
     def _head_is_too_large(self) -> bool:
-        return self._head_bytes > self._handler.limits().max_header_bytes
+        most = self._handler.limits().max_header_bytes
+        # One long header may be waiting for its end inside the parser.
+        return max(self._head_bytes, self._unparsed_bytes) > most
 
     def _reject(self, status: HTTPStatus) -> None:
         # A request under way keeps its connection until its answer is out.
--- /dev/null
+++ b/tests/gateway/backends.py
@@ -0,0 +1,94 @@
+"""Stand-ins of upstreams that answer exactly what a test tells them."""
+
+import asyncio
+from collections.abc import Callable
+import re
+import socket
+import struct
+
+import attrs
+
+REQUEST_END = b"\r\n\r\n"
+_LENGTH = re.compile(rb"(?i)content-length: (\d+)")
+
+
+@attrs.define(eq=False)
+class Backend:
+    """A TCP server that answers each request by a script.
+
+    Attributes:
+        answer: Returns the bytes that answer a request; empty: none.
+        reset: Whether the connection is reset after the answer.
+        close: Whether it is closed in order after the answer.
+        requests: Requests as they arrived.
+        lost: Connections that the other side ended.
+    """
+
+    answer: Callable[[bytes], bytes]
+    reset: bool = False
+    close: bool = False
+    requests: list[bytes] = attrs.field(factory=list)
+    lost: int = 0
+    port: int = 0
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while not writer.is_closing():
+                await self._serve_one(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.lost += 1
+        finally:
+            writer.close()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(REQUEST_END)
+        found = _LENGTH.search(head)
+        body = await reader.readexactly(int(found[1])) if found else b""
+        self.requests.append(head + body)
+        answer = self.answer(head + body)
+        writer.write(answer)
+        await writer.drain()
+        if self.reset:
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        elif self.close:
+            writer.close()
+
+
+def whole(
+    body: bytes,
+    *headers: bytes,
+    status: bytes = b"200 OK",
+) -> bytes:
+    lines = [b"HTTP/1.1 " + status, b"Content-Length: %d" % len(body)]
+    return b"\r\n".join([*lines, *headers]) + REQUEST_END + body
+
+
+def stream(*events: bytes, ended: bool = True) -> bytes:
+    head = (
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(e), e) for e in events)
+    return head + chunks + (b"0\r\n\r\n" if ended else b"")
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
