--- /dev/null
+++ b/tests/gateway/test_duties.py
@@ -0,0 +1,191 @@
+"""Check that duties are held by one host and usage is reported once."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from shallotfold._gateway import duty_lease
+from shallotfold._gateway import usage_reporting
+from shallotfold._gateway.duty_lease import DutyLease
+from shallotfold._gateway.ports import DutyOutcome
+from shallotfold._gateway.ports import UpstreamCount
+from shallotfold._gateway.usage_counts import UsageCounts
+from shallotfold._gateway.usage_reporting import UsageReporter
+from shallotfold.platform.store import PlatformStore
+from tests.platform.conftest import Scene
+from tests.platform.store_standin import StoreStandIn
+
+Play = Callable[[Scene], None]
+LEASE_S = 0.6
+
+
+class Calls:
+    """Takes usage reports; the first of a window counts."""
+
+    def __init__(self) -> None:
+        self.reports: list[tuple[int, dict[str, int], int]] = []
+        self.outcome = DutyOutcome.DONE
+
+    async def report_usage(
+        self, window: int, counts: dict[str, int], *, holder: str, fencing: int
+    ) -> DutyOutcome:
+        del holder
+        self.reports.append((window, counts, fencing))
+        return self.outcome
+
+    async def order_upstreams(
+        self, wanted: UpstreamCount, *, holder: str, fencing: int
+    ) -> DutyOutcome:
+        raise NotImplementedError
+
+
+@pytest.fixture(autouse=True)
+def _hurry(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(duty_lease, "CHECK_INTERVAL_S", 0.02)
+    monkeypatch.setattr(usage_reporting, "CHECK_INTERVAL_S", 0.02)
+    monkeypatch.setattr(usage_reporting, "REPEAT_S", 0.02)
+
+
+def make_lease(store: PlatformStore, host: str) -> DutyLease:
+    return DutyLease(store, host, LEASE_S, lambda: True)
+
+
+def make_reporter(
+    store: PlatformStore, calls: Calls, lease: DutyLease, counts: UsageCounts
+) -> UsageReporter:
+    return UsageReporter(
+        store, calls, lease, counts, "h1", 10.0, lambda: 1008.0
+    )
+
+
+def test_one_of_two_candidates_holds_the_duties(play_store: Play) -> None:
+    async def scene(store: PlatformStore, standin: StoreStandIn) -> None:
+        leases = [make_lease(store, "h1"), make_lease(store, "h2")]
+        for lease in leases:
+            await lease.start()
+        await asyncio.sleep(0.3)
+        assert sum(lease.holds for lease in leases) == 1
+        holder = next(lease for lease in leases if lease.holds)
+        other = next(lease for lease in leases if lease is not holder)
+        fencing = holder.fencing
+        await holder.close()
+        await asyncio.sleep(0.6)
+        assert other.holds
+        assert other.fencing > fencing
+        await other.close()
+        assert duty_lease.DUTY_KEY not in standin.entries
+
+    play_store(scene)
+
+
+def test_a_holder_whose_lease_ended_stops_and_leaves_others_time(
+    play_store: Play,
+) -> None:
+    async def scene(store: PlatformStore, standin: StoreStandIn) -> None:
+        lease = make_lease(store, "h1")
+        await lease.start()
+        await asyncio.sleep(0.2)
+        assert lease.holds
+        for lease_id in list(standin.leases):
+            standin.end_lease(lease_id)
+        await asyncio.sleep(LEASE_S)
+        assert not lease.holds
+        grants = standin.calls.count("kv-lease")
+        await asyncio.sleep(LEASE_S)
+        assert standin.calls.count("kv-lease") == grants
+        await lease.close()
+
+    play_store(scene)
+
+
+def test_a_holder_that_can_t_renew_stops_before_its_lease_ends(
+    play_store: Play,
+) -> None:
+    async def scene(store: PlatformStore, standin: StoreStandIn) -> None:
+        lease = make_lease(store, "h1")
+        await lease.start()
+        await asyncio.sleep(0.2)
+        standin.refuse = 503
+        await asyncio.sleep(LEASE_S)
+        assert not lease.holds
+        await lease.close()
+
+    play_store(scene)
+
+
+def test_figures_are_frozen_before_they_are_sent(play_store: Play) -> None:
+    async def scene(store: PlatformStore, standin: StoreStandIn) -> None:
+        lease, calls = make_lease(store, "h1"), Calls()
+        counts = UsageCounts(window_s=5.0)
+        counts.add("north", 1001.0)
+        await lease.start()
+        standin.refuse = 0
+        reporter = make_reporter(store, calls, lease, counts)
+        await reporter.start()
+        await asyncio.sleep(0.4)
+        assert [(w, c) for w, c, _ in calls.reports] == [(200, {"north": 1})]
+        assert f"{usage_reporting.FROZEN_PREFIX}200" in standin.entries
+        await reporter.close()
+        await lease.close()
+
+    play_store(scene)
+
+
+def test_another_holder_sends_the_figures_that_were_frozen(
+    play_store: Play,
+) -> None:
+    async def scene(store: PlatformStore, standin: StoreStandIn) -> None:
+        standin.put(f"{usage_reporting.FROZEN_PREFIX}200", b'{"north": 7}')
+        lease, calls = make_lease(store, "h2"), Calls()
+        counts = UsageCounts(window_s=5.0)
+        counts.add("north", 1001.0)
+        await lease.start()
+        reporter = make_reporter(store, calls, lease, counts)
+        await reporter.start()
+        await asyncio.sleep(0.4)
+        assert [(w, c) for w, c, _ in calls.reports] == [(200, {"north": 7})]
+        await reporter.close()
+        await lease.close()
+
+    play_store(scene)
+
+
+def test_a_freeze_without_an_answer_is_read_back(play_store: Play) -> None:
+    async def scene(store: PlatformStore, standin: StoreStandIn) -> None:
+        lease, calls = make_lease(store, "h1"), Calls()
+        counts = UsageCounts(window_s=5.0)
+        counts.add("north", 1001.0)
+        await lease.start()
+        await asyncio.sleep(0.2)
+        standin.lose.add("kv-txn")
+        reporter = make_reporter(store, calls, lease, counts)
+        await reporter.start()
+        await asyncio.sleep(0.3)
+        counts.add("north", 1002.0)
+        standin.lose.clear()
+        await asyncio.sleep(1.2)
+        assert {str(c) for _, c, _ in calls.reports} <= {"{'north': 1}"}
+        await reporter.close()
+        await lease.close()
+
+    play_store(scene)
+
+
+def test_a_holder_that_was_fenced_off_stops(play_store: Play) -> None:
+    async def scene(store: PlatformStore, standin: StoreStandIn) -> None:
+        del standin
+        lease, calls = make_lease(store, "h1"), Calls()
+        calls.outcome = DutyOutcome.FENCED
+        counts = UsageCounts(window_s=5.0)
+        counts.add("north", 1001.0)
+        await lease.start()
+        reporter = make_reporter(store, calls, lease, counts)
+        await reporter.start()
+        await asyncio.sleep(0.4)
+        assert not lease.holds
+        assert len(calls.reports) == 1
+        await reporter.close()
+        await lease.close()
+
+    play_store(scene)
--- /dev/null
+++ b/tests/gateway/test_peers.py
@@ -0,0 +1,111 @@
+"""Check what hosts believe of each other."""
+
+import pytest
+
+from shallotfold._gateway import peers as peers_module
+from shallotfold._gateway.clocks import boot_s
+from shallotfold._gateway.events import PeerLoad
+from shallotfold._gateway.peers import OwnWord
+from shallotfold._gateway.peers import Peers
+from shallotfold._gateway.peers import PeerWord
+
+
+def make_peers(number: int, seeds: tuple[str, ...] = ()) -> Peers:
+    return Peers(f"h{number}", f"life-{number}", f"10.0.0.{number}", seeds)
+
+
+def tell(sender: Peers, listener: Peers, word: OwnWord) -> PeerWord:
+    heard, _ = listener.decode(sender.encode(word), sender.ip)
+    listener.hear(heard)
+    return heard
+
+
+def test_a_word_arrives_as_it_was_told() -> None:
+    word = OwnWord(
+        configuration=7,
+        upstreams_at=12,
+        duty=3,
+        stopping=True,
+        loads_by_upstream={"a": PeerLoad(2, 900)},
+        counts_by_window={200: {"north": 4}},
+    )
+    heard = tell(make_peers(1), make_peers(2), word)
+    assert (heard.name, heard.incarnation, heard.ip) == (
+        "h1",
+        "life-1",
+        "10.0.0.1",
+    )
+    assert (heard.configuration, heard.upstreams_at) == (7, 12)
+    assert (heard.duty, heard.stopping) == (3, True)
+    assert heard.loads_by_upstream == {"a": PeerLoad(2, 900)}
+    assert heard.counts_by_window == {200: {"north": 4}}
+
+
+def test_a_host_doesn_t_count_its_own_word() -> None:
+    """Found by usage that was a tenth too high: own counts came back."""
+    own = make_peers(1)
+    word, _ = own.decode(own.encode(OwnWord()), own.ip)
+    assert not own.hear(word)
+    assert own.word_by_name == {}
+    own.hear(make_word("h2", "10.0.0.1"))
+    assert "10.0.0.1" not in own.addresses(with_seeds=True)
+
+
+@pytest.mark.parametrize("data", [b"", b"\xc1", b"\x01", b"\x91\x09", b"\x90"])
+def test_junk_is_refused(data: bytes) -> None:
+    with pytest.raises((ValueError, TypeError, LookupError)):
+        make_peers(1).decode(data, "10.0.0.9")
+
+
+def make_word(name: str, ip: str, *, ahead_s: float = 0.0) -> PeerWord:
+    return PeerWord(
+        name=name,
+        incarnation=name,
+        ip=ip,
+        heard_s=boot_s(),
+        clock_ahead_s=ahead_s,
+        configuration=1,
+        upstreams_at=1,
+        duty=0,
+        stopping=False,
+        loads_by_upstream={},
+        counts_by_window={},
+    )
+
+
+def test_true_time_is_what_most_clocks_say() -> None:
+    own = make_peers(1)
+    for number, ahead_s in enumerate((0.01, -0.02, 2.4, 0.0), start=2):
+        own.hear(make_word(f"h{number}", f"10.0.0.{number}", ahead_s=ahead_s))
+    assert abs(own.clock_correction_s()) < 0.05
+
+
+def test_a_clock_that_jumped_is_corrected_by_the_others() -> None:
+    own = make_peers(1)
+    for number in range(2, 6):
+        own.hear(make_word(f"h{number}", f"10.0.0.{number}", ahead_s=-2.4))
+    assert own.clock_correction_s() == pytest.approx(-2.4)
+
+
+def test_seeds_are_asked_while_nobody_is_known() -> None:
+    own = make_peers(1, ("10.0.0.1", "10.0.0.5"))
+    assert own.addresses(with_seeds=False) == {"10.0.0.5"}
+    own.hear(make_word("h2", "10.0.0.2"))
+    assert own.addresses(with_seeds=False) == {"10.0.0.2"}
+    assert own.addresses(with_seeds=True) == {"10.0.0.2", "10.0.0.5"}
+
+
+def test_silent_peers_are_not_alive_and_later_forgotten(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    own = make_peers(1)
+    own.hear(make_word("h2", "10.0.0.2"))
+    now_s = boot_s()
+    assert len(own.alive()) == 1
+    monkeypatch.setattr(peers_module, "boot_s", lambda: now_s + 5)
+    assert own.alive() == []
+    own.forget_and_report()
+    assert len(own.word_by_name) == 1
+    monkeypatch.setattr(peers_module, "boot_s", lambda: now_s + 90)
+    own.forget_and_report()
+    assert own.word_by_name == {}
--- /dev/null
+++ b/tests/platform/store_standin.py
@@ -0,0 +1,142 @@
+"""A stand-in of the platform's store: its calls, revisions and leases."""
+
+import base64
+import json
+from typing import Any
+from urllib.parse import parse_qs
+from urllib.parse import urlsplit
+
+import attrs
+
+from tests.gateway.backends import whole
+
+PAGE = 3
+
+
+@attrs.define(eq=False)
+class StoreStandIn:
+    """Answers requests as the platform's pages say.
+
+    Attributes:
+        revision: Newest revision.
+        kept_from: Watches from an older revision get 410.
+        lose: Kinds of calls that are carried out and not answered.
+        refuse: Status of all answers while it is not 0.
+        calls: Calls so far, as method and path.
+    """
+
+    revision: int = 1
+    kept_from: int = 0
+    refuse: int = 0
+    lose: set[str] = attrs.field(factory=set)
+    calls: list[str] = attrs.field(factory=list)
+    entries: dict[str, dict[str, Any]] = attrs.field(factory=dict)
+    history: list[dict[str, Any]] = attrs.field(factory=list)
+    leases: set[int] = attrs.field(factory=set)
+
+    def answer(self, request: bytes) -> bytes:
+        head, _, body = request.partition(b"\r\n\r\n")
+        _, target, _ = head.split(b"\r\n")[0].decode().split(" ")
+        url = urlsplit(target)
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        verb = url.path.removeprefix("/shallotfold/").split("/")[0]
+        self.calls.append(verb)
+        if self.refuse:
+            return whole(b"", status=b"%d No" % self.refuse)
+        content = json.loads(body) if body else {}
+        handler = getattr(self, verb.replace("-", "_"))
+        status, found = handler(query, content, url.path.rsplit("/", 1)[-1])
+        if verb in self.lose:
+            return b""
+        data = json.dumps(found).encode()
+        return whole(data, status=b"%d Status" % status)
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        self.revision += 1
+        entry = {
+            "Key": key,
+            "ValueData": base64.b64encode(value).decode(),
+            "Revision": self.revision,
+            "Created": self.revision,
+            "LeaseId": lease,
+        }
+        self.entries[key] = entry
+        self.history.append(entry)
+
+    def remove(self, key: str) -> None:
+        self.revision += 1
+        self.entries.pop(key, None)
+        self.history.append(
+            {"Key": key, "Revision": self.revision, "Deleted": True}
+        )
+
+    def end_lease(self, lease: int) -> None:
+        self.leases.discard(lease)
+        for key, entry in list(self.entries.items()):
+            if entry["LeaseId"] == lease:
+                self.remove(key)
+
+    def kv_key(self, query: Any, content: Any, last: str) -> tuple[int, Any]:
+        del content, last
+        entry = self.entries.get(query["Key"])
+        if entry is None:
+            return 404, {}
+        return 200, {**entry, "At": self.revision}
+
+    def kv_range(self, query: Any, content: Any, last: str) -> tuple[int, Any]:
+        del content, last
+        keys = sorted(
+            k
+            for k in self.entries
+            if k.startswith(query["PathPrefix"]) and k > query.get("After", "")
+        )
+        return 200, {
+            "Entries": [self.entries[k] for k in keys[:PAGE]],
+            "HasMore": len(keys) > PAGE,
+            "At": self.revision,
+        }
+
+    def kv_watch(self, query: Any, content: Any, last: str) -> tuple[int, Any]:
+        del content, last
+        after = int(query["After"])
+        if after < self.kept_from:
+            return 410, {}
+        events = [
+            e
+            for e in self.history
+            if e["Revision"] > after
+            and e["Key"].startswith(query["PathPrefix"])
+        ]
+        return 200, {"events": events, "At": self.revision}
+
+    def kv_txn(self, query: Any, content: Any, last: str) -> tuple[int, Any]:
+        del query, last
+        for row in content["Expected"]:
+            entry = self.entries.get(row["Key"])
+            if (entry["Revision"] if entry else 0) != row["Revision"]:
+                return 412, {"Entries": [entry] if entry else []}
+        for write in content["Write"]:
+            if write["LeaseId"] and write["LeaseId"] not in self.leases:
+                return 404, {}
+            value = base64.b64decode(write["ValueData"])
+            self.put(write["Key"], value, write["LeaseId"])
+        for key in content["Removals"]:
+            self.remove(key)
+        return 200, {"Revision": self.revision}
+
+    def kv_lease(self, query: Any, content: Any, last: str) -> tuple[int, Any]:
+        del query, last
+        lease = 1000 + len(self.calls)
+        self.leases.add(lease)
+        return 200, {"LeaseId": lease, "LifetimeMs": content["LifetimeMs"]}
+
+    def kv_keep(self, query: Any, content: Any, last: str) -> tuple[int, Any]:
+        del query, content
+        return (200 if int(last) in self.leases else 404), {"LifetimeMs": 1000}
+
+    def kv_lease_end(
+        self, query: Any, content: Any, last: str
+    ) -> tuple[int, Any]:
+        del query, content
+        self.end_lease(int(last))
+        return 200, {}
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,79 @@
+"""Check that the platform's settings file is read or refused."""
+
+import json
+import pathlib
+from typing import Any
+
+import pytest
+
+from shallotfold._cli.gateway_main import main
+from shallotfold._errors import InvalidInputError
+from shallotfold.platform.settings import load_platform_settings
+
+SETTINGS: dict[str, Any] = {
+    "NodeName": "frontend-westlands-1",
+    "IpAddress": "10.1.0.19",
+    "Zone": "westlands",
+    "Zones": {"westlands": "nairobi", "embakasi": "nairobi"},
+    "ListenAddresses": {
+        "Frontend": "10.1.0.19:8227",
+        "Ready": "10.1.0.19:8220",
+        "ControlPlane": "10.1.0.19:8229",
+    },
+    "InternalPortRange": [7340, 7355],
+    "SeedNodes": ["10.1.0.19:8229", "10.2.0.36:8229"],
+    "ContractParameters": {
+        "RetryBudgetRatio": 0.2,
+        "RetryBudgetExtra": 58,
+        "BudgetWindowS": 10,
+        "GracePeriodS": 8,
+        "LeaseDurationMs": 3000,
+        "UsageWindowS": 5,
+        "UsageLatenessS": 10,
+    },
+    "Platform": {"Address": "10.200.1.7:8223"},
+    "CloudApi": {"Address": "10.200.0.61:8223"},
+    "NewField": {"that": "nobody knows"},
+}
+
+
+def write(folder: pathlib.Path, **changes: Any) -> pathlib.Path:
+    path = folder / "node.json"
+    path.write_text(json.dumps({**SETTINGS, **changes}))
+    return path
+
+
+def test_settings_are_read_and_new_fields_ignored(
+    tmp_path: pathlib.Path,
+) -> None:
+    settings = load_platform_settings(write(tmp_path))
+    assert settings.host == "frontend-westlands-1"
+    assert settings.lease_s == 3.0
+    assert settings.peer_port == 7340
+    assert settings.seed_ips == ("10.1.0.19", "10.2.0.36")
+
+
+@pytest.mark.parametrize(
+    ("changes", "key"),
+    [
+        ({"Platform": {}}, "Platform.Address"),
+        ({"IpAddress": None, "ListenAddresses": {}}, "ListenAddresses"),
+        ({"ContractParameters": {"RetryBudgetRatio": "x"}}, "RetryBudgetRatio"),
+        ({"SeedNodes": ["nowhere"]}, "SeedNodes"),
+    ],
+)
+def test_a_fault_names_its_key(
+    tmp_path: pathlib.Path, changes: dict[str, Any], key: str
+) -> None:
+    with pytest.raises(InvalidInputError, match=key):
+        load_platform_settings(write(tmp_path, **changes))
+
+
+def test_check_reads_the_file(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert main(["--check", "--settings", str(write(tmp_path))]) == 0
+    assert "no faults" in capsys.readouterr().out
+    bad = str(write(tmp_path, Platform={}))
+    assert main(["--check", "--settings", bad]) == 2
+    assert "Platform.Address" in capsys.readouterr().err
