Keep long prompts to engines of their own and talk less at scale

Change: engines are divided by a hash; watches and datagrams slow down with the number of hosts, a host that hears of newer revisions asks the store again; counts of runs go to the holder and two deputies.

--- a/src/shallotfold/_gateway/dispatcher.py
+++ b/src/shallotfold/_gateway/dispatcher.py
@@ -17,6 +17,7 @@
 from shallotfold._gateway.model import RouteKind
 from shallotfold._gateway.model import Upstream
 from shallotfold._gateway.placement import Placement
+from shallotfold._gateway.placement import fitting_engines
 from shallotfold._gateway.placement import home_of
 from shallotfold._gateway.retry_budget import RetryBudget
 from shallotfold._model.events import Event
@@ -250,7 +251,7 @@
         request.sent_s = now_s
         request.progressed_s = None
         key = request.prompt.shared_key
-        home = home_of(key, fit)
+        home = home_of(key, fitting_engines(fit, request.prompt))
         tokens = place.unread_tokens(upstream, request.prompt, home, now_s)
         place.loads.begin(upstream.upstream_id, request.request, tokens)
         if key:
--- a/src/shallotfold/_gateway/peers.py
+++ b/src/shallotfold/_gateway/peers.py
@@ -23,13 +23,19 @@
 from shallotfold._gateway.events import PeerLoad
 
 PROTOCOL_VERSION = 1
-INTERVAL_S = 0.4
+SHORTEST_INTERVAL_S = 0.4
+# Datagrams of all hosts grow with the square of their number; each host
+# sends less often the more there are.
+INTERVAL_S_PER_HOST = 0.0125
 # A peer that was silent for this long doesn't count as alive.
 ALIVE_S = 2.5
 # A peer that was silent for this long is forgotten: it won't come back.
 FORGOTTEN_S = 60.0
 # Seeds are asked this often, also when peers are known: partitions heal.
 SEED_INTERVAL_S = 2.0
+# Counts of runs go to the holder of the duties and to this many hosts that
+# would follow it.
+DEPUTIES = 2
 # Addresses of other peers that one datagram passes on.
 ADDRESSES_PER_DATAGRAM = 6
 
@@ -45,7 +51,7 @@
         heard_s: When it was heard, on the boot clock.
         clock_ahead_s: Its wall clock against this host's.
         configuration: Version of its configuration; 0: none.
-        upstreams_at: Store revision of its list of upstreams.
+        upstreams_at: Store revision of the last change of upstreams it knows.
         duty: Fencing number if it holds the duties; 0: it doesn't.
         stopping: Whether it is stopping.
         loads_by_upstream: What it has under way.
@@ -109,7 +115,19 @@
         ahead = [word.clock_ahead_s for word in self.alive()]
         return statistics.median([0.0, *ahead])
 
-    def encode(self, word: OwnWord) -> bytes:
+    def interval_s(self) -> float:
+        """Return the time between two words of this host."""
+        hosts = len(self.word_by_name) + 1
+        return max(SHORTEST_INTERVAL_S, hosts * INTERVAL_S_PER_HOST)
+
+    def count_keepers(self) -> set[str]:
+        """Return the addresses of the hosts that must know all counts."""
+        alive = sorted(self.alive(), key=lambda word: word.name)
+        holders = [word for word in alive if word.duty]
+        staying = [word for word in alive if not word.stopping]
+        return {word.ip for word in (*holders, *staying[:DEPUTIES])}
+
+    def encode(self, word: OwnWord, *, with_counts: bool = True) -> bytes:
         """Write this host's word."""
         known = list(self.word_by_name.values())
         passed_on = random.sample(
@@ -132,7 +150,7 @@
                     word.duty,
                     word.stopping,
                     loads,
-                    word.counts_by_window,
+                    word.counts_by_window if with_counts else {},
                     [w.ip for w in passed_on],
                 )
             ),
@@ -233,9 +251,12 @@
 
     def send_now(self, *, with_seeds: bool = False) -> None:
         """Send the present word to all known peers."""
-        data = self._peers.encode(self._make_word())
+        word = self._make_word()
+        full = self._peers.encode(word)
+        brief = self._peers.encode(word, with_counts=False)
+        keepers = self._peers.count_keepers()
         for ip in self._peers.addresses(with_seeds=with_seeds):
-            self._send(data, ip)
+            self._send(full if ip in keepers else brief, ip)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a peer's word; greet hosts that it names."""
@@ -270,4 +291,6 @@
                 self._introduced.clear()
             self.send_now(with_seeds=ask_seeds)
             self._peers.forget_and_report()
-            await asyncio.sleep(INTERVAL_S * random.uniform(0.8, 1.2))
+            await asyncio.sleep(
+                self._peers.interval_s() * random.uniform(0.8, 1.2)
+            )
--- a/src/shallotfold/_gateway/placement.py
+++ b/src/shallotfold/_gateway/placement.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+import functools
 import hashlib
 
 import attrs
@@ -21,6 +22,17 @@
 TOKENS_PER_FAILURE = 20_000.0
 # What a second of a cold start costs, in tokens.
 TOKENS_PER_COLD_S = 2_000.0
+# Reading a shared prefix again costs more than the time it takes: it drives
+# other prefixes out and happens again on every such move.
+TOKENS_PER_MISSED_TOKEN = 2.0
+# A prompt with more unread tokens than this slows every stream beside it for
+# several steps of the engine; such prompts keep to engines of their own.
+LONG_PROMPT_TOKENS = 4_096
+LONG_PROMPT_ENGINE_SHARE = 0.45
+# Going to an engine of the other kind is worth it beyond this backlog.
+TOKENS_PER_WRONG_KIND = 5_000.0
+# Fewer engines than this are shared by all prompts.
+FEWEST_DIVIDED_ENGINES = 4
 # Crossing data centres costs bytes and a little time, in tokens.
 TOKENS_PER_CROSSING = 150.0
 # Upstreams queue a few requests beyond their slots.
@@ -28,6 +40,7 @@
 # A prefix that was sent somewhere within this time is still kept there.
 PREFIX_KEPT_S = 12.0
 PREFIX_MEMORY_ENTRIES = 4_096
+DIGESTS_KEPT = 16_384
 
 
 @attrs.define
@@ -77,11 +90,17 @@
         roomy = [u for u in usable or known if self._has_room(u)]
         if not roomy:
             return None
-        home = home_of(prompt.shared_key, known)
-        return min(
-            roomy,
-            key=lambda u: (self._cost(u, prompt, home, now_s), u.upstream_id),
-        )
+        fit = fitting_engines(known, prompt)
+        home = home_of(prompt.shared_key, fit)
+        fit_ids = {u.upstream_id for u in fit}
+
+        def cost(upstream: Upstream) -> tuple[float, str]:
+            found = self._cost(upstream, prompt, home, now_s)
+            if upstream.upstream_id not in fit_ids:
+                found += TOKENS_PER_WRONG_KIND
+            return found, upstream.upstream_id
+
+        return min(roomy, key=cost)
 
     def unread_tokens(
         self, upstream: Upstream, prompt: Prompt, home: str, now_s: float
@@ -106,7 +125,10 @@
     ) -> float:
         load = self.loads.total(upstream.upstream_id)
         slots = max(1, upstream.slots)
-        cost = float(self.unread_tokens(upstream, prompt, home, now_s))
+        unread = self.unread_tokens(upstream, prompt, home, now_s)
+        cost = float(unread)
+        if unread == prompt.prompt_tokens:
+            cost += (TOKENS_PER_MISSED_TOKEN - 1.0) * prompt.shared_tokens
         cost += load.pending_tokens
         cost += TOKENS_PER_RUNNING_REQUEST * load.requests
         # Beyond its slots a request waits for another one to end.
@@ -120,14 +142,35 @@
         return cost
 
 
+def fitting_engines(
+    upstreams: Iterable[Upstream], prompt: Prompt
+) -> list[Upstream]:
+    """Return the engines that are meant for prompts of this length.
+
+    Every host divides the engines alike, by a hash of their ids, so that few
+    engines change sides when others come and go.
+    """
+    known = list(upstreams)
+    if not prompt.prompt_tokens or len(known) < FEWEST_DIVIDED_ENGINES:
+        return known
+    ranked = sorted(known, key=lambda u: _digest(u.upstream_id))
+    border = round(len(ranked) * LONG_PROMPT_ENGINE_SHARE)
+    if prompt.prompt_tokens > LONG_PROMPT_TOKENS:
+        return ranked[:border]
+    return ranked[border:]
+
+
 def home_of(key: str, upstreams: Iterable[Upstream]) -> str:
     """Return the upstream that rendezvous hashing gives a prefix; or empty."""
     if not key:
         return ""
     return max(
         (u.upstream_id for u in upstreams),
-        key=lambda name: hashlib.blake2b(
-            f"{key}/{name}".encode(), digest_size=8
-        ).digest(),
+        key=lambda name: _digest(f"{key}/{name}"),
         default="",
     )
+
+
+@functools.lru_cache(maxsize=DIGESTS_KEPT)
+def _digest(text: str) -> bytes:
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -50,9 +50,10 @@
 SNAPSHOT_PATH = b"/peer/snapshot"
 METRICS_PATH = b"/metrics"
 HOUSEKEEPING_INTERVAL_S = 0.1
-# A peer's newer configuration is fetched if the store hasn't brought it
-# within this time.
-PEER_FETCH_AFTER_S = 0.4
+# What a peer knows and this host doesn't is asked of the store again after
+# this time, and of the peer if the store still hasn't said it, or can't.
+ASK_STORE_AFTER_S = 0.4
+PEER_FETCH_AFTER_S = 1.0
 PEER_FETCH_TIMEOUT_S = 1.0
 # Requests still open this long before the grace period ends are broken off.
 STOP_MARGIN_S = 0.5
@@ -136,6 +137,7 @@
                 self._on_configuration,
                 self._on_configuration,
                 lambda error: None,
+                self._hosts,
             ),
             PrefixFollower(
                 store,
@@ -143,6 +145,7 @@
                 self._on_upstream_snapshot,
                 self._on_upstream_changes,
                 self._on_store_contact,
+                self._hosts,
             ),
         ]
         self._link = PeerLink(
@@ -153,6 +156,7 @@
         self._housekeeper: asyncio.Task[None] | None = None
         self._fetching: asyncio.Task[None] | None = None
         self._behind_since_s: float | None = None
+        self._asked_store = False
         self._stopped = asyncio.Event()
         self._stopper: asyncio.Task[None] | None = None
 
@@ -361,8 +365,10 @@
             [key[prefix:] for key in changes.deleted],
             changes.revision,
             boot_s(),
+            changes.newest_change,
         )
-        self._apply_upstreams("store")
+        if changes.changed or changes.deleted:
+            self._apply_upstreams("store")
 
     def _by_upstream(self, changes: StoreChanges) -> dict[str, StoredValue]:
         prefix = self._dialect.upstreams_prefix
@@ -402,7 +408,7 @@
         window = self._counts.window_at(self._true_s())
         return OwnWord(
             configuration=table.configuration.version if table else 0,
-            upstreams_at=self._registry.revision,
+            upstreams_at=self._registry.changed_at,
             duty=self._lease.fencing if self._lease.holds else 0,
             stopping=self._gateway.stopping_s is not None,
             loads_by_upstream=self._gateway.dispatcher.placement.loads.own(),
@@ -412,7 +418,7 @@
     def _on_peer_word(self, word: PeerWord) -> None:
         origin = f"{word.name}/{word.incarnation}"
         self._counts.hear(origin, word.counts_by_window)
-        self._gateway.hosts = len(self._peers.alive()) + 1
+        self._gateway.hosts = self._hosts()
         self._gateway.deliver(
             PeerLoadsReceived(
                 now_s=boot_s(),
@@ -421,12 +427,15 @@
             )
         )
 
+    def _hosts(self) -> int:
+        return len(self._peers.alive()) + 1
+
     def _best_informed_peer(self) -> PeerWord | None:
         """Return a peer that knows what this host lacks."""
         table = self._gateway.table
         version = table.configuration.version if table else 0
         knowing = [w for w in self._peers.alive() if w.configuration > version]
-        if not knowing and self._registry.in_outage(boot_s()):
+        if not knowing:
             knowing = [
                 word
                 for word in self._peers.alive()
@@ -441,10 +450,19 @@
         now_s = boot_s()
         if peer is None:
             self._behind_since_s = None
+            self._asked_store = False
             return
         if self._behind_since_s is None:
             self._behind_since_s = now_s
-        if now_s - self._behind_since_s < PEER_FETCH_AFTER_S:
+        behind_s = now_s - self._behind_since_s
+        if behind_s < ASK_STORE_AFTER_S:
+            return
+        if not self._asked_store:
+            # An answer of the store may have been lost.
+            self._asked_store = True
+            for follower in self._followers:
+                follower.hurry()
+        if behind_s < PEER_FETCH_AFTER_S and self._followers[0].reachable:
             return
         if self._fetching is None or self._fetching.done():
             self._behind_since_s = now_s
--- a/src/shallotfold/_gateway/store_following.py
+++ b/src/shallotfold/_gateway/store_following.py
@@ -12,13 +12,18 @@
 from shallotfold._gateway.ports import WatchedStore
 from shallotfold._services.ports import StoreChanges
 
-# Short enough that a watch whose answer was lost is noticed within the
-# bounds of a configuration change; each watch is a priced call.
-WATCH_WAIT_S = 4.0
+# Each watch is a priced call. A host alone must notice soon that an answer
+# was lost; among many, some other host hears of the change and says so.
+SHORTEST_WATCH_S = 4.0
+LONGEST_WATCH_S = 20.0
+WATCH_S_PER_HOST = 0.5
 # After a failure a watch this short shows whether the store is back.
 PROBE_WAIT_S = 0.05
-# Changes that come in quick succession are read together.
-GATHER_S = 0.1
+# Changes that come in quick succession are read together, the longer the more
+# hosts read them.
+SHORTEST_GATHER_S = 0.1
+LONGEST_GATHER_S = 0.6
+GATHER_S_PER_HOST = 0.01
 FIRST_PAUSE_S = 0.15
 LONGEST_PAUSE_S = 0.8
 
@@ -33,6 +38,7 @@
         on_snapshot: Callable[[StoreChanges], None],
         on_changes: Callable[[StoreChanges], None],
         on_contact: Callable[[Exception | None], None],
+        hosts: Callable[[], int],
     ) -> None:
         """Make a follower.
 
@@ -40,17 +46,32 @@
             store: The store.
             prefix: What to follow.
             on_snapshot: Takes all values under the prefix.
-            on_changes: Takes what changed since.
+            on_changes: Takes what changed since; also that nothing did.
             on_contact: Told after each call why it failed; `None`: it did not.
+            hosts: Returns how many hosts follow the prefix.
         """
         self._store = store
         self._prefix = prefix
         self._on_snapshot = on_snapshot
         self._on_changes = on_changes
         self._on_contact = on_contact
+        self._hosts = hosts
         self._revision: int | None = None
         self._reachable: bool | None = None
         self._task: asyncio.Task[None] | None = None
+        self._watch: asyncio.Task[StoreChanges] | None = None
+        self._hurried = False
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the last call was answered."""
+        return bool(self._reachable)
+
+    def hurry(self) -> None:
+        """Ask again now: a peer knows more than the open watch has said."""
+        if self._watch is not None and not self._watch.done():
+            self._hurried = True
+            self._watch.cancel()
 
     async def start(self) -> None:
         """Begin to follow."""
@@ -85,7 +106,7 @@
             else:
                 self._note_contact(None)
                 if changed:
-                    await asyncio.sleep(GATHER_S)
+                    await asyncio.sleep(self._gather_s())
             pause_s = FIRST_PAUSE_S
 
     async def _step(self) -> bool:
@@ -94,13 +115,28 @@
             self._revision = snapshot.revision
             self._on_snapshot(snapshot)
             return False
-        wait_s = WATCH_WAIT_S if self._reachable else PROBE_WAIT_S
-        changes = await self._store.watch(self._prefix, self._revision, wait_s)
+        wait_s = self._watch_s() if self._reachable else PROBE_WAIT_S
+        self._watch = asyncio.create_task(
+            self._store.watch(self._prefix, self._revision, wait_s)
+        )
+        try:
+            changes = await self._watch
+        except asyncio.CancelledError:
+            if not self._hurried:
+                raise
+            self._hurried = False
+            return False
         self._revision = max(self._revision, changes.revision)
-        if changes.changed or changes.deleted:
-            self._on_changes(changes)
-            return True
-        return False
+        self._on_changes(changes)
+        return bool(changes.changed or changes.deleted)
+
+    def _watch_s(self) -> float:
+        wait_s = self._hosts() * WATCH_S_PER_HOST
+        return min(LONGEST_WATCH_S, max(SHORTEST_WATCH_S, wait_s))
+
+    def _gather_s(self) -> float:
+        gather_s = self._hosts() * GATHER_S_PER_HOST
+        return min(LONGEST_GATHER_S, max(SHORTEST_GATHER_S, gather_s))
 
     def _note_contact(self, error: Exception | None) -> None:
         reachable = error is None
--- a/src/shallotfold/_gateway/upstream_registry.py
+++ b/src/shallotfold/_gateway/upstream_registry.py
@@ -32,11 +32,13 @@
 
     Attributes:
         revision: Store revision up to which the list is complete.
+        changed_at: Store revision of the newest change that is known.
         trouble_s: When a call to the store failed last; `None`: never.
         back_s: When the store answered again after that.
     """
 
     revision: int = 0
+    changed_at: int = 0
     trouble_s: float | None = None
     back_s: float | None = None
     _entry_by_id: dict[str, _Entry] = attrs.field(factory=dict)
@@ -68,8 +70,18 @@
         deleted: Iterable[str],
         revision: int,
         now_s: float,
+        newest_change: int = 0,
     ) -> None:
-        """Take what changed up to a revision."""
+        """Take what changed up to a revision.
+
+        Args:
+            values_by_id: Registrations that are new or other than before.
+            deleted: Upstreams whose registration is gone.
+            revision: Up to which the changes are complete.
+            now_s: Time on the boot clock.
+            newest_change: Revision of the newest change; 0: none.
+        """
+        self.changed_at = max(self.changed_at, newest_change)
         for upstream_id, value in values_by_id.items():
             self._put(upstream_id, value)
         self._remove_all(set(deleted), revision, now_s)
@@ -115,6 +127,7 @@
         if self._deleted_at.get(upstream_id, 0) > value.revision:
             return
         self._entry_by_id[upstream_id] = _Entry(value.value, value.revision)
+        self.changed_at = max(self.changed_at, value.revision)
 
     def _remove_all(
         self, upstream_ids: set[str], revision: int, now_s: float
--- a/src/shallotfold/_gateway/usage_reporting.py
+++ b/src/shallotfold/_gateway/usage_reporting.py
@@ -17,7 +17,7 @@
 FROZEN_PREFIX = "shallotfold/usage/"
 CHECK_INTERVAL_S = 0.4
 # Peers' last counts of a window arrive within this time after its end.
-GATHERING_S = 1.6
+GATHERING_S = 2.4
 REPEAT_S = 0.8
 
 
--- a/src/shallotfold/_services/ports.py
+++ b/src/shallotfold/_services/ports.py
@@ -36,11 +36,13 @@
         revision: Store revision up to which the changes are complete.
         changed: Values that were written, newest state only.
         deleted: Keys that were deleted.
+        newest_change: Revision of the newest of these changes; 0: unsaid.
     """
 
     revision: int
     changed: tuple[StoredValue, ...]
     deleted: tuple[str, ...]
+    newest_change: int = 0
 
 
 @attrs.frozen
--- a/src/shallotfold/platform/store.py
+++ b/src/shallotfold/platform/store.py
@@ -100,6 +100,7 @@
                 for key, event in newest_by_key.items()
                 if event.get("Deleted")
             ),
+            max((event["Revision"] for event in content["events"]), default=0),
         )
 
     async def compare_and_swap(
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -169,7 +169,7 @@
         upstreams = [make_upstream(name, slots=64) for name in "abcd"]
         desk = Desk(*upstreams)
         chosen = []
-        for request in range(40):
+        for request in range(100):
             desk.arrive(request, prompt=make_prompt("site-7"))
             chosen.append(desk.sent_to())
         assert set(chosen) == set("abcd")
