--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -37,6 +37,7 @@
 from shallotfold._gateway.ports import WatchedStore
 from shallotfold._gateway.retry_budget import RetryBudget
 from shallotfold._gateway.route_table import RouteTable
+from shallotfold._gateway.scaling import ServiceLoad
 from shallotfold._gateway.serving import Gateway
 from shallotfold._gateway.settings import GatewaySettings
 from shallotfold._gateway.store_following import PrefixFollower
@@ -128,7 +129,7 @@
             settings.host,
             self._services,
             self._upstreams,
-            self._in_flight,
+            self._service_load,
         )
         self._followers = [
             PrefixFollower(
@@ -309,12 +310,19 @@
     def _upstreams(self) -> Iterable[Upstream]:
         return self._gateway.dispatcher.upstreams_by_id.values()
 
-    def _in_flight(self, service: str) -> int:
-        dispatcher = self._gateway.dispatcher
-        return sum(
-            dispatcher.placement.loads.total(upstream.upstream_id).requests
-            for upstream in dispatcher.upstreams_by_id.values()
-            if upstream.service == service
+    def _service_load(self, service: str) -> ServiceLoad:
+        loads = self._gateway.dispatcher.placement.loads
+        serving = [
+            upstream
+            for upstream in self._upstreams()
+            if upstream.service == service and not upstream.draining
+        ]
+        totals = [loads.total(upstream.upstream_id) for upstream in serving]
+        return ServiceLoad(
+            upstreams=len(serving),
+            slots=sum(upstream.slots for upstream in serving),
+            requests=sum(load.requests for load in totals),
+            pending_tokens=sum(load.pending_tokens for load in totals),
         )
 
     def _on_configuration(self, changes: StoreChanges) -> None:
--- a/src/shallotfold/_gateway/upstream_ordering.py
+++ b/src/shallotfold/_gateway/upstream_ordering.py
@@ -12,6 +12,7 @@
 from shallotfold._gateway.ports import DutyCalls
 from shallotfold._gateway.ports import DutyOutcome
 from shallotfold._gateway.scaling import ScalingPlanner
+from shallotfold._gateway.scaling import ServiceLoad
 
 CHECK_INTERVAL_S = 0.5
 
@@ -26,7 +27,7 @@
         host: str,
         services: Callable[[], Iterable[Service]],
         upstreams: Callable[[], Iterable[Upstream]],
-        in_flight: Callable[[str], int],
+        load: Callable[[str], ServiceLoad],
     ) -> None:
         """Make it.
 
@@ -36,14 +37,14 @@
             host: Name of this host.
             services: Returns the services in force.
             upstreams: Returns the upstreams that are registered.
-            in_flight: Returns the requests that all hosts have at a service.
+            load: Returns what all hosts have under way at a service.
         """
         self._calls = calls
         self._lease = lease
         self._host = host
         self._services = services
         self._upstreams = upstreams
-        self._in_flight = in_flight
+        self._load = load
         self._planner = ScalingPlanner()
         self._fencing = 0
         self._task: asyncio.Task[None] | None = None
@@ -63,8 +64,8 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             now_s = boot_s()
             for service in self._services():
-                self._planner.note_demand(
-                    service.name, self._in_flight(service.name), now_s
+                self._planner.note_load(
+                    service.name, self._load(service.name), now_s
                 )
             if self._lease.holds:
                 await self._order_once()
