--- a/src/shallotfold/_gateway/scaling.py
+++ b/src/shallotfold/_gateway/scaling.py
@@ -19,6 +19,9 @@
 CHEAP_SPOT_RATIO = 0.5
 # Reclaimable upstreams kept in calm, as a share of the most that are allowed.
 CALM_SHARE = 0.67
+# Ordinary upstreams fill up to this share where reclaimable ones can't be had:
+# they cost several times as much, and the shortage is soon over.
+SHORTAGE_SHARE = 0.5
 # All are ordered while more prompt tokens wait at each than a step reads, or
 # more slots are taken than this share: a fuller batch makes tokens slower.
 BUSY_TOKENS_PER_UPSTREAM = 1_500
@@ -109,7 +112,8 @@
         most = limits.maximum
         if now_s >= self._busy_until_s.get(service.name, 0.0):
             most = max(limits.minimum, round(limits.maximum * CALM_SHARE))
-        missing = most * len(places) - sum(live.values())
+        fewest = round(limits.maximum * len(places) * SHORTAGE_SHARE)
+        missing = fewest - sum(live.values())
         for data_centre, _ in places:
             spot_live = live.get((data_centre, True), 0)
             plain_live = live.get((data_centre, False), 0)
