--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -37,7 +37,6 @@
 from shallotfold._gateway.ports import WatchedStore
 from shallotfold._gateway.retry_budget import RetryBudget
 from shallotfold._gateway.route_table import RouteTable
-from shallotfold._gateway.scaling import ServiceLoad
 from shallotfold._gateway.serving import Gateway
 from shallotfold._gateway.settings import GatewaySettings
 from shallotfold._gateway.store_following import PrefixFollower
@@ -129,7 +128,6 @@
             settings.host,
             self._services,
             self._upstreams,
-            self._service_load,
         )
         self._followers = [
             PrefixFollower(
@@ -310,21 +308,6 @@
     def _upstreams(self) -> Iterable[Upstream]:
         return self._gateway.dispatcher.upstreams_by_id.values()
 
-    def _service_load(self, service: str) -> ServiceLoad:
-        loads = self._gateway.dispatcher.placement.loads
-        serving = [
-            upstream
-            for upstream in self._upstreams()
-            if upstream.service == service and not upstream.draining
-        ]
-        totals = [loads.total(upstream.upstream_id) for upstream in serving]
-        return ServiceLoad(
-            upstreams=len(serving),
-            slots=sum(upstream.slots for upstream in serving),
-            requests=sum(load.requests for load in totals),
-            pending_tokens=sum(load.pending_tokens for load in totals),
-        )
-
     def _on_configuration(self, changes: StoreChanges) -> None:
         for value in changes.changed:
             if value.key == self._dialect.configuration_key:
--- a/src/shallotfold/_gateway/scaling.py
+++ b/src/shallotfold/_gateway/scaling.py
@@ -17,17 +17,9 @@
 
 # Reclaimable upstreams are preferred while they cost less than this share.
 CHEAP_SPOT_RATIO = 0.5
-# Reclaimable upstreams kept in calm, as a share of the most that are allowed.
-CALM_SHARE = 0.67
 # Ordinary upstreams fill up to this share where reclaimable ones can't be had:
 # they cost several times as much, and the shortage is soon over.
 SHORTAGE_SHARE = 0.5
-# All are ordered while more prompt tokens wait at each than a step reads, or
-# more slots are taken than this share: a fuller batch makes tokens slower.
-BUSY_TOKENS_PER_UPSTREAM = 1_500
-BUSY_SLOT_SHARE = 0.4
-# Demand is remembered for this long, so that a lull releases nothing.
-DEMAND_MEMORY_S = 12.0
 # An order whose upstreams are still missing this long after their boot time
 # is repeated: it may have been lost or undone by an older, late one.
 REPEAT_MARGIN_S = 3.0
@@ -37,23 +29,6 @@
 Place = tuple[str, str, bool]
 
 
-@attrs.frozen(kw_only=True)
-class ServiceLoad:
-    """What all hosts have under way at a service.
-
-    Attributes:
-        upstreams: Upstreams that serve it.
-        slots: Requests that they run at once, together.
-        requests: Requests under way.
-        pending_tokens: Prompt tokens not read yet.
-    """
-
-    upstreams: int
-    slots: int
-    requests: int
-    pending_tokens: int
-
-
 @attrs.define
 class _Order:
     count: int
@@ -62,21 +37,10 @@
 
 @attrs.define
 class ScalingPlanner:
-    """What was ordered, and which services were busy lately."""
+    """What was ordered, and where nothing was available."""
 
     _order_by_place: dict[Place, _Order] = attrs.field(factory=dict)
     _dry_until_s: dict[Place, float] = attrs.field(factory=dict)
-    _busy_until_s: dict[str, float] = attrs.field(factory=dict)
-
-    def note_load(self, service: str, load: ServiceLoad, now_s: float) -> None:
-        """Remember whether the upstreams of a service were busy lately."""
-        if load.upstreams <= 0:
-            return
-        if (
-            load.pending_tokens > BUSY_TOKENS_PER_UPSTREAM * load.upstreams
-            or load.requests > BUSY_SLOT_SHARE * load.slots
-        ):
-            self._busy_until_s[service] = now_s + DEMAND_MEMORY_S
 
     def forget(self) -> None:
         """Forget all orders: another host may have ordered since."""
@@ -109,9 +73,6 @@
         places = sorted(
             limits.price_by_data_centre.items(), key=lambda item: item[1]
         )
-        most = limits.maximum
-        if now_s >= self._busy_until_s.get(service.name, 0.0):
-            most = max(limits.minimum, round(limits.maximum * CALM_SHARE))
         fewest = round(limits.maximum * len(places) * SHORTAGE_SHARE)
         missing = fewest - sum(live.values())
         for data_centre, _ in places:
@@ -124,7 +85,7 @@
                 added = min(missing, limits.maximum - plain - spot_live)
                 plain += max(0, added)
                 missing -= max(0, added)
-            spot = self._spot_count(limits, most, max(plain, plain_live))
+            spot = self._spot_count(limits, max(plain, plain_live))
             wanted += [
                 UpstreamCount(
                     service=service.name,
@@ -165,10 +126,10 @@
             return max(limits.minimum, plain_live)
         return max(limits.minimum - spot_live, plain_live)
 
-    def _spot_count(self, limits: ScalingLimits, most: int, plain: int) -> int:
+    def _spot_count(self, limits: ScalingLimits, plain: int) -> int:
         if limits.spot_price_ratio > CHEAP_SPOT_RATIO:
             return 0
-        return max(0, min(most, limits.maximum - plain))
+        return max(0, limits.maximum - plain)
 
     def _is_dry(self, service: str, data_centre: str, now_s: float) -> bool:
         return now_s < self._dry_until_s.get((service, data_centre, True), 0.0)
--- a/src/shallotfold/_gateway/upstream_ordering.py
+++ b/src/shallotfold/_gateway/upstream_ordering.py
@@ -12,7 +12,6 @@
 from shallotfold._gateway.ports import DutyCalls
 from shallotfold._gateway.ports import DutyOutcome
 from shallotfold._gateway.scaling import ScalingPlanner
-from shallotfold._gateway.scaling import ServiceLoad
 
 CHECK_INTERVAL_S = 0.5
 
@@ -27,7 +26,6 @@
         host: str,
         services: Callable[[], Iterable[Service]],
         upstreams: Callable[[], Iterable[Upstream]],
-        load: Callable[[str], ServiceLoad],
     ) -> None:
         """Make it.
 
@@ -37,14 +35,12 @@
             host: Name of this host.
             services: Returns the services in force.
             upstreams: Returns the upstreams that are registered.
-            load: Returns what all hosts have under way at a service.
         """
         self._calls = calls
         self._lease = lease
         self._host = host
         self._services = services
         self._upstreams = upstreams
-        self._load = load
         self._planner = ScalingPlanner()
         self._fencing = 0
         self._task: asyncio.Task[None] | None = None
@@ -62,11 +58,6 @@
     async def _order_regularly(self) -> None:
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            now_s = boot_s()
-            for service in self._services():
-                self._planner.note_load(
-                    service.name, self._load(service.name), now_s
-                )
             if self._lease.holds:
                 await self._order_once()
 
