--- /dev/null
+++ b/benchmarks/platform_days.py
@@ -0,0 +1,150 @@
+"""Write day files with every kind of trouble of the users' platform.
+
+Each file pairs kinds that a site's own list may not name; the users' bench
+plays them on every site where they fit.
+"""
+
+import pathlib
+
+FOLDER = pathlib.Path(__file__).parents[1] / "deploy" / "days"
+LENGTH_S = 42
+# Troubles as the users' pages list them: kind, how, other figures.
+FAULTS: dict[str, list[tuple[str, str, str]]] = {
+    "cut-servers": [
+        ("srv_cut", "", "share = 0.25, for_s = 5.0"),
+        ("srv_cut", "fronts", "share = 0.3, x = 0.3, for_s = 5.0"),
+        ("srv_cut", "reborn", "share = 0.2, for_s = 4.0"),
+    ],
+    "cut-some-paths": [
+        ("srv_cut", "some", "share = 0.3, x = 0.4, for_s = 6.0"),
+        ("srv_cut", "some lossy", "share = 0.3, x = 0.4, for_s = 6.0"),
+        ("srv_cut", "one_way", "share = 0.2, for_s = 5.0"),
+        ("srv_cut", "reset", "share = 0.2, for_s = 5.0"),
+    ],
+    "reused-addresses": [
+        ("replace_with_reuse", "", "share = 0.2"),
+        ("replace_with_reuse", "drain", "share = 0.2"),
+        ("replace_with_reuse", "dark", "share = 0.2"),
+        ("srv_crash", "gone", "share = 0.2"),
+    ],
+    "dark-and-grey": [
+        ("srv_crash", "dark", "share = 0.2, for_s = 5.0"),
+        ("srv_grey", "hang", "share = 0.2, x = 0.5, for_s = 6.0"),
+        ("srv_grey", "mute", "share = 0.2, x = 0.5, for_s = 6.0"),
+        ("srv_grey", "reset", "share = 0.3, x = 0.5, for_s = 6.0"),
+    ],
+    "grey-and-slow": [
+        ("srv_grey", "shed", "share = 0.3, x = 0.6, for_s = 6.0"),
+        ("srv_grey", "busy", "share = 0.3, x = 0.6, for_s = 6.0"),
+        ("srv_grey", "slow", "share = 0.3, x = 8.0, for_s = 6.0"),
+        ("srv_slow", "", "share = 0.3, x = 6.0, for_s = 6.0"),
+    ],
+    "lying-and-flapping": [
+        ("srv_lying_health", "errors", "share = 0.3, for_s = 6.0"),
+        ("srv_lying_health", "hang", "share = 0.3, for_s = 6.0"),
+        ("srv_flap", "", "share = 0.3, for_s = 6.0"),
+    ],
+    "reset-connections": [
+        ("reset_conns", "", "share = 0.5, x = 0.7"),
+        ("reset_conns", "", "share = 1.0, x = 1.0"),
+        ("lossy", "", "x = 0.05, for_s = 6.0"),
+        ("node_cut", "reset all", "share = 0.2, for_s = 5.0"),
+    ],
+    "slow-platform": [
+        ("cloud_slow", "", "x = 80.0, for_s = 6.0"),
+        ("platform_slow", "", "x = 80.0, for_s = 5.0"),
+        ("platform_lost", "late", "x = 0.5, for_s = 6.0"),
+        ("applied_late", "all", "x = 0.5, for_s = 8.0"),
+    ],
+    "store-away": [
+        ("platform_down", "silent", "for_s = 6.0"),
+        ("platform_down", "reset lapse", "for_s = 5.0"),
+        ("platform_down", "busy lapse", "for_s = 6.0"),
+        ("platform_down", "nodes silent revoke", "share = 0.4, for_s = 8.0"),
+    ],
+    "forgetful-store": [
+        ("platform_compact", "drain", "x = 6.0, for_s = 10.0"),
+        ("platform_compact", "", "x = 3.0, for_s = 6.0"),
+        ("platform_down", "nodes many revoke meet drain", "for_s = 7.0"),
+    ],
+    "killed-leaders": [
+        ("node_kill", "leader race", "count = 1"),
+        ("node_kill", "power leader hard", "count = 1, for_s = 3.0"),
+        ("node_freeze", "leader renewed", "count = 1, for_s = 6.0"),
+        ("core_cut", "leader one_way", "count = 1, for_s = 5.0"),
+    ],
+    "herds": [
+        ("herd_kill", "", "share = 0.7, for_s = 1.5"),
+        ("herd_kill", "power", "share = 0.6, for_s = 2.0"),
+        ("after_ack_kill", "kill", "for_s = 2.0"),
+    ],
+    "clocks": [
+        ("clock_step", "back", "share = 0.4, x = 4000.0, for_s = 8.0"),
+        ("clock_step", "ahead", "share = 0.4, x = 6000.0, for_s = 8.0"),
+        ("node_slow", "", "share = 0.3, x = 6.0, for_s = 6.0"),
+    ],
+    "spoiled-answers": [
+        ("garble", "unframed", "share = 0.6, x = 0.08, for_s = 6.0"),
+        ("garble", "early", "share = 0.6, x = 0.1, for_s = 6.0"),
+        ("garble", "extra late", "share = 0.6, x = 0.08, for_s = 6.0"),
+        ("answer_lost", "reset", "share = 0.6, x = 0.2, for_s = 5.0"),
+    ],
+    "leaving-callers": [
+        ("give_up", "", "share = 0.4, for_s = 6.0"),
+        ("give_up", "once", "share = 0.4, x = 800.0, for_s = 6.0"),
+        ("retry_abuse", "", "share = 0.4, x = 4.0, for_s = 6.0"),
+        ("hot_tenant", "", "x = 8.0, for_s = 8.0"),
+    ],
+    "reclaims": [
+        ("scale_in", "reclaim dry", "x = 2.5, for_s = 10.0"),
+        ("scale_in", "reclaim", "x = 2.0, for_s = 6.0"),
+        ("scale_in", "spot", "x = 2.0, share = 0.3"),
+        ("srv_crash", "rack", "share = 0.2, for_s = 4.0"),
+    ],
+}
+PLANS: dict[str, list[tuple[str, str, str]]] = {
+    "planned-stops": [
+        ("roll_term", "busy", "share = 1.0, gap_s = 1.5"),
+        ("hup", "", "share = 1.0, gap_s = 2.0"),
+        ("release", "", "share = 0.6, x = 2.0, gap_s = 1.0"),
+    ],
+    "planned-changes": [
+        ("config_storm", "", "for_s = 5.0, gap_s = 0.3"),
+        ("config_change", "route", ""),
+        ("config_change", "weights", ""),
+        ("big_config", "", ""),
+        ("revoke", "last", "count = 3, gap_s = 0.3"),
+        ("config_change", "timeout", ""),
+    ],
+    "planned-fleet": [
+        ("add_nodes", "", ""),
+        ("scale_out", "", "share = 0.4, gap_s = 2.0"),
+        ("scale_in", "", "share = 0.3"),
+        ("replace_core", "planned", "x = 2.0"),
+    ],
+}
+
+
+def render(name: str, table: str, troubles: list[tuple[str, str, str]]) -> str:
+    """Return the text of one day file."""
+    lines = [f'name = "{name}"', 'slot = "trouble"', f"{table} = ["]
+    gap_s = LENGTH_S * 0.8 / len(troubles)
+    for number, (kind, how, figures) in enumerate(troubles):
+        fields = [f"at = {1.0 + number * gap_s:.1f}", f'kind = "{kind}"']
+        fields += [f'how = "{how}"'] if how else []
+        fields += [figures] if figures else []
+        lines.append(f"  {{ {', '.join(fields)} }},")
+    return "\n".join([*lines, "]"]) + "\n"
+
+
+def main() -> None:
+    """Write all day files."""
+    FOLDER.mkdir(parents=True, exist_ok=True)
+    for table, days in (("faults", FAULTS), ("plan", PLANS)):
+        for name, troubles in days.items():
+            text = render(name, table, troubles)
+            (FOLDER / f"{name}.toml").write_text(text)
+
+
+if __name__ == "__main__":
+    main()
