--- a/src/shallotfold/_gateway/caller_connection.py
+++ b/src/shallotfold/_gateway/caller_connection.py
@@ -233,8 +233,17 @@
         if self._transport is not None:
             self._transport.close()
 
-    def reject_late_head(self) -> None:
-        """Give up on a caller that did not send its head in time."""
+    def request_is_late(self, now_s: float) -> bool:
+        """Whether a head or a body that has begun takes too long."""
+        if self.request_started_s is None:
+            return False
+        limits = self._handler.limits()
+        if not self.head_complete:
+            return now_s - self.request_started_s > limits.header_timeout_s
+        return now_s - self.last_active_s > limits.idle_timeout_s
+
+    def reject_late_request(self) -> None:
+        """Give up on a caller that did not send its request in time."""
         self._reject(HTTPStatus.REQUEST_TIMEOUT)
 
     def _head_is_too_large(self) -> bool:
--- a/src/shallotfold/_gateway/peers.py
+++ b/src/shallotfold/_gateway/peers.py
@@ -34,8 +34,8 @@
 # Seeds are asked this often, also when peers are known: partitions heal.
 SEED_INTERVAL_S = 2.0
 # Counts of runs go to the holder of the duties and to this many hosts that
-# would follow it.
-DEPUTIES = 2
+# would follow it; in a small fleet that is everybody.
+DEPUTIES = 8
 # Addresses of other peers that one datagram passes on.
 ADDRESSES_PER_DATAGRAM = 6
 
@@ -49,7 +49,7 @@
         incarnation: One life of its process.
         ip: Its address.
         heard_s: When it was heard, on the boot clock.
-        clock_ahead_s: Its wall clock against this host's.
+        clock_offset_s: Its time of day less this host's boot clock.
         configuration: Version of its configuration; 0: none.
         upstreams_at: Store revision of the last change of upstreams it knows.
         duty: Fencing number if it holds the duties; 0: it doesn't.
@@ -62,7 +62,7 @@
     incarnation: str
     ip: str
     heard_s: float
-    clock_ahead_s: float
+    clock_offset_s: float
     configuration: int
     upstreams_at: int
     duty: int
@@ -101,19 +101,27 @@
         self.seed_ips = seed_ips
         self.word_by_name: dict[str, PeerWord] = {}
         self._alive: frozenset[str] = frozenset()
+        self._clock_offset_s = time.time() - boot_s()
 
     def alive(self) -> list[PeerWord]:
         """Return the peers that were heard a short time ago."""
         oldest_s = boot_s() - ALIVE_S
         return [w for w in self.word_by_name.values() if w.heard_s > oldest_s]
 
-    def clock_correction_s(self) -> float:
-        """Return what to add to this host's wall clock for true time.
+    def true_s(self) -> float:
+        """Return the time of day that most hosts' clocks agree on.
 
-        The median over all hosts is right while most clocks are.
+        It goes by the boot clock between two words, so that a jump of this
+        host's own time of day changes nothing.
         """
-        ahead = [word.clock_ahead_s for word in self.alive()]
-        return statistics.median([0.0, *ahead])
+        return boot_s() + self._clock_offset_s
+
+    def agree_on_time(self) -> None:
+        """Take the median of all known clocks as the true one."""
+        offsets_s = [word.clock_offset_s for word in self.alive()]
+        self._clock_offset_s = statistics.median(
+            [time.time() - boot_s(), *offsets_s]
+        )
 
     def interval_s(self) -> float:
         """Return the time between two words of this host."""
@@ -165,12 +173,13 @@
         fields: Any = msgpack.unpackb(data, strict_map_key=False)
         if not isinstance(fields, list) or fields[0] != PROTOCOL_VERSION:
             raise ValueError("unknown version of the peers' protocol")
+        now_s = boot_s()
         word = PeerWord(
             name=fields[1],
             incarnation=fields[2],
             ip=ip,
-            heard_s=boot_s(),
-            clock_ahead_s=fields[3] - time.time(),
+            heard_s=now_s,
+            clock_offset_s=fields[3] - now_s,
             configuration=fields[4],
             upstreams_at=fields[5],
             duty=fields[6],
@@ -291,6 +300,7 @@
                 self._introduced.clear()
             self.send_now(with_seeds=ask_seeds)
             self._peers.forget_and_report()
+            self._peers.agree_on_time()
             await asyncio.sleep(
                 self._peers.interval_s() * random.uniform(0.8, 1.2)
             )
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -6,7 +6,6 @@
 from http import HTTPStatus
 import random
 import signal
-import time
 
 import attrs
 from loguru import logger
@@ -46,9 +45,12 @@
 from shallotfold._gateway.usage_reporting import UsageReporter
 from shallotfold._services.ports import StoreChanges
 from shallotfold._services.ports import StoredValue
+from shallotfold._settings.addresses import Address
 
 SNAPSHOT_PATH = b"/peer/snapshot"
 METRICS_PATH = b"/metrics"
+# The port that Prometheus' list of exporters keeps for such pages.
+METRICS_PORT = 9464
 HOUSEKEEPING_INTERVAL_S = 0.1
 # What a peer knows and this host doesn't is asked of the store again after
 # this time, and of the peer if the store still hasn't said it, or can't.
@@ -106,7 +108,7 @@
             dispatcher,
             self._counts,
             self._figures,
-            self._true_s,
+            self._peers.true_s,
         )
         self._registry = UpstreamRegistry()
         self._configuration = StoredValue("", b"", 0)
@@ -120,7 +122,7 @@
             self._counts,
             settings.host,
             settings.usage_lateness_s,
-            self._true_s,
+            self._peers.true_s,
         )
         self._ordering = UpstreamOrdering(
             duty_calls,
@@ -169,7 +171,12 @@
         )
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self.reload)
-        for address in (settings.ready_address, settings.peer_address):
+        metrics_address = Address(settings.ip, METRICS_PORT)
+        for address in (
+            settings.ready_address,
+            settings.peer_address,
+            metrics_address,
+        ):
             self._servers.append(
                 await loop.create_server(
                     lambda: CallerConnection(self, self._connections),
@@ -282,9 +289,6 @@
 
     # Beliefs.
 
-    def _true_s(self) -> float:
-        return time.time() + self._peers.clock_correction_s()
-
     def _is_duty_candidate(self) -> bool:
         """Whether this host should try to take the duties.
 
@@ -396,7 +400,7 @@
 
     def _own_word(self) -> OwnWord:
         table = self._gateway.table
-        window = self._counts.window_at(self._true_s())
+        window = self._counts.window_at(self._peers.true_s())
         return OwnWord(
             configuration=table.configuration.version if table else 0,
             upstreams_at=self._registry.changed_at,
--- a/src/shallotfold/_gateway/relay.py
+++ b/src/shallotfold/_gateway/relay.py
@@ -103,6 +103,7 @@
         """Drop the attempt under way."""
         attempt, self._attempt = self._attempt, None
         if attempt is not None:
+            self._gateway.figures.count_attempt("cancelled")
             self._log("cancel", upstream=attempt.upstream.upstream_id)
             attempt.cancel()
 
@@ -176,6 +177,7 @@
 
     def unsent(self, attempt: _Attempt, reason: str) -> None:
         """The attempt reached no upstream."""
+        self._gateway.figures.count_attempt("unsent")
         self._log(
             "unsent", upstream=attempt.upstream.upstream_id, reason=reason
         )
@@ -186,6 +188,7 @@
 
     def broken(self, attempt: _Attempt, reason: str) -> None:
         """The answer ended early or was none."""
+        self._gateway.figures.count_attempt("broken")
         self._log(
             "broken",
             upstream=attempt.upstream.upstream_id,
@@ -243,6 +246,7 @@
             self._report_load(attempt, lowered)
         misdirected = attempt.status == HTTPStatus.MISDIRECTED_REQUEST
         if misdirected or find_header(lowered, names.not_run) is not None:
+            self._gateway.figures.count_attempt("not_run")
             self._log(
                 "not_run",
                 upstream=attempt.upstream.upstream_id,
@@ -259,6 +263,7 @@
         self.began()
         if attempt.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self._held_failure = attempt
+            self._gateway.figures.count_attempt("upstream_failed")
             self._log(
                 "upstream_failed",
                 upstream=attempt.upstream.upstream_id,
--- a/src/shallotfold/_gateway/serving.py
+++ b/src/shallotfold/_gateway/serving.py
@@ -311,13 +311,8 @@
         now_s = asyncio.get_running_loop().time()
         limits = self.limits()
         for connection in list(self._connections):
-            started_s = connection.request_started_s
-            if connection.idle:
-                if now_s - connection.last_active_s > limits.idle_timeout_s:
-                    connection.close()
-            elif (
-                started_s is not None
-                and not connection.head_complete
-                and now_s - started_s > limits.header_timeout_s
-            ):
-                connection.reject_late_head()
+            idle_s = now_s - connection.last_active_s
+            if connection.idle and idle_s > limits.idle_timeout_s:
+                connection.close()
+            elif connection.request_is_late(now_s):
+                connection.reject_late_request()
