Weigh the wait for a slot and expect spilled prefixes at a second home

Change: cost of waiting for a slot; 0.6 of the engines for long prompts; the second home by rendezvous is expected to hold half; every prompt carries a rank.

--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -90,6 +90,7 @@
         self._disturbed: list[tuple[int, float, float]] = []
         self._harms: collections.Counter[str] = collections.Counter()
         self._version = 1
+        self._own_ends: list[str] = []
 
     async def run(self, seconds: float) -> dict[str, Any]:
         """Run for some seconds and return a report."""
@@ -103,6 +104,7 @@
         violations = checks.find_violations(
             self._outcomes, self._runs, self._duties, self._disturbed
         )
+        violations += self._own_ends
         statuses = collections.Counter(o.status for o in self._outcomes)
         return {
             "seed": self._seed,
@@ -250,7 +252,9 @@
             self._disturb(number, freeze_s)
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(freeze_s)
-            process.send_signal(signal.SIGCONT)
+            # The other series of harms may have ended it meanwhile.
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
             return
         self._processes[number] = None
         self._disturb(number, 6.0)
@@ -324,7 +328,15 @@
             names.CONFIGURATION_KEY, configuration(self._version)
         )
 
+    def _note_own_ends(self) -> None:
+        for number, process in enumerate(self._processes):
+            if process is not None and process.returncode is not None:
+                self._own_ends.append(
+                    f"host {number} ended by itself ({process.returncode})"
+                )
+
     async def _close(self) -> None:
+        self._note_own_ends()
         for process in self._processes:
             if process is not None and process.returncode is None:
                 process.kill()
--- a/src/shallotfold/_gateway/dispatcher.py
+++ b/src/shallotfold/_gateway/dispatcher.py
@@ -18,7 +18,7 @@
 from shallotfold._gateway.model import Upstream
 from shallotfold._gateway.placement import Placement
 from shallotfold._gateway.placement import fitting_engines
-from shallotfold._gateway.placement import home_of
+from shallotfold._gateway.placement import homes_of
 from shallotfold._gateway.retry_budget import RetryBudget
 from shallotfold._model.events import Event
 
@@ -251,8 +251,8 @@
         request.sent_s = now_s
         request.progressed_s = None
         key = request.prompt.shared_key
-        home = home_of(key, fitting_engines(fit, request.prompt))
-        tokens = place.unread_tokens(upstream, request.prompt, home, now_s)
+        homes = homes_of(key, fitting_engines(fit, request.prompt))
+        tokens = place.unread_tokens(upstream, request.prompt, homes, now_s)
         place.loads.begin(upstream.upstream_id, request.request, tokens)
         if key:
             place.prefixes.note(key, upstream.upstream_id, now_s)
@@ -264,7 +264,8 @@
                 number=request.attempts,
                 allowed_s=max(SHORTEST_ATTEMPT_S, left_s - TRANSIT_S),
                 reason=(
-                    f"unread={tokens} pending={total.pending_tokens} "
+                    f"rank={request.priority} unread={tokens} "
+                    f"pending={total.pending_tokens} "
                     f"requests={total.requests} candidates={len(candidates)}"
                 ),
             )
--- a/src/shallotfold/_gateway/placement.py
+++ b/src/shallotfold/_gateway/placement.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 import functools
 import hashlib
+import heapq
 
 import attrs
 
@@ -18,6 +19,9 @@
 
 # Running requests slow a batch by about as much as reading these tokens.
 TOKENS_PER_RUNNING_REQUEST = 60.0
+# Beyond its slots a request waits until others end. An answer takes about as
+# long as reading these tokens; a full upstream ends one a slot in that time.
+TOKENS_PER_ANSWER = 250_000.0
 # What an attempt that fails costs, in tokens read for nothing.
 TOKENS_PER_FAILURE = 20_000.0
 # What a second of a cold start costs, in tokens.
@@ -28,7 +32,7 @@
 # A prompt with more unread tokens than this slows every stream beside it for
 # several steps of the engine; such prompts keep to engines of their own.
 LONG_PROMPT_TOKENS = 4_096
-LONG_PROMPT_ENGINE_SHARE = 0.45
+LONG_PROMPT_ENGINE_SHARE = 0.6
 # Going to an engine of the other kind is worth it beyond this backlog.
 TOKENS_PER_WRONG_KIND = 5_000.0
 # Fewer engines than this are shared by all prompts.
@@ -37,6 +41,8 @@
 TOKENS_PER_CROSSING = 150.0
 # Upstreams queue a few requests beyond their slots.
 QUEUE_PER_SLOT = 1.5
+# How likely the second home of a prefix keeps it.
+SECOND_HOME_CHANCE = 0.5
 # A prefix that was sent somewhere within this time is still kept there.
 PREFIX_KEPT_S = 12.0
 PREFIX_MEMORY_ENTRIES = 4_096
@@ -91,11 +97,11 @@
         if not roomy:
             return None
         fit = fitting_engines(known, prompt)
-        home = home_of(prompt.shared_key, fit)
+        homes = homes_of(prompt.shared_key, fit)
         fit_ids = {u.upstream_id for u in fit}
 
         def cost(upstream: Upstream) -> tuple[float, str]:
-            found = self._cost(upstream, prompt, home, now_s)
+            found = self._cost(upstream, prompt, homes, now_s)
             if upstream.upstream_id not in fit_ids:
                 found += TOKENS_PER_WRONG_KIND
             return found, upstream.upstream_id
@@ -103,15 +109,21 @@
         return min(roomy, key=cost)
 
     def unread_tokens(
-        self, upstream: Upstream, prompt: Prompt, home: str, now_s: float
+        self,
+        upstream: Upstream,
+        prompt: Prompt,
+        homes: tuple[str, ...],
+        now_s: float,
     ) -> int:
-        """Return the prompt tokens that the upstream would have to read."""
+        """Return the prompt tokens that the upstream probably has to read."""
         key = prompt.shared_key
-        if key and (
-            upstream.upstream_id == home
-            or self.prefixes.holds(key, upstream.upstream_id, now_s)
-        ):
+        name = upstream.upstream_id
+        if key and (name == homes[0] or self.prefixes.holds(key, name, now_s)):
             return max(1, prompt.prompt_tokens - prompt.shared_tokens)
+        if key and name in homes:
+            # Other hosts turn to it as well when the first home is busy.
+            kept = round(prompt.shared_tokens * SECOND_HOME_CHANCE)
+            return max(1, prompt.prompt_tokens - kept)
         return prompt.prompt_tokens
 
     def _has_room(self, upstream: Upstream) -> bool:
@@ -121,18 +133,22 @@
         return load.requests < upstream.slots * (1.0 + QUEUE_PER_SLOT)
 
     def _cost(
-        self, upstream: Upstream, prompt: Prompt, home: str, now_s: float
+        self,
+        upstream: Upstream,
+        prompt: Prompt,
+        homes: tuple[str, ...],
+        now_s: float,
     ) -> float:
         load = self.loads.total(upstream.upstream_id)
         slots = max(1, upstream.slots)
-        unread = self.unread_tokens(upstream, prompt, home, now_s)
-        cost = float(unread)
-        if unread == prompt.prompt_tokens:
-            cost += (TOKENS_PER_MISSED_TOKEN - 1.0) * prompt.shared_tokens
+        unread = self.unread_tokens(upstream, prompt, homes, now_s)
+        own_tokens = prompt.prompt_tokens - prompt.shared_tokens
+        missed = max(0, unread - own_tokens)
+        cost = own_tokens + TOKENS_PER_MISSED_TOKEN * missed
         cost += load.pending_tokens
         cost += TOKENS_PER_RUNNING_REQUEST * load.requests
-        # Beyond its slots a request waits for another one to end.
-        cost += TOKENS_PER_COLD_S * max(0.0, load.requests / slots - 0.8)
+        waiting = max(0, load.requests + 1 - slots)
+        cost += TOKENS_PER_ANSWER * waiting / slots
         cost += TOKENS_PER_COLD_S * upstream.cold_s
         cost += TOKENS_PER_FAILURE * self.trust.failure_ratio(
             upstream.upstream_id, now_s
@@ -160,15 +176,20 @@
     return ranked[border:]
 
 
-def home_of(key: str, upstreams: Iterable[Upstream]) -> str:
-    """Return the upstream that rendezvous hashing gives a prefix; or empty."""
+def homes_of(key: str, upstreams: Iterable[Upstream]) -> tuple[str, ...]:
+    """Return the upstreams that rendezvous hashing ranks first for a prefix.
+
+    Returns:
+        At most two ids, best first; empty strings without a key or upstreams.
+    """
     if not key:
-        return ""
-    return max(
+        return ("",)
+    ranked = heapq.nlargest(
+        2,
         (u.upstream_id for u in upstreams),
         key=lambda name: _digest(f"{key}/{name}"),
-        default="",
     )
+    return tuple(ranked) or ("",)
 
 
 @functools.lru_cache(maxsize=DIGESTS_KEPT)
--- a/src/shallotfold/_gateway/relay.py
+++ b/src/shallotfold/_gateway/relay.py
@@ -327,7 +327,9 @@
         if self.workspace is not None:
             workspace = self.workspace.name.encode()
             headers.append((names.workspace, workspace))
-        if self._route.reads_prompt:
+        if self._route.reads_prompt or names.token_counts in dict(
+            request.headers
+        ):
             rank = min(LOWEST_ENGINE_RANK, max(0, self._priority))
             headers.append((names.priority, b"%d" % rank))
         if names.last_event in dropped and self._last_event is not None:
