Keep the counts of ended hosts with whoever still lives

Change: hosts pass on what they heard from ended incarnations; a new holder listens for 1.2 s first.

--- a/src/shallotfold/_gateway/peers.py
+++ b/src/shallotfold/_gateway/peers.py
@@ -22,7 +22,7 @@
 from shallotfold._gateway.clocks import boot_s
 from shallotfold._gateway.events import PeerLoad
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 SHORTEST_INTERVAL_S = 0.4
 # Datagrams of all hosts grow with the square of their number; each host
 # sends less often the more there are.
@@ -56,6 +56,8 @@
         stopping: Whether it is stopping.
         loads_by_upstream: What it has under way.
         counts_by_window: What it counted.
+        ended_counts: What it heard from incarnations that have ended, by
+            origin and window.
     """
 
     name: str
@@ -69,6 +71,12 @@
     stopping: bool
     loads_by_upstream: Mapping[str, PeerLoad]
     counts_by_window: Mapping[int, dict[str, int]]
+    ended_counts: Mapping[str, Mapping[int, dict[str, int]]]
+
+    @property
+    def origin(self) -> str:
+        """Name of this life of the host's process."""
+        return f"{self.name}/{self.incarnation}"
 
 
 @attrs.define(kw_only=True)
@@ -81,6 +89,9 @@
     stopping: bool = False
     loads_by_upstream: Mapping[str, PeerLoad] = attrs.field(factory=dict)
     counts_by_window: Mapping[int, dict[str, int]] = attrs.field(factory=dict)
+    ended_counts: Mapping[str, Mapping[int, dict[str, int]]] = attrs.field(
+        factory=dict
+    )
 
 
 class Peers:
@@ -159,6 +170,7 @@
                     word.stopping,
                     loads,
                     word.counts_by_window if with_counts else {},
+                    word.ended_counts if with_counts else {},
                     [w.ip for w in passed_on],
                 )
             ),
@@ -189,8 +201,9 @@
                 for upstream, load in fields[8].items()
             },
             counts_by_window=fields[9],
+            ended_counts=fields[10],
         )
-        return word, fields[10]
+        return word, fields[11]
 
     def hear(self, word: PeerWord) -> bool:
         """Take a peer's word; returns whether it is another host's."""
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -90,6 +90,7 @@
         self._ready_path = ready_path
         self._store = store
         self._incarnation = f"{random.getrandbits(64):016x}"
+        self._origin = f"{settings.host}/{self._incarnation}"
         self._figures = Figures()
         self._counts = UsageCounts(window_s=settings.usage_window_s)
         self._peers = Peers(
@@ -401,6 +402,7 @@
     def _own_word(self) -> OwnWord:
         table = self._gateway.table
         window = self._counts.window_at(self._peers.true_s())
+        alive = {word.origin for word in self._peers.alive()}
         return OwnWord(
             configuration=table.configuration.version if table else 0,
             upstreams_at=self._registry.changed_at,
@@ -408,11 +410,14 @@
             stopping=self._gateway.stopping_s is not None,
             loads_by_upstream=self._gateway.dispatcher.placement.loads.own(),
             counts_by_window=self._counts.own(window),
+            ended_counts=self._counts.ended(window, alive),
         )
 
     def _on_peer_word(self, word: PeerWord) -> None:
-        origin = f"{word.name}/{word.incarnation}"
-        self._counts.hear(origin, word.counts_by_window)
+        self._counts.hear(word.origin, word.counts_by_window)
+        for origin, counts_by_window in word.ended_counts.items():
+            if origin != self._origin:
+                self._counts.hear(origin, counts_by_window)
         self._gateway.hosts = self._hosts()
         self._gateway.deliver(
             PeerLoadsReceived(
--- a/src/shallotfold/_gateway/usage_counts.py
+++ b/src/shallotfold/_gateway/usage_counts.py
@@ -1,11 +1,14 @@
 """Count the runs of each workspace by window of true time."""
 
+from collections.abc import Container
 from collections.abc import Mapping
 
 import attrs
 
 # Windows kept on each host; older ones have long been reported.
 KEPT_WINDOWS = 8
+# Windows before the present one that hosts still tell each other about.
+SHARED_WINDOWS = 3
 
 Counts = dict[str, int]
 
@@ -39,15 +42,32 @@
 
     def own(self, newest: int) -> dict[int, Counts]:
         """Return this host's recent windows, for its peers."""
-        return {w: c for w, c in self._own.items() if w >= newest - 3}
+        return {
+            w: c for w, c in self._own.items() if w >= newest - SHARED_WINDOWS
+        }
 
     def hear(self, origin: str, counts_by_window: Mapping[int, Counts]) -> None:
-        """Note the counts of one incarnation of a peer."""
+        """Note the counts of one incarnation of a peer, from it or others."""
         for window, counts in counts_by_window.items():
-            self._peers.setdefault(window, {})[origin] = counts
+            known = self._peers.setdefault(window, {}).setdefault(origin, {})
+            for workspace, runs in counts.items():
+                known[workspace] = max(runs, known.get(workspace, 0))
         while len(self._peers) > KEPT_WINDOWS:
             del self._peers[min(self._peers)]
 
+    def ended(
+        self, newest: int, alive: Container[str]
+    ) -> dict[str, dict[int, Counts]]:
+        """Return recent counts of incarnations that tell nothing any more."""
+        found: dict[str, dict[int, Counts]] = {}
+        for window, counts_by_origin in self._peers.items():
+            if window < newest - SHARED_WINDOWS:
+                continue
+            for origin, counts in counts_by_origin.items():
+                if origin not in alive:
+                    found.setdefault(origin, {})[window] = counts
+        return found
+
     def total(self, window: int) -> Counts:
         """Return the counts of all hosts for a window."""
         total = dict(self._own.get(window, {}))
--- a/src/shallotfold/_gateway/usage_reporting.py
+++ b/src/shallotfold/_gateway/usage_reporting.py
@@ -7,6 +7,7 @@
 from shallotfold._errors import PlatformError
 from shallotfold._errors import StoreConflictError
 from shallotfold._gateway import decision_log
+from shallotfold._gateway.clocks import boot_s
 from shallotfold._gateway.duty_lease import DutyLease
 from shallotfold._gateway.ports import DutyCalls
 from shallotfold._gateway.ports import DutyOutcome
@@ -19,6 +20,8 @@
 # Peers' last counts of a window arrive within this time after its end.
 GATHERING_S = 2.4
 REPEAT_S = 0.8
+# A new holder first hears what its peers know of hosts that have ended.
+LEARNING_S = 1.2
 
 
 class UsageReporter:
@@ -58,9 +61,9 @@
     async def _report_regularly(self) -> None:
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
+            if not self._lease.holds or self._is_learning():
+                continue
             for window in self._due_windows():
-                if not self._lease.holds:
-                    break
                 try:
                     await self._report(window)
                 except PlatformError as error:
@@ -69,6 +72,9 @@
                     )
                     await asyncio.sleep(REPEAT_S)
 
+    def _is_learning(self) -> bool:
+        return boot_s() - self._lease.held_since_s < LEARNING_S
+
     def _due_windows(self) -> list[int]:
         now_s = self._true_s()
         window_s = self._counts.window_s
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -45,6 +45,7 @@
     monkeypatch.setattr(duty_lease, "CHECK_INTERVAL_S", 0.02)
     monkeypatch.setattr(usage_reporting, "CHECK_INTERVAL_S", 0.02)
     monkeypatch.setattr(usage_reporting, "REPEAT_S", 0.02)
+    monkeypatch.setattr(usage_reporting, "LEARNING_S", 0.05)
 
 
 def make_lease(store: PlatformStore, host: str) -> DutyLease:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -28,6 +28,7 @@
         stopping=True,
         loads_by_upstream={"a": PeerLoad(2, 900)},
         counts_by_window={200: {"north": 4}},
+        ended_counts={"h9/1": {200: {"north": 2}}},
     )
     heard = tell(make_peers(1), make_peers(2), word)
     assert (heard.name, heard.incarnation, heard.ip) == (
@@ -39,6 +40,7 @@
     assert (heard.duty, heard.stopping) == (3, True)
     assert heard.loads_by_upstream == {"a": PeerLoad(2, 900)}
     assert heard.counts_by_window == {200: {"north": 4}}
+    assert heard.ended_counts == {"h9/1": {200: {"north": 2}}}
 
 
 def test_a_host_doesn_t_count_its_own_word() -> None:
@@ -70,6 +72,7 @@
         stopping=False,
         loads_by_upstream={},
         counts_by_window={},
+        ended_counts={},
     )
 
 
--- a/tests/gateway/test_usage_counts.py
+++ b/tests/gateway/test_usage_counts.py
@@ -29,3 +29,17 @@
     assert counts.total(0) == {}
     assert counts.total(49) == {"north": 2}
     assert set(counts.own(49)) == {46, 47, 48, 49}
+
+
+def test_counts_of_ended_hosts_reach_a_host_that_started_later() -> None:
+    """Found by an incident: hosts were restarted in turn, the holder too."""
+    witness, newcomer = UsageCounts(window_s=5.0), UsageCounts(window_s=5.0)
+    witness.hear("h2/1", {200: {"north": 3}})
+    witness.hear("h3/1", {200: {"north": 4}})
+    for origin, counts in witness.ended(201, {"h3/1"}).items():
+        newcomer.hear(origin, counts)
+    newcomer.hear("h3/1", {200: {"north": 4}})
+    assert newcomer.total(200) == {"north": 7}
+    # An older word that comes by another way takes nothing back.
+    newcomer.hear("h2/1", {200: {"north": 1}})
+    assert newcomer.total(200) == {"north": 7}
