--- a/src/shallotfold/_gateway/dispatcher.py
+++ b/src/shallotfold/_gateway/dispatcher.py
@@ -48,7 +48,7 @@
     request: int
     route: Route
     service: str
-    priority: int
+    rank: int
     prompt: Prompt
     arrived_s: float
     ends_s: float
@@ -111,7 +111,7 @@
             request=event.request,
             route=event.route,
             service=event.service,
-            priority=event.priority,
+            rank=event.rank,
             prompt=event.prompt,
             arrived_s=event.now_s,
             ends_s=min(event.deadline_s, event.now_s + event.route.timeout_s),
@@ -264,7 +264,7 @@
                 number=request.attempts,
                 allowed_s=max(SHORTEST_ATTEMPT_S, left_s - TRANSIT_S),
                 reason=(
-                    f"rank={request.priority} unread={tokens} "
+                    f"rank={request.rank} unread={tokens} "
                     f"pending={total.pending_tokens} "
                     f"requests={total.requests} candidates={len(candidates)}"
                 ),
--- a/src/shallotfold/_gateway/events.py
+++ b/src/shallotfold/_gateway/events.py
@@ -21,7 +21,7 @@
         request: Number of the request on this host.
         route: Its route.
         service: Service that the route's split gave it.
-        priority: Rank, 0 first.
+        rank: How urgent it is, 0 first.
         prompt: What it says of its prompt.
         deadline_s: When the caller stops waiting.
         draw: Uniform random number in [0, 1).
@@ -30,7 +30,7 @@
     request: int
     route: Route
     service: str
-    priority: int
+    rank: int
     prompt: Prompt
     deadline_s: float
     draw: float
--- a/src/shallotfold/_gateway/relay.py
+++ b/src/shallotfold/_gateway/relay.py
@@ -36,7 +36,6 @@
 _MS_PER_S = 1000.0
 # Answers that aren't streams are held until they are whole, up to this size.
 MAX_HELD_ANSWER_BYTES = 8_388_608
-LOWEST_ENGINE_RANK = 9
 
 
 @attrs.frozen
@@ -46,12 +45,12 @@
     Attributes:
         route: Its route.
         workspace: Whose key it carries; `None` on routes without keys.
-        priority: Its rank, 0 first.
+        rank: How urgent it is inside an engine, 0 first.
     """
 
     route: Route
     workspace: Workspace | None
-    priority: int
+    rank: int
 
 
 class Relay:
@@ -71,7 +70,7 @@
         self._request = request
         self._connection = connection
         self._route = admission.route
-        self._priority = admission.priority
+        self._rank = admission.rank
         self._arrived_s = boot_s()
         names = gateway.names
         self._request_id = find_header(request.headers, names.request_id) or b""
@@ -330,8 +329,7 @@
         if self._route.reads_prompt or names.token_counts in dict(
             request.headers
         ):
-            rank = min(LOWEST_ENGINE_RANK, max(0, self._priority))
-            headers.append((names.priority, b"%d" % rank))
+            headers.append((names.priority, b"%d" % self._rank))
         if names.last_event in dropped and self._last_event is not None:
             headers.append((names.last_event, b"%d" % self._last_event))
         if request.has_length:
--- a/src/shallotfold/_gateway/route_table.py
+++ b/src/shallotfold/_gateway/route_table.py
@@ -5,6 +5,10 @@
 
 from shallotfold._gateway.model import GatewayConfiguration
 from shallotfold._gateway.model import Route
+from shallotfold._gateway.model import Workspace
+
+# Engines know ranks from 0 to this one.
+LAST_RANK = 9
 
 
 class RouteTable:
@@ -16,6 +20,16 @@
         for route in configuration.routes:
             routes = self._routes_by_prefix_by_host.setdefault(route.host, {})
             routes[route.path_prefix] = route
+        self._rank_by_priorities = _ranks(configuration)
+
+    def rank(self, route: Route, workspace: Workspace | None) -> int:
+        """Return how urgent a request is inside an engine, 0 first.
+
+        The workspace's priority goes first; among its requests the route's
+        decides.
+        """
+        pair = (_priority_of(workspace), route.priority)
+        return self._rank_by_priorities.get(pair, LAST_RANK)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path.
@@ -37,6 +51,20 @@
         return None
 
 
+def _priority_of(workspace: Workspace | None) -> int:
+    if workspace is None or workspace.priority is None:
+        return 0
+    return workspace.priority
+
+
+def _ranks(configuration: GatewayConfiguration) -> dict[tuple[int, int], int]:
+    """Number all pairs of priorities in their order, as far as ranks go."""
+    owners = {_priority_of(w) for w in configuration.workspaces_by_key.values()}
+    routes = {route.priority for route in configuration.routes}
+    pairs = sorted(itertools.product(owners | {0}, routes))
+    return {pair: min(LAST_RANK, n) for n, pair in enumerate(pairs)}
+
+
 def choose_service(route: Route, draw: float) -> str:
     """Pick a service of the route's split by its weights.
 
--- a/src/shallotfold/_gateway/serving.py
+++ b/src/shallotfold/_gateway/serving.py
@@ -185,7 +185,7 @@
                 request=number,
                 route=route,
                 service=choose_service(route, random.random()),
-                priority=admitted.priority,
+                rank=admitted.rank,
                 prompt=read_prompt(request, self.names),
                 deadline_s=now_s + deadline_s,
                 draw=random.random(),
@@ -205,15 +205,13 @@
             return _Rejection(503, "this host is stopping")
         configuration = self.table.configuration
         if route.public or not configuration.requires_keys:
-            return Admission(route, None, route.priority)
+            return Admission(route, None, self.table.rank(route, None))
         key = find_header(request.headers, self.names.key) or b""
         workspace = configuration.workspaces_by_key.get(key.decode("latin-1"))
         if workspace is None:
             return _Rejection(401, "unknown or withdrawn key")
-        priority = workspace.priority
-        return Admission(
-            route, workspace, route.priority if priority is None else priority
-        )
+        rank = self.table.rank(route, workspace)
+        return Admission(route, workspace, rank)
 
     # The relays call these.
 
--- a/tests/gateway/making.py
+++ b/tests/gateway/making.py
@@ -121,7 +121,7 @@
         route: Route | None = None,
         *,
         prompt: Prompt | None = None,
-        priority: int = 0,
+        rank: int = 0,
         deadline_s: float = 10.0,
     ) -> list[effects.Effect]:
         return self.feed(
@@ -130,7 +130,7 @@
                 request=request,
                 route=route or make_route(),
                 service=SERVICE,
-                priority=priority,
+                rank=rank,
                 prompt=prompt or Prompt(),
                 deadline_s=self.now_s + deadline_s,
                 draw=0.5,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -108,6 +108,27 @@
     assert table.find("other.example", "/lohu/x") is None
 
 
+def test_the_workspace_s_priority_goes_before_the_route_s() -> None:
+    """Found by a day of bursts: chats of a workspace were preempted for its
+    own long prompts, since all its requests had one rank.
+    """
+    tenants = [
+        {"Name": "first", "ApiKeys": ["a"], "Priority": 0},
+        {"Name": "second", "ApiKeys": ["b"], "Priority": 1},
+    ]
+    configuration = read_configuration(Tenants=tenants)
+    table = RouteTable(configuration)
+    long, short = configuration.routes
+    first, second = (configuration.workspaces_by_key[key] for key in ("a", "b"))
+    ranks = [
+        table.rank(route, workspace)
+        for workspace in (first, second)
+        for route in (short, long)
+    ]
+    assert ranks == sorted(set(ranks))
+    assert 0 <= ranks[0] < ranks[-1] <= 9
+
+
 def test_a_split_follows_its_weights() -> None:
     (long, _) = read_configuration().routes
     chosen = [choose_service(long, n / 1000) for n in range(1000)]
