--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,10 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 PYTEST_FLAGS ?=
+SEED ?= 1
+SECONDS ?= 60
 
-.PHONY: demo test lint bench clean
+.PHONY: demo test lint bench soak clean
 
 demo: $(STAMP)
 	$(BIN)/python -m benchmarks.demo
@@ -21,6 +23,9 @@
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks.policy --seed 1
 
+soak: $(STAMP)
+	$(BIN)/python -m benchmarks.soak --seed $(SEED) --seconds $(SECONDS)
+
 $(STAMP): requirements/development.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --require-hashes --requirement requirements/development.txt
