--- a/src/shallotfold/_gateway/peers.py
+++ b/src/shallotfold/_gateway/peers.py
@@ -34,8 +34,11 @@
 # Seeds are asked this often, also when peers are known: partitions heal.
 SEED_INTERVAL_S = 2.0
 # Counts of runs go to the holder of the duties and to this many hosts that
-# would follow it; in a small fleet that is everybody.
-DEPUTIES = 8
+# would follow it.
+DEPUTIES = 4
+# Counts of an incarnation that has ended are passed on among these hosts for
+# this long: until its last window has been frozen.
+ENDED_TOLD_S = 8.0
 # Addresses of other peers that one datagram passes on.
 ADDRESSES_PER_DATAGRAM = 6
 
@@ -111,6 +114,7 @@
         self.ip = ip
         self.seed_ips = seed_ips
         self.word_by_name: dict[str, PeerWord] = {}
+        self._heard_s_by_origin: dict[str, float] = {}
         self._alive: frozenset[str] = frozenset()
         self._clock_offset_s = time.time() - boot_s()
 
@@ -119,6 +123,16 @@
         oldest_s = boot_s() - ALIVE_S
         return [w for w in self.word_by_name.values() if w.heard_s > oldest_s]
 
+    def ended_origins(self) -> set[str]:
+        """Return incarnations that fell silent or restarted lately."""
+        now_s = boot_s()
+        alive = {word.origin for word in self.alive()}
+        return {
+            origin
+            for origin, heard_s in self._heard_s_by_origin.items()
+            if origin not in alive and now_s - heard_s < ENDED_TOLD_S
+        }
+
     def true_s(self) -> float:
         """Return the time of day that most hosts' clocks agree on.
 
@@ -146,6 +160,12 @@
         staying = [word for word in alive if not word.stopping]
         return {word.ip for word in (*holders, *staying[:DEPUTIES])}
 
+    def keeps_counts(self, word: OwnWord) -> bool:
+        """Whether this host is one of those that must know all counts."""
+        staying = [w.name for w in self.alive() if not w.stopping]
+        ahead = sum(name < self._name for name in staying)
+        return bool(word.duty) or ahead < DEPUTIES
+
     def encode(self, word: OwnWord, *, with_counts: bool = True) -> bytes:
         """Write this host's word."""
         known = list(self.word_by_name.values())
@@ -170,7 +190,9 @@
                     word.stopping,
                     loads,
                     word.counts_by_window if with_counts else {},
-                    word.ended_counts if with_counts else {},
+                    word.ended_counts
+                    if with_counts and self.keeps_counts(word)
+                    else {},
                     [w.ip for w in passed_on],
                 )
             ),
@@ -210,6 +232,7 @@
         if word.name == self._name:
             return False
         self.word_by_name[word.name] = word
+        self._heard_s_by_origin[word.origin] = word.heard_s
         return True
 
     def forget_and_report(self) -> None:
@@ -218,6 +241,9 @@
         for name, word in list(self.word_by_name.items()):
             if now_s - word.heard_s > FORGOTTEN_S:
                 del self.word_by_name[name]
+        for origin, heard_s in list(self._heard_s_by_origin.items()):
+            if now_s - heard_s > FORGOTTEN_S:
+                del self._heard_s_by_origin[origin]
         alive = frozenset(word.name for word in self.alive())
         for name in alive - self._alive:
             decision_log.record("peer_heard", peer=name, alive=len(alive))
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -402,7 +402,6 @@
     def _own_word(self) -> OwnWord:
         table = self._gateway.table
         window = self._counts.window_at(self._peers.true_s())
-        alive = {word.origin for word in self._peers.alive()}
         return OwnWord(
             configuration=table.configuration.version if table else 0,
             upstreams_at=self._registry.changed_at,
@@ -410,7 +409,9 @@
             stopping=self._gateway.stopping_s is not None,
             loads_by_upstream=self._gateway.dispatcher.placement.loads.own(),
             counts_by_window=self._counts.own(window),
-            ended_counts=self._counts.ended(window, alive),
+            ended_counts=self._counts.of_origins(
+                self._peers.ended_origins(), window
+            ),
         )
 
     def _on_peer_word(self, word: PeerWord) -> None:
--- a/src/shallotfold/_gateway/usage_counts.py
+++ b/src/shallotfold/_gateway/usage_counts.py
@@ -55,16 +55,16 @@
         while len(self._peers) > KEPT_WINDOWS:
             del self._peers[min(self._peers)]
 
-    def ended(
-        self, newest: int, alive: Container[str]
+    def of_origins(
+        self, origins: Container[str], newest: int
     ) -> dict[str, dict[int, Counts]]:
-        """Return recent counts of incarnations that tell nothing any more."""
+        """Return recent counts that were heard of some incarnations."""
         found: dict[str, dict[int, Counts]] = {}
         for window, counts_by_origin in self._peers.items():
             if window < newest - SHARED_WINDOWS:
                 continue
             for origin, counts in counts_by_origin.items():
-                if origin not in alive:
+                if origin in origins:
                     found.setdefault(origin, {})[window] = counts
         return found
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -116,3 +116,40 @@
     monkeypatch.setattr(peers_module, "boot_s", lambda: now_s + 90)
     own.forget_and_report()
     assert own.word_by_name == {}
+
+
+class TestManyHosts:
+    """Datagrams of all hosts meet at the few that keep the counts."""
+
+    def test_only_keepers_pass_on_counts_of_ended_hosts(self) -> None:
+        """Found on the grown site: they filled the keepers' links."""
+        word = OwnWord(
+            counts_by_window={200: {"north": 1}},
+            ended_counts={"h9/1": {200: {"north": 2}}},
+        )
+        listener = make_peers(30)
+        for number, keeps in ((1, True), (40, False)):
+            sender = Peers(f"h{number:02}", "life", f"10.0.0.{number}", ())
+            for peer in range(10, 20):
+                sender.hear(make_word(f"h{peer}", f"10.0.0.{peer}"))
+            heard = tell(sender, listener, word)
+            assert heard.counts_by_window == {200: {"north": 1}}
+            assert bool(heard.ended_counts) == keeps
+
+    def test_counts_go_to_few_hosts(self) -> None:
+        own = make_peers(1)
+        for number in range(10, 74):
+            own.hear(make_word(f"h{number}", f"10.0.0.{number}"))
+        assert len(own.count_keepers()) == peers_module.DEPUTIES
+
+    def test_an_ended_life_is_told_for_a_while(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        own = make_peers(1)
+        own.hear(make_word("h2", "10.0.0.2"))
+        assert own.ended_origins() == set()
+        now_s = boot_s()
+        monkeypatch.setattr(peers_module, "boot_s", lambda: now_s + 4)
+        assert own.ended_origins() == {"h2/h2"}
+        monkeypatch.setattr(peers_module, "boot_s", lambda: now_s + 30)
+        assert own.ended_origins() == set()
--- a/tests/gateway/test_usage_counts.py
+++ b/tests/gateway/test_usage_counts.py
@@ -36,7 +36,7 @@
     witness, newcomer = UsageCounts(window_s=5.0), UsageCounts(window_s=5.0)
     witness.hear("h2/1", {200: {"north": 3}})
     witness.hear("h3/1", {200: {"north": 4}})
-    for origin, counts in witness.ended(201, {"h3/1"}).items():
+    for origin, counts in witness.of_origins({"h2/1"}, 201).items():
         newcomer.hear(origin, counts)
     newcomer.hear("h3/1", {200: {"north": 4}})
     assert newcomer.total(200) == {"north": 7}
