Tell peers where shared prefixes were sent

Change: hosts tell each other where they sent long shared parts; the home is presumed only while nobody knows better.

--- a/src/shallotfold/_gateway/dispatcher.py
+++ b/src/shallotfold/_gateway/dispatcher.py
@@ -17,8 +17,6 @@
 from shallotfold._gateway.model import RouteKind
 from shallotfold._gateway.model import Upstream
 from shallotfold._gateway.placement import Placement
-from shallotfold._gateway.placement import fitting_engines
-from shallotfold._gateway.placement import homes_of
 from shallotfold._gateway.retry_budget import RetryBudget
 from shallotfold._model.events import Event
 
@@ -213,6 +211,8 @@
         self.placement.loads.hear(
             event.peer, event.loads_by_upstream, event.now_s
         )
+        for key, upstream in event.prefixes_sent:
+            self.placement.prefixes.note(key, upstream, event.now_s)
         return []
 
     def _on_time_passed(self, event: events.TimePassed) -> Effects:
@@ -250,12 +250,13 @@
         request.tried.add(upstream.upstream_id)
         request.sent_s = now_s
         request.progressed_s = None
-        key = request.prompt.shared_key
-        homes = homes_of(key, fitting_engines(fit, request.prompt))
-        tokens = place.unread_tokens(upstream, request.prompt, homes, now_s)
+        prompt = request.prompt
+        kept = place.kept_tokens(fit, prompt, now_s)
+        tokens = max(
+            0, prompt.prompt_tokens - kept.get(upstream.upstream_id, 0)
+        )
         place.loads.begin(upstream.upstream_id, request.request, tokens)
-        if key:
-            place.prefixes.note(key, upstream.upstream_id, now_s)
+        place.prefixes.send(prompt, upstream.upstream_id, now_s)
         total = place.loads.total(upstream.upstream_id)
         return [
             effects.SendAttempt(
--- a/src/shallotfold/_gateway/events.py
+++ b/src/shallotfold/_gateway/events.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 import attrs
 
@@ -127,10 +128,18 @@
 
 @attrs.frozen(kw_only=True)
 class PeerLoadsReceived(Event):
-    """A peer told what it has under way at each upstream."""
+    """A peer told what it has under way at each upstream.
+
+    Attributes:
+        peer: Name of its host.
+        loads_by_upstream: What it has under way.
+        prefixes_sent: Shared parts of prompts that it sent lately, each with
+            the upstream that reads it.
+    """
 
     peer: str
     loads_by_upstream: Mapping[str, PeerLoad]
+    prefixes_sent: Sequence[tuple[str, str]] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_gateway/peers.py
+++ b/src/shallotfold/_gateway/peers.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import random
 import statistics
 import time
@@ -22,7 +23,7 @@
 from shallotfold._gateway.clocks import boot_s
 from shallotfold._gateway.events import PeerLoad
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 SHORTEST_INTERVAL_S = 0.4
 # Datagrams of all hosts grow with the square of their number; each host
 # sends less often the more there are.
@@ -61,6 +62,8 @@
         counts_by_window: What it counted.
         ended_counts: What it heard from incarnations that have ended, by
             origin and window.
+        prefixes_sent: Shared parts of prompts that it sent since its last
+            word, each with the upstream that reads it.
     """
 
     name: str
@@ -75,6 +78,7 @@
     loads_by_upstream: Mapping[str, PeerLoad]
     counts_by_window: Mapping[int, dict[str, int]]
     ended_counts: Mapping[str, Mapping[int, dict[str, int]]]
+    prefixes_sent: Sequence[tuple[str, str]]
 
     @property
     def origin(self) -> str:
@@ -95,6 +99,7 @@
     ended_counts: Mapping[str, Mapping[int, dict[str, int]]] = attrs.field(
         factory=dict
     )
+    prefixes_sent: Sequence[tuple[str, str]] = ()
 
 
 class Peers:
@@ -194,6 +199,7 @@
                     if with_counts and self.keeps_counts(word)
                     else {},
                     [w.ip for w in passed_on],
+                    word.prefixes_sent,
                 )
             ),
         )
@@ -224,6 +230,7 @@
             },
             counts_by_window=fields[9],
             ended_counts=fields[10],
+            prefixes_sent=[(key, upstream) for key, upstream in fields[12]],
         )
         return word, fields[11]
 
@@ -268,11 +275,13 @@
         peers: Peers,
         port: int,
         make_word: Callable[[], OwnWord],
+        take_prefixes: Callable[[], Sequence[tuple[str, str]]],
         on_word: Callable[[PeerWord], None],
     ) -> None:
         self._peers = peers
         self._port = port
         self._make_word = make_word
+        self._take_prefixes = take_prefixes
         self._on_word = on_word
         self._transport: asyncio.DatagramTransport | None = None
         self._sender: asyncio.Task[None] | None = None
@@ -299,7 +308,9 @@
 
     def send_now(self, *, with_seeds: bool = False) -> None:
         """Send the present word to all known peers."""
-        word = self._make_word()
+        word = attrs.evolve(
+            self._make_word(), prefixes_sent=self._take_prefixes()
+        )
         full = self._peers.encode(word)
         brief = self._peers.encode(word, with_counts=False)
         keepers = self._peers.count_keepers()
--- a/src/shallotfold/_gateway/placement.py
+++ b/src/shallotfold/_gateway/placement.py
@@ -41,8 +41,11 @@
 TOKENS_PER_CROSSING = 150.0
 # Upstreams queue a few requests beyond their slots.
 QUEUE_PER_SLOT = 1.5
-# How likely the second home of a prefix keeps it.
-SECOND_HOME_CHANCE = 0.5
+# How likely the first and the second home of a prefix keep it.
+HOME_CHANCES = (1.0, 0.5)
+# Peers are told where longer shared parts were sent, and of so many at most.
+SHARED_WORTH_TELLING_TOKENS = 1_000
+MOST_TOLD_PREFIXES = 32
 # A prefix that was sent somewhere within this time is still kept there.
 PREFIX_KEPT_S = 12.0
 PREFIX_MEMORY_ENTRIES = 4_096
@@ -51,21 +54,43 @@
 
 @attrs.define
 class PrefixMemory:
-    """Where this host sent each prefix last."""
+    """Which upstreams read each prefix lately, as far as hosts told.
 
-    _sent_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    Attributes:
+        fresh: What this host sent since its peers were told last.
+    """
+
+    fresh: list[tuple[str, str]] = attrs.field(factory=list)
+    _sent_s: dict[str, dict[str, float]] = attrs.field(factory=dict)
+
+    def send(self, prompt: Prompt, upstream: str, now_s: float) -> None:
+        """Remember an own send."""
+        key = prompt.shared_key
+        if not key:
+            return
+        self.note(key, upstream, now_s)
+        if prompt.shared_tokens >= SHARED_WORTH_TELLING_TOKENS:
+            self.fresh.append((key, upstream))
+            del self.fresh[:-MOST_TOLD_PREFIXES]
 
     def note(self, key: str, upstream: str, now_s: float) -> None:
         """Remember that `upstream` reads the prefix."""
-        self._sent_s.pop((key, upstream), None)
-        self._sent_s[key, upstream] = now_s
+        sent_s = self._sent_s.pop(key, {})
+        sent_s[upstream] = now_s
+        self._sent_s[key] = sent_s
         if len(self._sent_s) > PREFIX_MEMORY_ENTRIES:
             del self._sent_s[next(iter(self._sent_s))]
 
-    def holds(self, key: str, upstream: str, now_s: float) -> bool:
-        """Whether `upstream` read the prefix a short time ago."""
-        sent_s = self._sent_s.get((key, upstream))
-        return sent_s is not None and now_s - sent_s <= PREFIX_KEPT_S
+    def holders(self, key: str, now_s: float) -> set[str]:
+        """Return the upstreams that probably still keep the prefix."""
+        oldest_s = now_s - PREFIX_KEPT_S
+        sent_s = self._sent_s.get(key, {})
+        return {name for name, at_s in sent_s.items() if at_s >= oldest_s}
+
+    def take_fresh(self) -> list[tuple[str, str]]:
+        """Return what peers have not been told yet."""
+        fresh, self.fresh = self.fresh, []
+        return fresh
 
 
 @attrs.define(kw_only=True)
@@ -97,34 +122,40 @@
         if not roomy:
             return None
         fit = fitting_engines(known, prompt)
-        homes = homes_of(prompt.shared_key, fit)
+        kept_by_upstream = self.kept_tokens(known, prompt, now_s)
         fit_ids = {u.upstream_id for u in fit}
 
         def cost(upstream: Upstream) -> tuple[float, str]:
-            found = self._cost(upstream, prompt, homes, now_s)
-            if upstream.upstream_id not in fit_ids:
+            name = upstream.upstream_id
+            kept = kept_by_upstream.get(name, 0)
+            found = self._cost(upstream, prompt, kept, now_s)
+            if name not in fit_ids:
                 found += TOKENS_PER_WRONG_KIND
-            return found, upstream.upstream_id
+            return found, name
 
         return min(roomy, key=cost)
 
-    def unread_tokens(
-        self,
-        upstream: Upstream,
-        prompt: Prompt,
-        homes: tuple[str, ...],
-        now_s: float,
-    ) -> int:
-        """Return the prompt tokens that the upstream probably has to read."""
+    def kept_tokens(
+        self, upstreams: Iterable[Upstream], prompt: Prompt, now_s: float
+    ) -> dict[str, int]:
+        """Return the tokens of a prompt that upstreams probably keep.
+
+        Only upstreams that keep some are named. While no host has told of a
+        prefix, its home is expected to keep it, and its second home by half:
+        all hosts turn to them first.
+        """
         key = prompt.shared_key
-        name = upstream.upstream_id
-        if key and (name == homes[0] or self.prefixes.holds(key, name, now_s)):
-            return max(1, prompt.prompt_tokens - prompt.shared_tokens)
-        if key and name in homes:
-            # Other hosts turn to it as well when the first home is busy.
-            kept = round(prompt.shared_tokens * SECOND_HOME_CHANCE)
-            return max(1, prompt.prompt_tokens - kept)
-        return prompt.prompt_tokens
+        if not key:
+            return {}
+        holders = self.prefixes.holders(key, now_s)
+        known = list(upstreams)
+        alive = {u.upstream_id for u in known}
+        kept = dict.fromkeys(holders & alive, prompt.shared_tokens)
+        if not kept:
+            homes = homes_of(key, fitting_engines(known, prompt))
+            for name, chance in zip(homes, HOME_CHANCES, strict=False):
+                kept[name] = round(prompt.shared_tokens * chance)
+        return kept
 
     def _has_room(self, upstream: Upstream) -> bool:
         if upstream.slots <= 0:
@@ -136,14 +167,13 @@
         self,
         upstream: Upstream,
         prompt: Prompt,
-        homes: tuple[str, ...],
+        kept: int,
         now_s: float,
     ) -> float:
         load = self.loads.total(upstream.upstream_id)
         slots = max(1, upstream.slots)
-        unread = self.unread_tokens(upstream, prompt, homes, now_s)
         own_tokens = prompt.prompt_tokens - prompt.shared_tokens
-        missed = max(0, unread - own_tokens)
+        missed = prompt.shared_tokens - kept
         cost = own_tokens + TOKENS_PER_MISSED_TOKEN * missed
         cost += load.pending_tokens
         cost += TOKENS_PER_RUNNING_REQUEST * load.requests
@@ -180,16 +210,14 @@
     """Return the upstreams that rendezvous hashing ranks first for a prefix.
 
     Returns:
-        At most two ids, best first; empty strings without a key or upstreams.
+        At most two ids, best first.
     """
-    if not key:
-        return ("",)
     ranked = heapq.nlargest(
         2,
         (u.upstream_id for u in upstreams),
         key=lambda name: _digest(f"{key}/{name}"),
     )
-    return tuple(ranked) or ("",)
+    return tuple(ranked)
 
 
 @functools.lru_cache(maxsize=DIGESTS_KEPT)
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -151,7 +151,11 @@
             ),
         ]
         self._link = PeerLink(
-            self._peers, settings.peer_port, self._own_word, self._on_peer_word
+            self._peers,
+            settings.peer_port,
+            self._own_word,
+            dispatcher.placement.prefixes.take_fresh,
+            self._on_peer_word,
         )
         self._servers: list[asyncio.Server] = []
         self._connections: set[CallerConnection] = set()
@@ -402,12 +406,13 @@
     def _own_word(self) -> OwnWord:
         table = self._gateway.table
         window = self._counts.window_at(self._peers.true_s())
+        placement = self._gateway.dispatcher.placement
         return OwnWord(
             configuration=table.configuration.version if table else 0,
             upstreams_at=self._registry.changed_at,
             duty=self._lease.fencing if self._lease.holds else 0,
             stopping=self._gateway.stopping_s is not None,
-            loads_by_upstream=self._gateway.dispatcher.placement.loads.own(),
+            loads_by_upstream=placement.loads.own(),
             counts_by_window=self._counts.own(window),
             ended_counts=self._counts.of_origins(
                 self._peers.ended_origins(), window
@@ -425,6 +430,7 @@
                 now_s=boot_s(),
                 peer=word.name,
                 loads_by_upstream=word.loads_by_upstream,
+                prefixes_sent=word.prefixes_sent,
             )
         )
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -73,6 +73,7 @@
         loads_by_upstream={},
         counts_by_window={},
         ended_counts={},
+        prefixes_sent=(),
     )
 
 
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -85,6 +85,33 @@
         assert chosen == {second}
 
 
+class TestPrefixesThatMoved:
+    """Engines come and go, so that a prefix lies where it was sent last."""
+
+    def test_all_hosts_follow_a_prefix_to_where_it_lies(self) -> None:
+        """Found on a day of bursts: a third of shared tokens was reread."""
+        engines = make_engines(20, 12)
+        sender, listener = (Placement(data_centre="a") for _ in range(2))
+        (home, _) = homes_of("site-1", fitting_engines(engines, LONG))
+        other = next(
+            u.upstream_id
+            for u in fitting_engines(engines, LONG)
+            if u.upstream_id != home
+        )
+        sender.prefixes.send(LONG, other, NOW_S)
+        for key, upstream in sender.prefixes.take_fresh():
+            listener.prefixes.note(key, upstream, NOW_S)
+        assert choose(listener, engines, LONG) == other
+        assert sender.prefixes.take_fresh() == []
+
+    def test_a_holder_that_left_is_forgotten(self) -> None:
+        engines = make_engines(20, 12)
+        placement = Placement(data_centre="a")
+        placement.prefixes.note("site-1", "gone", NOW_S)
+        (home, _) = homes_of("site-1", fitting_engines(engines, LONG))
+        assert choose(placement, engines, LONG) == home
+
+
 class TestEnginesWithFewSlots:
     """A slot more or less decides whether a request waits for seconds."""
 
