--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -289,6 +289,9 @@
             self._register(upstream.upstream_id, proxy)
         elif isinstance(how, Harm):
             proxy.set_harm(how)
+            if how in (Harm.SILENCE, Harm.ONE_WAY):
+                # Longer than a route's time-out, which must end the wait.
+                for_s += checks.ROUTE_TIMEOUT_S
             await asyncio.sleep(for_s)
             proxy.set_harm(Harm.NONE)
             # What was swallowed spoils its connections for good.
