--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from benchmarks.soak import checks
+from benchmarks.soak.callers import CLIENT_DEADLINE_S
 from benchmarks.soak.callers import Caller
 from benchmarks.soak.callers import Outcome
 from benchmarks.soak.outside import DutyService
@@ -290,8 +291,8 @@
         elif isinstance(how, Harm):
             proxy.set_harm(how)
             if how in (Harm.SILENCE, Harm.ONE_WAY):
-                # Longer than a route's time-out, which must end the wait.
-                for_s += checks.ROUTE_TIMEOUT_S
+                # Longer than any caller waits: a time-out must end the wait.
+                for_s += CLIENT_DEADLINE_S
             await asyncio.sleep(for_s)
             proxy.set_harm(Harm.NONE)
             # What was swallowed spoils its connections for good.
