Split the process by job and let no fault end a loop

Cause: one module held beliefs, catching up, pages and wiring; an unforeseen error would have ended a loop for good without a word; figures of old windows stayed in the store; the first host by name was a candidate for the duties although the store refused it. Change: beliefs, catching_up, pages, repeating; old figures are deleted; only hosts that the store answers are candidates; unused names are gone.

--- /dev/null
+++ b/src/shallotfold/_gateway/catching_up.py
@@ -0,0 +1,105 @@
+"""Learn from peers what the store has not told this host."""
+
+import asyncio
+from collections.abc import Sequence
+
+from loguru import logger
+
+from shallotfold._gateway.beliefs import Beliefs
+from shallotfold._gateway.clocks import boot_s
+from shallotfold._gateway.http_calls import CallFailedError
+from shallotfold._gateway.http_calls import HttpCaller
+from shallotfold._gateway.peers import Peers
+from shallotfold._gateway.peers import PeerWord
+from shallotfold._gateway.store_following import PrefixFollower
+
+SNAPSHOT_PATH = "/peer/snapshot"
+# What a peer knows and this host doesn't is asked of the store again after
+# this time, and of the peer if the store still hasn't said it, or can't.
+ASK_STORE_AFTER_S = 0.4
+PEER_FETCH_AFTER_S = 1.0
+PEER_FETCH_TIMEOUT_S = 1.0
+
+
+class CatchingUp:
+    """Compares what peers say they know with what this host believes."""
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        peers: Peers,
+        followers: Sequence[PrefixFollower],
+        peer_port: int,
+    ) -> None:
+        """Make it.
+
+        Args:
+            beliefs: What this host believes.
+            peers: What its peers say.
+            followers: Follow the store; asked first.
+            peer_port: TCP port on which peers tell all they know.
+        """
+        self._beliefs = beliefs
+        self._peers = peers
+        self._followers = followers
+        self._peer_port = peer_port
+        self._behind_since_s: float | None = None
+        self._asked_store = False
+        self._fetching: asyncio.Task[None] | None = None
+
+    async def close(self) -> None:
+        """Stop a fetch that is under way."""
+        if self._fetching is not None:
+            self._fetching.cancel()
+            await asyncio.gather(self._fetching, return_exceptions=True)
+
+    def check(self) -> None:
+        """Ask the store, and then a peer, for what this host lacks."""
+        peer = self._best_informed()
+        now_s = boot_s()
+        if peer is None:
+            self._behind_since_s = None
+            self._asked_store = False
+            return
+        if self._behind_since_s is None:
+            self._behind_since_s = now_s
+        behind_s = now_s - self._behind_since_s
+        if behind_s < ASK_STORE_AFTER_S:
+            return
+        if not self._asked_store:
+            # An answer of the store may have been lost.
+            self._asked_store = True
+            for follower in self._followers:
+                follower.hurry()
+        reachable = all(follower.reachable for follower in self._followers)
+        if behind_s < PEER_FETCH_AFTER_S and reachable:
+            return
+        if self._fetching is None or self._fetching.done():
+            self._behind_since_s = now_s
+            self._fetching = asyncio.create_task(self._fetch(peer))
+
+    def _best_informed(self) -> PeerWord | None:
+        """Return a peer that knows what this host lacks."""
+        alive = self._peers.alive()
+        version = self._beliefs.version
+        knowing = [w for w in alive if w.configuration > version]
+        if not knowing:
+            revision = self._beliefs.registry.revision
+            knowing = [w for w in alive if w.upstreams_at > revision]
+        return max(
+            knowing,
+            key=lambda w: (w.configuration, w.upstreams_at),
+            default=None,
+        )
+
+    async def _fetch(self, peer: PeerWord) -> None:
+        caller = HttpCaller(peer.ip, self._peer_port)
+        try:
+            answer = await caller.call(
+                "GET", SNAPSHOT_PATH, timeout_s=PEER_FETCH_TIMEOUT_S
+            )
+            self._beliefs.take_from_peer(peer.name, answer.body)
+        except (CallFailedError, ValueError, TypeError, LookupError) as error:
+            logger.info("No snapshot of peer {}: {}", peer.name, error)
+        finally:
+            await caller.close()
--- a/src/shallotfold/_gateway/duty_lease.py
+++ b/src/shallotfold/_gateway/duty_lease.py
@@ -10,6 +10,7 @@
 from shallotfold._gateway import decision_log
 from shallotfold._gateway.clocks import boot_s
 from shallotfold._gateway.ports import WatchedStore
+from shallotfold._gateway.repeating import Repeater
 
 DUTY_KEY = "shallotfold/duties"
 CHECK_INTERVAL_S = 0.3
@@ -42,7 +43,11 @@
         self._lease_id = ""
         self._renewed_s = 0.0
         self._abstain_until_s = 0.0
-        self._task: asyncio.Task[None] | None = None
+        self._repeater = Repeater(
+            "Keeping the lease of the duties",
+            self._keep,
+            lambda: CHECK_INTERVAL_S * random.uniform(0.8, 1.2),
+        )
         self.fencing = 0
         self.held_since_s = 0.0
 
@@ -53,13 +58,11 @@
 
     async def start(self) -> None:
         """Begin to seek the lease."""
-        self._task = asyncio.create_task(self._keep())
+        await self._repeater.start()
 
     async def close(self) -> None:
         """Give the lease back, so that another host need not wait."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._repeater.close()
         if self.fencing:
             self._drop("stopping")
             try:
@@ -82,28 +85,26 @@
         self._abstain_until_s = boot_s() + self._lease_s * LEASES_OF_ABSTENTION
 
     async def _keep(self) -> None:
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_S * random.uniform(0.8, 1.2))
-            try:
-                if self.fencing:
-                    await self._renew()
-                elif boot_s() >= self._abstain_until_s and self._is_candidate():
-                    await self._acquire()
-            except LeaseLostError:
-                self._lease_id = ""
-                self._drop("lease has ended")
-            except StoreConflictError as error:
-                decision_log.record(
-                    "duties_held_elsewhere", revision=error.actual_revision
-                )
-                await asyncio.sleep(self._lease_s / 2)
-            except PlatformError as error:
-                decision_log.record(
-                    "lease_call_failed",
-                    error=str(error),
-                    fencing=self.fencing,
-                    age_s=round(boot_s() - self._renewed_s, 3),
-                )
+        try:
+            if self.fencing:
+                await self._renew()
+            elif boot_s() >= self._abstain_until_s and self._is_candidate():
+                await self._acquire()
+        except LeaseLostError:
+            self._lease_id = ""
+            self._drop("lease has ended")
+        except StoreConflictError as error:
+            decision_log.record(
+                "duties_held_elsewhere", revision=error.actual_revision
+            )
+            await asyncio.sleep(self._lease_s / 2)
+        except PlatformError as error:
+            decision_log.record(
+                "lease_call_failed",
+                error=str(error),
+                fencing=self.fencing,
+                age_s=round(boot_s() - self._renewed_s, 3),
+            )
 
     async def _renew(self) -> None:
         if boot_s() - self._renewed_s < self._lease_s / RENEWALS_PER_LEASE:
--- a/src/shallotfold/_gateway/http_calls.py
+++ b/src/shallotfold/_gateway/http_calls.py
@@ -55,10 +55,8 @@
         self._headers: Headers = []
         self._body = bytearray()
 
-    def on_head(
-        self, status: int, reason: bytes, headers: Headers, *, has_length: bool
-    ) -> bool:
-        del reason, has_length
+    def on_head(self, status: int, reason: bytes, headers: Headers) -> bool:
+        del reason
         self._status = status
         self._headers = [(name.lower(), value) for name, value in headers]
         return True
--- a/src/shallotfold/_gateway/model.py
+++ b/src/shallotfold/_gateway/model.py
@@ -100,14 +100,10 @@
 
     Attributes:
         name: Unique name.
-        connection_limit: Connections that one upstream takes from all hosts.
-        engine_slots: Requests that one engine batches; 0: not an engine.
         scaling: Limits of orders; `None` when upstreams aren't ordered.
     """
 
     name: str
-    connection_limit: int
-    engine_slots: int = 0
     scaling: ScalingLimits | None = None
 
 
--- /dev/null
+++ b/src/shallotfold/_gateway/pages.py
@@ -0,0 +1,81 @@
+"""Answer what the platform, peers and readers of metrics ask of a host."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import attrs
+
+from shallotfold._gateway.caller_connection import CallerConnection
+from shallotfold._gateway.messages import IncomingRequest
+from shallotfold._gateway.messages import plain_answer
+from shallotfold._gateway.model import RequestLimits
+from shallotfold._settings.addresses import Address
+
+
+@attrs.frozen
+class Page:
+    """One answer.
+
+    Attributes:
+        status: HTTP status.
+        body: Its body.
+        content_type: What the body is.
+    """
+
+    status: int
+    body: bytes = b""
+    content_type: bytes = b"text/plain; charset=utf-8"
+
+
+class Pages:
+    """Serves pages by their path on some addresses."""
+
+    def __init__(
+        self, page_by_path: Mapping[bytes, Callable[[], Page]]
+    ) -> None:
+        self._page_by_path = page_by_path
+        self._connections: set[CallerConnection] = set()
+        self._servers: list[asyncio.Server] = []
+
+    async def start(self, addresses: Iterable[Address]) -> None:
+        """Listen on all addresses."""
+        loop = asyncio.get_running_loop()
+        for address in addresses:
+            server = await loop.create_server(
+                lambda: CallerConnection(self, self._connections),
+                address.ip,
+                address.port,
+            )
+            self._servers.append(server)
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        for server in self._servers:
+            server.close()
+        for connection in list(self._connections):
+            connection.close()
+
+    # The connections call these.
+
+    def accept(
+        self, request: IncomingRequest, connection: CallerConnection
+    ) -> None:
+        """Answer a request."""
+        make_page = self._page_by_path.get(request.target)
+        page = Page(404) if make_page is None else make_page()
+        connection.write(
+            plain_answer(
+                page.status, body=page.body, content_type=page.content_type
+            )
+        )
+        connection.finish(close=not request.keep_alive)
+
+    def limits(self) -> RequestLimits:
+        """Return the bounds of these connections."""
+        return RequestLimits()
+
+    def closing(self) -> bool:
+        """Whether answers should ask callers to leave the connection."""
+        return False
--- a/src/shallotfold/_gateway/peers.py
+++ b/src/shallotfold/_gateway/peers.py
@@ -22,6 +22,7 @@
 from shallotfold._gateway import decision_log
 from shallotfold._gateway.clocks import boot_s
 from shallotfold._gateway.events import PeerLoad
+from shallotfold._gateway.repeating import Repeater
 
 PROTOCOL_VERSION = 3
 SHORTEST_INTERVAL_S = 0.4
@@ -57,7 +58,7 @@
         configuration: Version of its configuration; 0: none.
         upstreams_at: Store revision of the last change of upstreams it knows.
         duty: Fencing number if it holds the duties; 0: it doesn't.
-        stopping: Whether it is stopping.
+        may_hold_duties: Whether it serves and the store answers it.
         loads_by_upstream: What it has under way.
         counts_by_window: What it counted.
         ended_counts: What it heard from incarnations that have ended, by
@@ -74,7 +75,7 @@
     configuration: int
     upstreams_at: int
     duty: int
-    stopping: bool
+    may_hold_duties: bool
     loads_by_upstream: Mapping[str, PeerLoad]
     counts_by_window: Mapping[int, dict[str, int]]
     ended_counts: Mapping[str, Mapping[int, dict[str, int]]]
@@ -93,7 +94,7 @@
     configuration: int = 0
     upstreams_at: int = 0
     duty: int = 0
-    stopping: bool = False
+    may_hold_duties: bool = False
     loads_by_upstream: Mapping[str, PeerLoad] = attrs.field(factory=dict)
     counts_by_window: Mapping[int, dict[str, int]] = attrs.field(factory=dict)
     ended_counts: Mapping[str, Mapping[int, dict[str, int]]] = attrs.field(
@@ -123,6 +124,11 @@
         self._alive: frozenset[str] = frozenset()
         self._clock_offset_s = time.time() - boot_s()
 
+    @property
+    def origin(self) -> str:
+        """Name of this life of this host's process."""
+        return f"{self._name}/{self._incarnation}"
+
     def alive(self) -> list[PeerWord]:
         """Return the peers that were heard a short time ago."""
         oldest_s = boot_s() - ALIVE_S
@@ -162,13 +168,13 @@
         """Return the addresses of the hosts that must know all counts."""
         alive = sorted(self.alive(), key=lambda word: word.name)
         holders = [word for word in alive if word.duty]
-        staying = [word for word in alive if not word.stopping]
-        return {word.ip for word in (*holders, *staying[:DEPUTIES])}
+        able = [word for word in alive if word.may_hold_duties]
+        return {word.ip for word in (*holders, *able[:DEPUTIES])}
 
     def keeps_counts(self, word: OwnWord) -> bool:
         """Whether this host is one of those that must know all counts."""
-        staying = [w.name for w in self.alive() if not w.stopping]
-        ahead = sum(name < self._name for name in staying)
+        able = [w.name for w in self.alive() if w.may_hold_duties]
+        ahead = sum(name < self._name for name in able)
         return bool(word.duty) or ahead < DEPUTIES
 
     def encode(self, word: OwnWord, *, with_counts: bool = True) -> bytes:
@@ -192,7 +198,7 @@
                     word.configuration,
                     word.upstreams_at,
                     word.duty,
-                    word.stopping,
+                    word.may_hold_duties,
                     loads,
                     word.counts_by_window if with_counts else {},
                     word.ended_counts
@@ -223,7 +229,7 @@
             configuration=fields[4],
             upstreams_at=fields[5],
             duty=fields[6],
-            stopping=fields[7],
+            may_hold_duties=fields[7],
             loads_by_upstream={
                 upstream: PeerLoad(*load)
                 for upstream, load in fields[8].items()
@@ -284,7 +290,12 @@
         self._take_prefixes = take_prefixes
         self._on_word = on_word
         self._transport: asyncio.DatagramTransport | None = None
-        self._sender: asyncio.Task[None] | None = None
+        self._seeds_asked_s = 0.0
+        self._sender = Repeater(
+            "Telling peers",
+            self._tell,
+            lambda: peers.interval_s() * random.uniform(0.8, 1.2),
+        )
         self._introduced: set[str] = set()
 
     async def start(self, ip: str) -> None:
@@ -294,13 +305,12 @@
             lambda: self, local_addr=(ip, self._port)
         )
         self._transport = transport
-        self._sender = loop.create_task(self._send_regularly())
+        self.send_now(with_seeds=True)
+        await self._sender.start()
 
     async def close(self) -> None:
         """Send a last word and close the socket."""
-        if self._sender is not None:
-            self._sender.cancel()
-            await asyncio.gather(self._sender, return_exceptions=True)
+        await self._sender.close()
         if self._transport is not None:
             self.send_now()
             self._transport.close()
@@ -340,17 +350,12 @@
         if self._transport is not None:
             self._transport.sendto(data, (ip, self._port))
 
-    async def _send_regularly(self) -> None:
-        seeds_asked_s = 0.0
-        while True:
-            now_s = boot_s()
-            ask_seeds = now_s - seeds_asked_s > SEED_INTERVAL_S
-            if ask_seeds:
-                seeds_asked_s = now_s
-                self._introduced.clear()
-            self.send_now(with_seeds=ask_seeds)
-            self._peers.forget_and_report()
-            self._peers.agree_on_time()
-            await asyncio.sleep(
-                self._peers.interval_s() * random.uniform(0.8, 1.2)
-            )
+    async def _tell(self) -> None:
+        now_s = boot_s()
+        ask_seeds = now_s - self._seeds_asked_s > SEED_INTERVAL_S
+        if ask_seeds:
+            self._seeds_asked_s = now_s
+            self._introduced.clear()
+        self.send_now(with_seeds=ask_seeds)
+        self._peers.forget_and_report()
+        self._peers.agree_on_time()
--- a/src/shallotfold/_gateway/relay.py
+++ b/src/shallotfold/_gateway/relay.py
@@ -153,6 +153,15 @@
 
     # The attempt calls these.
 
+    @property
+    def wants_stream(self) -> bool:
+        """Whether a good answer is a stream of events."""
+        return self._route.kind is RouteKind.STREAM
+
+    def keep_connection(self, upstream: Upstream, sending: Sending) -> None:
+        """Keep the connection of an answered attempt for others."""
+        self._gateway.pool.release(upstream, sending)
+
     def owns(self, attempt: _Attempt) -> bool:
         """Whether the attempt is the one under way."""
         return self._attempt is attempt
@@ -427,30 +436,21 @@
     def release(self) -> None:
         """Keep the connection for further requests."""
         if self.sending is not None:
-            self._relay._gateway.pool.release(self.upstream, self.sending)
-
-    def on_sent(self) -> None:
-        """The request may run from now on."""
+            self._relay.keep_connection(self.upstream, self.sending)
 
     def on_unsent(self, reason: str) -> None:
         """No connection was established."""
         if self._relay.owns(self):
             self._relay.unsent(self, reason)
 
-    def on_head(
-        self, status: int, reason: bytes, headers: Headers, *, has_length: bool
-    ) -> bool:
+    def on_head(self, status: int, reason: bytes, headers: Headers) -> bool:
         """Take the head if the answer is this request's."""
-        del has_length
         if not self._relay.expects(headers):
             return False
         self.status = status
         self.reason = reason
         self.headers = headers
-        self._is_stream = (
-            self._relay._route.kind is RouteKind.STREAM
-            and status == HTTPStatus.OK
-        )
+        self._is_stream = self._relay.wants_stream and status == HTTPStatus.OK
         return True
 
     def on_data(self, data: bytes) -> None:
--- a/src/shallotfold/_gateway/serving.py
+++ b/src/shallotfold/_gateway/serving.py
@@ -25,6 +25,7 @@
 from shallotfold._gateway.model import Upstream
 from shallotfold._gateway.relay import Admission
 from shallotfold._gateway.relay import Relay
+from shallotfold._gateway.repeating import Repeater
 from shallotfold._gateway.request_reading import read_deadline_s
 from shallotfold._gateway.request_reading import read_prompt
 from shallotfold._gateway.route_table import RouteTable
@@ -64,6 +65,7 @@
         table: Routes in force; `None` before the first configuration.
         stopping_s: When an orderly stop began, on the boot clock.
         ends_s: When the process ends after an orderly stop began.
+        hosts: Hosts that share the fleet's retry budget.
     """
 
     def __init__(
@@ -88,7 +90,8 @@
         self._relay_by_request: dict[int, Relay] = {}
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
-        self._ticker: asyncio.Task[None] | None = None
+        self._swept_s = 0.0
+        self._ticker = Repeater("A tick", self._tick, lambda: TICK_INTERVAL_S)
         self._runners: dict[type, Callable[[Any], None]] = {
             effects.SendAttempt: self._send,
             effects.CancelAttempt: self._cancel,
@@ -106,13 +109,11 @@
             port,
             backlog=1024,
         )
-        self._ticker = loop.create_task(self._tick())
+        await self._ticker.start()
 
     async def close(self) -> None:
         """Stop listening and drop what is left."""
-        if self._ticker is not None:
-            self._ticker.cancel()
-            await asyncio.gather(self._ticker, return_exceptions=True)
+        await self._ticker.close()
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
@@ -295,14 +296,11 @@
         connection.finish(close=close)
 
     async def _tick(self) -> None:
-        swept_s = 0.0
-        while True:
-            await asyncio.sleep(TICK_INTERVAL_S)
-            now_s = boot_s()
-            self.deliver(events.TimePassed(now_s=now_s, hosts=self.hosts))
-            if now_s - swept_s >= SWEEP_INTERVAL_S:
-                swept_s = now_s
-                self._sweep()
+        now_s = boot_s()
+        self.deliver(events.TimePassed(now_s=now_s, hosts=self.hosts))
+        if now_s - self._swept_s >= SWEEP_INTERVAL_S:
+            self._swept_s = now_s
+            self._sweep()
 
     def _sweep(self) -> None:
         """Close connections that are idle or whose head doesn't come."""
--- a/src/shallotfold/_gateway/upstream_connection.py
+++ b/src/shallotfold/_gateway/upstream_connection.py
@@ -19,9 +19,7 @@
 class AnswerReader(Protocol):
     """What is told of the answer to the request that was sent last."""
 
-    def on_head(
-        self, status: int, reason: bytes, headers: Headers, *, has_length: bool
-    ) -> bool:
+    def on_head(self, status: int, reason: bytes, headers: Headers) -> bool:
         """Take the head of an answer.
 
         Returns:
@@ -195,7 +193,6 @@
             self._status,
             self._reason,
             self._headers,
-            has_length=not self._until_close,
         )
 
     def on_body(self, body: bytes) -> None:
--- a/src/shallotfold/_gateway/upstream_ordering.py
+++ b/src/shallotfold/_gateway/upstream_ordering.py
@@ -1,6 +1,5 @@
 """Send the orders of the scaling planner while this host holds the duties."""
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -11,6 +10,7 @@
 from shallotfold._gateway.model import Upstream
 from shallotfold._gateway.ports import DutyCalls
 from shallotfold._gateway.ports import DutyOutcome
+from shallotfold._gateway.repeating import Repeater
 from shallotfold._gateway.scaling import ScalingPlanner
 
 CHECK_INTERVAL_S = 0.5
@@ -43,25 +43,21 @@
         self._upstreams = upstreams
         self._planner = ScalingPlanner()
         self._fencing = 0
-        self._task: asyncio.Task[None] | None = None
+        self._repeater = Repeater(
+            "Ordering upstreams", self._order_due, lambda: CHECK_INTERVAL_S
+        )
 
     async def start(self) -> None:
         """Begin to order."""
-        self._task = asyncio.create_task(self._order_regularly())
+        await self._repeater.start()
 
     async def close(self) -> None:
         """Stop ordering."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._repeater.close()
 
-    async def _order_regularly(self) -> None:
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            if self._lease.holds:
-                await self._order_once()
-
-    async def _order_once(self) -> None:
+    async def _order_due(self) -> None:
+        if not self._lease.holds:
+            return
         fencing = self._lease.fencing
         if fencing != self._fencing:
             self._fencing = fencing
--- a/src/shallotfold/_gateway/upstream_pool.py
+++ b/src/shallotfold/_gateway/upstream_pool.py
@@ -36,13 +36,9 @@
             self.connection.abort()
 
 
-class UnsentListener(AnswerReader, Protocol):
+class SendListener(AnswerReader, Protocol):
     """An answer reader that also learns when nothing could be sent."""
 
-    def on_sent(self) -> None:
-        """The request is on its way: it may run from now on."""
-        ...
-
     def on_unsent(self, reason: str) -> None:
         """No connection was established, so that the request did not run."""
         ...
@@ -70,12 +66,11 @@
         self._idle_by_upstream.clear()
 
     def send(
-        self, upstream: Upstream, data: bytes, listener: UnsentListener
+        self, upstream: Upstream, data: bytes, listener: SendListener
     ) -> Sending:
         """Send a request on a kept connection or on a new one."""
         kept = self._take_idle(upstream)
         if kept is not None:
-            listener.on_sent()
             kept.send(data, listener)
             return Sending(connection=kept)
         sending = Sending()
@@ -125,7 +120,7 @@
         self,
         upstream: Upstream,
         data: bytes,
-        listener: UnsentListener,
+        listener: SendListener,
         sending: Sending,
     ) -> None:
         loop = asyncio.get_running_loop()
@@ -150,7 +145,6 @@
             connection.abort()
             return
         sending.connection = connection
-        listener.on_sent()
         connection.send(data, listener)
 
 
--- a/src/shallotfold/_gateway/usage_reporting.py
+++ b/src/shallotfold/_gateway/usage_reporting.py
@@ -12,6 +12,7 @@
 from shallotfold._gateway.ports import DutyCalls
 from shallotfold._gateway.ports import DutyOutcome
 from shallotfold._gateway.ports import WatchedStore
+from shallotfold._gateway.repeating import Repeater
 from shallotfold._gateway.usage_counts import Counts
 from shallotfold._gateway.usage_counts import UsageCounts
 
@@ -20,6 +21,8 @@
 # Peers' last counts of a window arrive within this time after its end.
 GATHERING_S = 2.4
 REPEAT_S = 0.8
+# Frozen figures that a holder leaves in the store, for a successor.
+KEPT_FIGURES = 24
 # A new holder first hears what its peers know of hosts that have ended.
 LEARNING_S = 1.2
 
@@ -46,31 +49,31 @@
         self._true_s = true_s
         self._frozen: dict[int, Counts] = {}
         self._reported: set[int] = set()
-        self._task: asyncio.Task[None] | None = None
+        self._revision_by_key: dict[str, int] = {}
+        self._repeater = Repeater(
+            "Usage reporting", self._report_due, lambda: CHECK_INTERVAL_S
+        )
 
     async def start(self) -> None:
         """Begin to report."""
-        self._task = asyncio.create_task(self._report_regularly())
+        await self._repeater.start()
 
     async def close(self) -> None:
         """Stop reporting."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._repeater.close()
 
-    async def _report_regularly(self) -> None:
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            if not self._lease.holds or self._is_learning():
-                continue
-            for window in self._due_windows():
-                try:
-                    await self._report(window)
-                except PlatformError as error:
-                    decision_log.record(
-                        "usage_not_frozen", window=window, error=str(error)
-                    )
-                    await asyncio.sleep(REPEAT_S)
+    async def _report_due(self) -> None:
+        if not self._lease.holds or self._is_learning():
+            return
+        for window in self._due_windows():
+            try:
+                await self._report(window)
+                await self._delete_oldest()
+            except PlatformError as error:
+                decision_log.record(
+                    "usage_not_frozen", window=window, error=str(error)
+                )
+                await asyncio.sleep(REPEAT_S)
 
     def _is_learning(self) -> bool:
         return boot_s() - self._lease.held_since_s < LEARNING_S
@@ -122,11 +125,20 @@
         key = f"{FROZEN_PREFIX}{window}"
         document = json.dumps(counts, sort_keys=True).encode()
         try:
-            await self._store.compare_and_swap(key, 0, document)
+            revision = await self._store.compare_and_swap(key, 0, document)
         except StoreConflictError:
             found = await self._store.get(key)
             if found is None:
                 raise
             frozen: Counts = json.loads(found.value)
             return frozen
+        self._revision_by_key[key] = revision
         return counts
+
+    async def _delete_oldest(self) -> None:
+        """Keep the store from filling with figures that were long reported."""
+        if len(self._revision_by_key) <= KEPT_FIGURES:
+            return
+        key, revision = next(iter(self._revision_by_key.items()))
+        del self._revision_by_key[key]
+        await self._store.delete(key, revision)
--- a/src/shallotfold/_gateway/wire_names.py
+++ b/src/shallotfold/_gateway/wire_names.py
@@ -24,7 +24,6 @@
         model: Model asked for.
         token_counts: Prompt tokens and largest number of output tokens.
         prompt_parts: Parts of the prompt with their lengths.
-        answer_signature: Upstreams sign their answers with it.
         reserved: Further headers that callers may not set.
     """
 
@@ -40,5 +39,4 @@
     model: bytes
     token_counts: bytes
     prompt_parts: bytes
-    answer_signature: bytes
     reserved: frozenset[bytes]
--- a/src/shallotfold/platform/documents.py
+++ b/src/shallotfold/platform/documents.py
@@ -105,12 +105,9 @@
 
 
 def _service(content: Any) -> Service:
-    engine = content.get("InferenceEngine") or {}
     scaling = content.get("Scaling")
     return Service(
         name=content["Name"],
-        connection_limit=content.get("ConnectionLimit", 0),
-        engine_slots=engine.get("Slots", 0),
         scaling=None
         if scaling is None
         else ScalingLimits(
--- a/src/shallotfold/platform/names.py
+++ b/src/shallotfold/platform/names.py
@@ -15,7 +15,6 @@
     model=b"model-name",
     token_counts=b"token-counts",
     prompt_parts=b"prompt-prefix",
-    answer_signature=b"response-signature",
     reserved=frozenset(
         {
             b"expected-version",
--- a/tests/gateway/making.py
+++ b/tests/gateway/making.py
@@ -76,7 +76,7 @@
     return GatewayConfiguration(
         version=version,
         routes=routes or (make_route(),),
-        services_by_name={SERVICE: Service(name=SERVICE, connection_limit=9)},
+        services_by_name={SERVICE: Service(name=SERVICE)},
         workspaces_by_key={"secret": Workspace("north", None)},
         requires_keys=True,
         limits=limits or RequestLimits(),
--- /dev/null
+++ b/tests/gateway/test_beliefs.py
@@ -0,0 +1,208 @@
+"""Check what hosts believe and how they catch up with their peers."""
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+
+from shallotfold._gateway import catching_up
+from shallotfold._gateway.beliefs import Beliefs
+from shallotfold._gateway.catching_up import CatchingUp
+from shallotfold._gateway.clocks import boot_s
+from shallotfold._gateway.dispatcher import Dispatcher
+from shallotfold._gateway.figures import Figures
+from shallotfold._gateway.peers import Peers
+from shallotfold._gateway.peers import PeerWord
+from shallotfold._gateway.placement import Placement
+from shallotfold._gateway.repeating import Repeater
+from shallotfold._gateway.retry_budget import RetryBudget
+from shallotfold._gateway.serving import Gateway
+from shallotfold._gateway.usage_counts import UsageCounts
+from shallotfold._services.ports import StoreChanges
+from shallotfold._services.ports import StoredValue
+from shallotfold.platform.documents import PlatformDialect
+from tests.platform.test_documents import CONFIGURATION
+from tests.platform.test_documents import REGISTRATION
+
+DIALECT = PlatformDialect()
+
+
+class Host:
+    """The beliefs of one host."""
+
+    def __init__(self) -> None:
+        self.adopted = 0
+        self.gateway = Gateway(
+            DIALECT.headers,
+            Dispatcher(Placement(data_centre="a"), RetryBudget()),
+            UsageCounts(window_s=5.0),
+            Figures(),
+            lambda: 0.0,
+        )
+        self.beliefs = Beliefs(DIALECT, self.gateway, self._note)
+
+    def _note(self) -> None:
+        self.adopted += 1
+
+    def configure(self, version: int, **changes: Any) -> None:
+        document = {**CONFIGURATION, "Version": version, **changes}
+        value = StoredValue(
+            DIALECT.configuration_key, json.dumps(document).encode(), version
+        )
+        self.beliefs.take_configuration(StoreChanges(version, (value,), ()))
+
+    def register(self, *names: str, revision: int = 5) -> None:
+        document = json.dumps(REGISTRATION).encode()
+        values = tuple(
+            StoredValue(f"{DIALECT.upstreams_prefix}{name}", document, revision)
+            for name in names
+        )
+        self.beliefs.take_upstream_changes(
+            StoreChanges(revision, values, (), revision)
+        )
+
+    @property
+    def upstreams(self) -> set[str]:
+        return set(self.gateway.dispatcher.upstreams_by_id)
+
+
+def test_a_configuration_is_never_replaced_by_an_older_one() -> None:
+    host = Host()
+    host.configure(7)
+    host.configure(5)
+    host.configure(7, Tenants=[])
+    assert host.beliefs.version == 7
+    assert host.adopted == 1
+    assert host.gateway.table is not None
+    assert host.gateway.table.configuration.workspaces_by_key
+
+
+def test_an_unreadable_configuration_changes_nothing() -> None:
+    host = Host()
+    host.configure(7)
+    host.configure(9, Routes=[{"Name": "broken"}])
+    assert host.beliefs.version == 7
+
+
+def test_an_unreadable_registration_hides_no_other() -> None:
+    host = Host()
+    host.register("a", "b")
+    junk = StoredValue(f"{DIALECT.upstreams_prefix}c", b"\xff", 6)
+    host.beliefs.take_upstream_changes(StoreChanges(6, (junk,), (), 6))
+    assert host.upstreams == {"a", "b"}
+
+
+def test_a_host_learns_all_from_a_peer() -> None:
+    teacher, learner = Host(), Host()
+    teacher.configure(7)
+    teacher.register("a", "b")
+    learner.beliefs.take_from_peer("h1", teacher.beliefs.pack())
+    assert learner.beliefs.version == 7
+    assert learner.upstreams == {"a", "b"}
+
+
+def test_a_peer_that_knows_less_takes_nothing_away() -> None:
+    teacher, learner = Host(), Host()
+    teacher.configure(3)
+    teacher.register("a")
+    learner.configure(7)
+    learner.register("a", "b", revision=9)
+    learner.beliefs.take_from_peer("h1", teacher.beliefs.pack())
+    assert learner.beliefs.version == 7
+    assert learner.upstreams == {"a", "b"}
+
+
+class Follower:
+    """A follower that only counts how often it is hurried."""
+
+    def __init__(self, *, reachable: bool) -> None:
+        self.reachable = reachable
+        self.hurried = 0
+
+    def hurry(self) -> None:
+        self.hurried += 1
+
+
+def catch_up(*, reachable: bool, seconds: float) -> tuple[Follower, list[str]]:
+    """Let a host be behind a peer; return what it asked."""
+    fetched: list[str] = []
+
+    async def run() -> Follower:
+        host, follower = Host(), Follower(reachable=reachable)
+        peers = Peers("h1", "life", "10.0.0.1", ())
+        peers.hear(
+            PeerWord(
+                name="h2",
+                incarnation="life",
+                ip="127.0.0.1",
+                heard_s=boot_s(),
+                clock_offset_s=0.0,
+                configuration=9,
+                upstreams_at=0,
+                duty=0,
+                may_hold_duties=True,
+                loads_by_upstream={},
+                counts_by_window={},
+                ended_counts={},
+                prefixes_sent=(),
+            )
+        )
+        catching = CatchingUp(
+            host.beliefs,
+            peers,
+            [follower],  # type: ignore[list-item]
+            1,
+        )
+
+        async def note(peer: PeerWord) -> None:
+            fetched.append(peer.name)
+
+        catching._fetch = note  # type: ignore[method-assign]
+        ends_s = boot_s() + seconds
+        while boot_s() < ends_s:
+            catching.check()
+            await asyncio.sleep(0.01)
+        await catching.close()
+        return follower
+
+    return asyncio.run(run()), fetched
+
+
+@pytest.fixture(autouse=True)
+def _hurry(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(catching_up, "ASK_STORE_AFTER_S", 0.05)
+    monkeypatch.setattr(catching_up, "PEER_FETCH_AFTER_S", 0.2)
+
+
+def test_the_store_is_asked_again_before_a_peer() -> None:
+    follower, fetched = catch_up(reachable=True, seconds=0.15)
+    assert follower.hurried == 1
+    assert fetched == []
+
+
+def test_a_peer_is_asked_when_the_store_stays_silent() -> None:
+    _, fetched = catch_up(reachable=True, seconds=0.35)
+    assert fetched == ["h2"]
+
+
+def test_a_peer_is_asked_soon_when_the_store_can_t_be_reached() -> None:
+    _, fetched = catch_up(reachable=False, seconds=0.15)
+    assert fetched
+
+
+def test_a_repeated_step_survives_its_own_faults() -> None:
+    runs = []
+
+    async def step() -> None:
+        runs.append(1)
+        raise KeyError("surprise")
+
+    async def run() -> None:
+        repeater = Repeater("A test", step, lambda: 0.01)
+        await repeater.start()
+        await asyncio.sleep(0.1)
+        await repeater.close()
+
+    asyncio.run(run())
+    assert len(runs) > 2
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -25,7 +25,7 @@
         configuration=7,
         upstreams_at=12,
         duty=3,
-        stopping=True,
+        may_hold_duties=True,
         loads_by_upstream={"a": PeerLoad(2, 900)},
         counts_by_window={200: {"north": 4}},
         ended_counts={"h9/1": {200: {"north": 2}}},
@@ -37,7 +37,7 @@
         "10.0.0.1",
     )
     assert (heard.configuration, heard.upstreams_at) == (7, 12)
-    assert (heard.duty, heard.stopping) == (3, True)
+    assert (heard.duty, heard.may_hold_duties) == (3, True)
     assert heard.loads_by_upstream == {"a": PeerLoad(2, 900)}
     assert heard.counts_by_window == {200: {"north": 4}}
     assert heard.ended_counts == {"h9/1": {200: {"north": 2}}}
@@ -69,7 +69,7 @@
         configuration=1,
         upstreams_at=1,
         duty=0,
-        stopping=False,
+        may_hold_duties=True,
         loads_by_upstream={},
         counts_by_window={},
         ended_counts={},
--- a/tests/gateway/test_scaling.py
+++ b/tests/gateway/test_scaling.py
@@ -15,8 +15,6 @@
 def make_service(spot_price_ratio: float = 0.22) -> Service:
     return Service(
         name=SERVICE,
-        connection_limit=100,
-        engine_slots=128,
         scaling=ScalingLimits(
             minimum=1,
             maximum=3,
--- a/tests/gateway/test_upstream_connection.py
+++ b/tests/gateway/test_upstream_connection.py
@@ -25,10 +25,8 @@
         self.end = ""
         self.ended = asyncio.Event()
 
-    def on_head(
-        self, status: int, reason: bytes, headers: Headers, *, has_length: bool
-    ) -> bool:
-        del status, reason, has_length
+    def on_head(self, status: int, reason: bytes, headers: Headers) -> bool:
+        del status, reason
         lowered = [(name.lower(), value) for name, value in headers]
         return find_header(lowered, b"id") in (None, self.expected)
 
