Answer a stream whose resumption fails once only

Cause: found by reading: when the second upstream of a begun stream answered 5xx, its failure was held and written behind the stream's first events. Change: such an answer breaks the stream off; attempts and forwarded headers are modules of their own.

--- a/src/shallotfold/_gateway/relay.py
+++ b/src/shallotfold/_gateway/relay.py
@@ -10,20 +10,20 @@
 from shallotfold._gateway import decision_log
 from shallotfold._gateway import effects
 from shallotfold._gateway import events
+from shallotfold._gateway.attempt import Attempt
 from shallotfold._gateway.caller_connection import CallerConnection
 from shallotfold._gateway.clocks import boot_s
-from shallotfold._gateway.event_stream import EventCutter
 from shallotfold._gateway.event_stream import StreamEvent
-from shallotfold._gateway.messages import HOP_HEADERS
+from shallotfold._gateway.forwarding import SystemHeaders
+from shallotfold._gateway.forwarding import forwarded_headers
+from shallotfold._gateway.forwarding import forwarded_request
 from shallotfold._gateway.messages import LAST_CHUNK
 from shallotfold._gateway.messages import Headers
 from shallotfold._gateway.messages import IncomingRequest
 from shallotfold._gateway.messages import chunk
 from shallotfold._gateway.messages import find_header
 from shallotfold._gateway.messages import head_bytes
-from shallotfold._gateway.messages import named_by_connection
 from shallotfold._gateway.messages import plain_answer
-from shallotfold._gateway.messages import request_bytes
 from shallotfold._gateway.model import Route
 from shallotfold._gateway.model import RouteKind
 from shallotfold._gateway.model import Upstream
@@ -34,8 +34,6 @@
     from shallotfold._gateway.serving import Gateway
 
 _MS_PER_S = 1000.0
-# Answers that aren't streams are held until they are whole, up to this size.
-MAX_HELD_ANSWER_BYTES = 8_388_608
 
 
 @attrs.frozen
@@ -78,8 +76,8 @@
         self._last_event = int(last_event) if last_event.isdigit() else None
         self._first_event_s: float | None = None
         self._head_sent = False
-        self._attempt: _Attempt | None = None
-        self._held_failure: _Attempt | None = None
+        self._attempt: Attempt | None = None
+        self._held_failure: Attempt | None = None
 
     # The gateway calls these.
 
@@ -92,7 +90,7 @@
             allowed_ms=round(effect.allowed_s * _MS_PER_S),
             reason=effect.reason,
         )
-        attempt = _Attempt(self, effect.upstream)
+        attempt = Attempt(self, effect.upstream)
         self._attempt = attempt
         attempt.sending = self._gateway.pool.send(
             effect.upstream, self._bytes_for(effect), attempt
@@ -135,7 +133,7 @@
     def deliver_held(self) -> None:
         """Pass the upstream's own failure on."""
         held = self._held_failure
-        if held is None:
+        if held is None or self._head_sent:
             self.answer(HTTPStatus.BAD_GATEWAY, "upstream failed", None)
             return
         self._write_whole(held)
@@ -162,7 +160,7 @@
         """Keep the connection of an answered attempt for others."""
         self._gateway.pool.release(upstream, sending)
 
-    def owns(self, attempt: _Attempt) -> bool:
+    def owns(self, attempt: Attempt) -> bool:
         """Whether the attempt is the one under way."""
         return self._attempt is attempt
 
@@ -183,7 +181,7 @@
         """Count the run of the attempt."""
         self._gateway.count_run(self)
 
-    def unsent(self, attempt: _Attempt, reason: str) -> None:
+    def unsent(self, attempt: Attempt, reason: str) -> None:
         """The attempt reached no upstream."""
         self._gateway.figures.count_attempt("unsent")
         self._log(
@@ -194,7 +192,7 @@
             events.AttemptUnsent(now_s=boot_s(), request=self.number)
         )
 
-    def broken(self, attempt: _Attempt, reason: str) -> None:
+    def broken(self, attempt: Attempt, reason: str) -> None:
         """The answer ended early or was none."""
         self._gateway.figures.count_attempt("broken")
         self._log(
@@ -211,9 +209,7 @@
             )
         )
 
-    def stream_events(
-        self, attempt: _Attempt, found: list[StreamEvent]
-    ) -> None:
+    def stream_events(self, attempt: Attempt, found: list[StreamEvent]) -> None:
         """Pass whole events on, each once and in order."""
         fresh = []
         for event in found:
@@ -234,7 +230,7 @@
             self._write_stream_head(attempt)
         self._connection.write(chunk(b"".join(fresh)))
 
-    def stream_complete(self, attempt: _Attempt) -> None:
+    def stream_complete(self, attempt: Attempt) -> None:
         """End a stream whose upstream ended it properly."""
         self._attempt = None
         if not self._head_sent:
@@ -243,7 +239,7 @@
         self._connection.write((chunk(rest) if rest else b"") + LAST_CHUNK)
         self._succeed(attempt)
 
-    def answer_complete(self, attempt: _Attempt) -> None:
+    def answer_complete(self, attempt: Attempt) -> None:
         """Take a whole answer that isn't a stream."""
         self._attempt = None
         attempt.release()
@@ -269,6 +265,9 @@
             )
             return
         self.began()
+        if self._head_sent:
+            self.broken(attempt, f"resumed with status {attempt.status}")
+            return
         if attempt.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self._held_failure = attempt
             self._gateway.figures.count_attempt("upstream_failed")
@@ -281,14 +280,6 @@
                 events.AttemptFailed(now_s=now_s, request=self.number)
             )
             return
-        if self._head_sent:
-            # A resumed stream was answered with something else.
-            self._gateway.deliver(
-                events.AttemptBroken(
-                    now_s=now_s, request=self.number, answered=True
-                )
-            )
-            return
         self._gateway.deliver(
             events.AttemptSucceeded(now_s=now_s, request=self.number)
         )
@@ -296,7 +287,7 @@
 
     # Helpers.
 
-    def _report_load(self, attempt: _Attempt, lowered: Headers) -> None:
+    def _report_load(self, attempt: Attempt, lowered: Headers) -> None:
         value = find_header(lowered, self._gateway.names.upstream_load) or b""
         figures = value.split(b",")
         if len(figures) >= 2 and all(f.strip().isdigit() for f in figures):
@@ -310,53 +301,30 @@
             )
 
     def _bytes_for(self, effect: effects.SendAttempt) -> bytes:
-        names = self._gateway.names
-        request = self._request
-        dropped = (
-            HOP_HEADERS
-            | names.reserved
-            | named_by_connection(request.headers)
-            | {b"content-length", b"expect", names.key, names.deadline}
-            | {names.expected_upstream, names.priority, names.workspace}
-        )
-        if self._head_sent or effect.number > 1:
-            dropped |= {names.last_event}
-        headers = [
-            (spelled, value)
-            for spelled, (name, value) in zip(
-                request.spelled_names, request.headers, strict=True
-            )
-            if name not in dropped or name == b"host"
-        ]
-        allowed_ms = max(1, int(effect.allowed_s * _MS_PER_S))
-        headers.append((names.deadline, b"%d" % allowed_ms))
-        upstream_id = effect.upstream.upstream_id.encode()
-        headers.append((names.expected_upstream, upstream_id))
-        if self.workspace is not None:
-            workspace = self.workspace.name.encode()
-            headers.append((names.workspace, workspace))
-        if self._route.reads_prompt or names.token_counts in dict(
-            request.headers
-        ):
-            headers.append((names.priority, b"%d" % self._rank))
-        if names.last_event in dropped and self._last_event is not None:
-            headers.append((names.last_event, b"%d" % self._last_event))
-        if request.has_length:
-            headers.append((b"Content-Length", b"%d" % len(request.body)))
-        return request_bytes(
-            request.method, request.target, headers, request.body
+        resumes = self._head_sent or effect.number > 1
+        return forwarded_request(
+            self._request,
+            self._gateway.names,
+            SystemHeaders(
+                allowed_ms=max(1, int(effect.allowed_s * _MS_PER_S)),
+                upstream_id=effect.upstream.upstream_id,
+                workspace=self.workspace.name if self.workspace else None,
+                rank=self._rank if self._reads_prompt() else None,
+                resume_after=self._last_event if resumes else None,
+                resumes=resumes,
+            ),
         )
 
-    def _answer_headers(self, attempt: _Attempt) -> Headers:
-        lowered = [(name.lower(), value) for name, value in attempt.headers]
-        dropped = HOP_HEADERS | named_by_connection(lowered)
-        dropped |= {b"content-length"}
-        return [h for h in attempt.headers if h[0].lower() not in dropped]
+    def _reads_prompt(self) -> bool:
+        declared = find_header(
+            self._request.headers, self._gateway.names.token_counts
+        )
+        return self._route.reads_prompt or declared is not None
 
-    def _write_stream_head(self, attempt: _Attempt) -> None:
+    def _write_stream_head(self, attempt: Attempt) -> None:
         self._head_sent = True
         self._first_event_s = boot_s()
-        headers = self._answer_headers(attempt)
+        headers = forwarded_headers(attempt.headers)
         headers.append((b"Transfer-Encoding", b"chunked"))
         if self._connection.must_close:
             headers.append((b"Connection", b"close"))
@@ -364,9 +332,9 @@
             head_bytes(attempt.status, attempt.reason, headers)
         )
 
-    def _write_whole(self, attempt: _Attempt) -> None:
+    def _write_whole(self, attempt: Attempt) -> None:
         close = self._connection.must_close
-        headers = self._answer_headers(attempt)
+        headers = forwarded_headers(attempt.headers)
         if attempt.status != HTTPStatus.NO_CONTENT:
             headers.append((b"Content-Length", b"%d" % len(attempt.body)))
         if close:
@@ -376,7 +344,7 @@
         self._connection.write(head + bytes(attempt.body))
         self._connection.finish(close=close)
 
-    def _succeed(self, attempt: _Attempt) -> None:
+    def _succeed(self, attempt: Attempt) -> None:
         attempt.release()
         self._gateway.deliver(
             events.AttemptSucceeded(now_s=boot_s(), request=self.number)
@@ -411,79 +379,3 @@
             workspace=self.workspace.name if self.workspace else None,
             **inputs,
         )
-
-
-class _Attempt:
-    """One send of a request; reads the answer of its upstream."""
-
-    def __init__(self, relay: Relay, upstream: Upstream) -> None:
-        self.upstream = upstream
-        self.sending: Sending | None = None
-        self.status = 0
-        self.reason = b""
-        self.headers: Headers = []
-        self.body = bytearray()
-        self.cutter = EventCutter()
-        self._relay = relay
-        self._is_stream = False
-        self._began = False
-
-    def cancel(self) -> None:
-        """Drop the connection."""
-        if self.sending is not None:
-            self.sending.cancel()
-
-    def release(self) -> None:
-        """Keep the connection for further requests."""
-        if self.sending is not None:
-            self._relay.keep_connection(self.upstream, self.sending)
-
-    def on_unsent(self, reason: str) -> None:
-        """No connection was established."""
-        if self._relay.owns(self):
-            self._relay.unsent(self, reason)
-
-    def on_head(self, status: int, reason: bytes, headers: Headers) -> bool:
-        """Take the head if the answer is this request's."""
-        if not self._relay.expects(headers):
-            return False
-        self.status = status
-        self.reason = reason
-        self.headers = headers
-        self._is_stream = self._relay.wants_stream and status == HTTPStatus.OK
-        return True
-
-    def on_data(self, data: bytes) -> None:
-        """Pass a stream's events on; hold the parts of other answers."""
-        if not self._relay.owns(self):
-            return
-        if not self._is_stream:
-            self.body += data
-            if len(self.body) > MAX_HELD_ANSWER_BYTES:
-                self._relay.broken(self, "answer is too large")
-            return
-        try:
-            found = self.cutter.feed(data)
-        except ValueError as error:
-            self._relay.broken(self, str(error))
-            return
-        if found:
-            if not self._began:
-                self._began = True
-                self._relay.began()
-            self._relay.progressed()
-            self._relay.stream_events(self, found)
-
-    def on_complete(self) -> None:
-        """End the answer."""
-        if not self._relay.owns(self):
-            return
-        if self._is_stream:
-            self._relay.stream_complete(self)
-        else:
-            self._relay.answer_complete(self)
-
-    def on_failure(self, reason: str) -> None:
-        """No whole answer will come."""
-        if self._relay.owns(self):
-            self._relay.broken(self, reason)
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -299,6 +299,26 @@
     play(backends, scene)
 
 
+def test_a_stream_whose_resumption_fails_gets_no_second_answer() -> None:
+    """A failure that is held for the caller comes too late for a stream."""
+    bad = signed(b"sorry", b"500 Internal Server Error")
+
+    def answer(sent: bytes) -> bytes:
+        if b"last-event-id: 1" in sent:
+            return bad
+        return stream(event(1), ended=False)
+
+    backends = [Backend(answer, close=True) for _ in range(2)]
+
+    async def scene(site: Site) -> None:
+        found = await site.ask(request("/talk/1", method="POST", body=b"x"))
+        assert found.count(b"HTTP/1.1") == 1
+        assert b"sorry" not in found
+        assert not found.endswith(b"0\r\n\r\n")
+
+    play(backends, scene)
+
+
 def test_a_broken_stream_that_can_t_go_on_does_not_look_complete() -> None:
     broken = stream(event(1), ended=False)
 
