Bound what is remembered of prefixes and deletions

Cause: both grew for as long as a process runs; calls that must not run twice could be sent on connections that an upstream had dropped unnoticed. Change: old holders and deletions are forgotten; such calls go on connections that were used within a second, or on new ones.

--- a/src/shallotfold/_gateway/placement.py
+++ b/src/shallotfold/_gateway/placement.py
@@ -1,8 +1,8 @@
 """Choose the upstream of a request.
 
-Requests that share a prompt prefix go to the same upstream on every host
-without any exchange: rendezvous hashing ranks the upstreams of each prefix.
-Load moves them on to others.
+Requests that share a prompt prefix go where the prefix was sent lately; hosts
+tell each other. While nobody has told, rendezvous hashing ranks the upstreams
+of each prefix alike on every host. Load moves requests on to others.
 """
 
 from collections.abc import Iterable
@@ -75,7 +75,9 @@
 
     def note(self, key: str, upstream: str, now_s: float) -> None:
         """Remember that `upstream` reads the prefix."""
-        sent_s = self._sent_s.pop(key, {})
+        oldest_s = now_s - PREFIX_KEPT_S
+        known = self._sent_s.pop(key, {})
+        sent_s = {n: at_s for n, at_s in known.items() if at_s >= oldest_s}
         sent_s[upstream] = now_s
         self._sent_s[key] = sent_s
         if len(self._sent_s) > PREFIX_MEMORY_ENTRIES:
--- a/src/shallotfold/_gateway/relay.py
+++ b/src/shallotfold/_gateway/relay.py
@@ -93,7 +93,10 @@
         attempt = Attempt(self, effect.upstream)
         self._attempt = attempt
         attempt.sending = self._gateway.pool.send(
-            effect.upstream, self._bytes_for(effect), attempt
+            effect.upstream,
+            self._bytes_for(effect),
+            attempt,
+            repeatable=self._route.repeatable,
         )
 
     def cancel(self) -> None:
--- a/src/shallotfold/_gateway/upstream_pool.py
+++ b/src/shallotfold/_gateway/upstream_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 from typing import Protocol
 
 import attrs
@@ -17,6 +18,9 @@
 # A connection this close to its idle limit may be closing already.
 IDLE_MARGIN_S = 1.0
 MAX_IDLE_CONNECTIONS = 24
+# What must not run twice goes on a connection only this soon after its last
+# answer: one that was dropped unnoticed would leave the outcome unknown.
+LONGEST_IDLE_ONCE_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -66,10 +70,24 @@
         self._idle_by_upstream.clear()
 
     def send(
-        self, upstream: Upstream, data: bytes, listener: SendListener
+        self,
+        upstream: Upstream,
+        data: bytes,
+        listener: SendListener,
+        *,
+        repeatable: bool,
     ) -> Sending:
-        """Send a request on a kept connection or on a new one."""
-        kept = self._take_idle(upstream)
+        """Send a request on a kept connection or on a new one.
+
+        Args:
+            upstream: Where to.
+            data: The whole request.
+            listener: Told of the answer.
+            repeatable: Whether the request may be sent again if the
+                connection turns out to be dead.
+        """
+        longest_s = math.inf if repeatable else LONGEST_IDLE_ONCE_S
+        kept = self._take_idle(upstream, longest_s)
         if kept is not None:
             kept.send(data, listener)
             return Sending(connection=kept)
@@ -102,7 +120,9 @@
             for connection in self._idle_by_upstream.pop(key):
                 connection.abort()
 
-    def _take_idle(self, upstream: Upstream) -> UpstreamConnection | None:
+    def _take_idle(
+        self, upstream: Upstream, longest_s: float
+    ) -> UpstreamConnection | None:
         idle = self._idle_by_upstream.get(_key(upstream))
         now_s = asyncio.get_running_loop().time()
         while idle:
@@ -110,10 +130,16 @@
             limit_s = connection.keep_alive_s or DEFAULT_IDLE_S
             # Whole seconds may have been rounded up.
             usable_s = max(0.5, limit_s - IDLE_MARGIN_S)
-            if connection.connected and connection.reusable:
-                if now_s - connection.idle_since_s < usable_s:
-                    return connection
-                connection.abort()
+            if not connection.connected or not connection.reusable:
+                continue
+            idle_s = now_s - connection.idle_since_s
+            if idle_s < min(usable_s, longest_s):
+                return connection
+            if idle_s < usable_s:
+                # All others have been idle for longer still.
+                idle.append(connection)
+                return None
+            connection.abort()
         return None
 
     async def _connect_and_send(
--- a/src/shallotfold/_gateway/upstream_registry.py
+++ b/src/shallotfold/_gateway/upstream_registry.py
@@ -17,6 +17,8 @@
 # them lapse at once, the store was away unnoticed.
 MASS_LAPSE_COUNT = 3
 MASS_LAPSE_SHARE = 0.5
+# Deletions remembered against older words about the same upstreams.
+DELETIONS_KEPT = 1_024
 
 
 @attrs.define
@@ -148,6 +150,8 @@
         if entry is None or entry.revision > revision:
             return
         self._deleted_at[upstream_id] = revision
+        if len(self._deleted_at) > DELETIONS_KEPT:
+            del self._deleted_at[next(iter(self._deleted_at))]
         if not doubted:
             del self._entry_by_id[upstream_id]
         elif entry.doubted_until_s is None:
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -4,6 +4,7 @@
 from shallotfold._gateway.model import Prompt
 from shallotfold._gateway.model import PromptPart
 from shallotfold._gateway.model import Upstream
+from shallotfold._gateway.placement import PREFIX_KEPT_S
 from shallotfold._gateway.placement import Placement
 from shallotfold._gateway.placement import fitting_engines
 from shallotfold._gateway.placement import homes_of
@@ -104,6 +105,14 @@
         assert choose(listener, engines, LONG) == other
         assert sender.prefixes.take_fresh() == []
 
+    def test_old_holders_of_a_hot_prefix_take_no_memory(self) -> None:
+        prefixes = Placement(data_centre="a").prefixes
+        for number in range(1000):
+            prefixes.note("site-1", f"e{number}", NOW_S + number)
+        holders = prefixes.holders("site-1", NOW_S + 999)
+        assert len(holders) <= PREFIX_KEPT_S + 1
+        assert prefixes.holders("site-1", NOW_S + 5000) == set()
+
     def test_a_holder_that_left_is_forgotten(self) -> None:
         engines = make_engines(20, 12)
         placement = Placement(data_centre="a")
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from shallotfold._gateway import upstream_pool
 from shallotfold._gateway.dispatcher import Dispatcher
 from shallotfold._gateway.figures import Figures
 from shallotfold._gateway.model import GatewayConfiguration
@@ -375,6 +376,26 @@
     play([backend], scene)
 
 
+def test_what_runs_once_avoids_connections_that_were_idle_for_long(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Upstreams may drop idle connections without notice."""
+    monkeypatch.setattr(upstream_pool, "LONGEST_IDLE_ONCE_S", 0.05)
+    backend = Backend(lambda _: signed())
+
+    async def scene(site: Site) -> None:
+        once = request("/book/1", method="POST", body=b"x")
+        assert status_of(await site.ask(request())) == 200
+        await asyncio.sleep(0.1)
+        assert status_of(await site.ask(once)) == 200
+        assert site.gateway.pool.connections_made == 2
+        # Either connection serves what may be repeated.
+        assert status_of(await site.ask(request())) == 200
+        assert site.gateway.pool.connections_made == 2
+
+    play([backend], scene)
+
+
 def test_pipelined_requests_are_answered_in_order() -> None:
     backend = Backend(lambda sent: signed(sent.split(b" ")[1]))
 
