Pass nothing on behind a connection's last answer

Cause: found by reading: a caller that pipelines behind an answer after which a stopping host closes had its next request sent on a kept connection, with nobody to hear of it.

--- a/src/shallotfold/_gateway/caller_connection.py
+++ b/src/shallotfold/_gateway/caller_connection.py
@@ -228,8 +228,9 @@
             self._transport.abort()
 
     def close(self) -> None:
-        """Close after what was written."""
+        """Close after what was written; requests not begun yet are dropped."""
         self._broken = True
+        self._waiting.clear()
         if self._transport is not None:
             self._transport.close()
 
--- a/src/shallotfold/_gateway/dispatcher.py
+++ b/src/shallotfold/_gateway/dispatcher.py
@@ -17,7 +17,7 @@
 from shallotfold._gateway.model import RouteKind
 from shallotfold._gateway.model import Upstream
 from shallotfold._gateway.placement import Placement
-from shallotfold._gateway.retry_budget import RetryBudget
+from shallotfold._gateway.retry_budget import FleetRetryBudget
 from shallotfold._model.events import Event
 
 # Callers should be back before half of what they can still wait is over, and
@@ -73,7 +73,7 @@
         upstreams_by_id: Upstreams that may get requests.
     """
 
-    def __init__(self, placement: Placement, budget: RetryBudget) -> None:
+    def __init__(self, placement: Placement, budget: FleetRetryBudget) -> None:
         self.placement = placement
         self.budget = budget
         self.upstreams_by_id: Mapping[str, Upstream] = {}
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -31,7 +31,7 @@
 from shallotfold._gateway.ports import DutyCalls
 from shallotfold._gateway.ports import WatchedStore
 from shallotfold._gateway.repeating import Repeater
-from shallotfold._gateway.retry_budget import RetryBudget
+from shallotfold._gateway.retry_budget import FleetRetryBudget
 from shallotfold._gateway.serving import Gateway
 from shallotfold._gateway.settings import GatewaySettings
 from shallotfold._gateway.store_following import PrefixFollower
@@ -81,7 +81,7 @@
         )
         dispatcher = Dispatcher(
             Placement(data_centre=settings.data_centre),
-            RetryBudget(
+            FleetRetryBudget(
                 ratio=settings.retry_ratio,
                 extra=settings.retry_extra,
                 window_s=settings.retry_window_s,
--- a/src/shallotfold/_gateway/retry_budget.py
+++ b/src/shallotfold/_gateway/retry_budget.py
@@ -10,7 +10,7 @@
 
 
 @attrs.define(kw_only=True)
-class RetryBudget:
+class FleetRetryBudget:
     """Second sends allowed to one host, per service, in a sliding window.
 
     Attributes:
--- a/tests/gateway/making.py
+++ b/tests/gateway/making.py
@@ -14,7 +14,7 @@
 from shallotfold._gateway.model import Upstream
 from shallotfold._gateway.model import Workspace
 from shallotfold._gateway.placement import Placement
-from shallotfold._gateway.retry_budget import RetryBudget
+from shallotfold._gateway.retry_budget import FleetRetryBudget
 from shallotfold._model.events import Event
 
 SERVICE = "writers"
@@ -98,7 +98,7 @@
     def __init__(self, *upstreams: Upstream, extra: float = 100.0) -> None:
         self.now_s = 100.0
         self.dispatcher = Dispatcher(
-            Placement(data_centre="a"), RetryBudget(extra=extra)
+            Placement(data_centre="a"), FleetRetryBudget(extra=extra)
         )
         self.effects: list[effects.Effect] = []
         self.change_upstreams(*upstreams)
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -16,7 +16,7 @@
 from shallotfold._gateway.peers import PeerWord
 from shallotfold._gateway.placement import Placement
 from shallotfold._gateway.repeating import Repeater
-from shallotfold._gateway.retry_budget import RetryBudget
+from shallotfold._gateway.retry_budget import FleetRetryBudget
 from shallotfold._gateway.serving import Gateway
 from shallotfold._gateway.usage_counts import UsageCounts
 from shallotfold._services.ports import StoreChanges
@@ -35,7 +35,7 @@
         self.adopted = 0
         self.gateway = Gateway(
             DIALECT.headers,
-            Dispatcher(Placement(data_centre="a"), RetryBudget()),
+            Dispatcher(Placement(data_centre="a"), FleetRetryBudget()),
             UsageCounts(window_s=5.0),
             Figures(),
             lambda: 0.0,
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -13,7 +13,7 @@
 from shallotfold._gateway.model import RequestLimits
 from shallotfold._gateway.model import RouteKind
 from shallotfold._gateway.placement import Placement
-from shallotfold._gateway.retry_budget import RetryBudget
+from shallotfold._gateway.retry_budget import FleetRetryBudget
 from shallotfold._gateway.route_table import RouteTable
 from shallotfold._gateway.serving import Gateway
 from shallotfold._gateway.usage_counts import UsageCounts
@@ -55,7 +55,9 @@
         self.counts = UsageCounts(window_s=1e9)
         self.gateway = Gateway(
             HEADERS,
-            Dispatcher(Placement(data_centre="a"), RetryBudget(extra=100.0)),
+            Dispatcher(
+                Placement(data_centre="a"), FleetRetryBudget(extra=100.0)
+            ),
             self.counts,
             Figures(),
             lambda: 0.0,
@@ -407,6 +409,23 @@
     play([backend], scene)
 
 
+def test_nothing_is_passed_on_behind_the_last_answer() -> None:
+    """Found by reading: its caller could not have heard of the outcome."""
+    backend = Backend(lambda _: signed())
+
+    async def scene(site: Site) -> None:
+        once = request("/book/1", method="POST", body=b"x")
+        # A kept connection to the upstream takes a request at once.
+        await site.ask(once)
+        site.gateway.begin_stop(5.0)
+        kept = request("/nowhere/1").replace(b"Connection: close\r\n", b"")
+        await site.ask(kept + once)
+        await asyncio.sleep(0.1)
+
+    play([backend], scene)
+    assert len(backend.requests) == 1
+
+
 def test_a_stopping_host_serves_on_and_asks_callers_to_leave() -> None:
     async def scene(site: Site) -> None:
         site.gateway.begin_stop(5.0)
