--- a/benchmarks/policy_model/checker.py
+++ b/benchmarks/policy_model/checker.py
@@ -11,6 +11,7 @@
 
 from benchmarks.policy_model import scenarios
 from benchmarks.policy_model.scenarios import Arrival
+from benchmarks.policy_model.simulation import REPORT_LAG_S
 from benchmarks.policy_model.simulation import Record
 from benchmarks.policy_model.simulation import Simulation
 from shallotfold._entry.estimates import cost_of
@@ -64,6 +65,7 @@
         self._classes = simulation.configuration.classes_by_name
         self._faulty: dict[str, list[tuple[float, bool]]] = {}
         self._leaving: dict[str, float] = {}
+        self._signs_s_by_upstream: dict[str, list[float]] = {}
         self._attempts: list[Attempt] = []
         self._lives = {
             a.request_id: Life(arrival=a) for a in simulation.arrivals
@@ -105,6 +107,7 @@
             if life.first_token_s < 0.0:
                 life.first_token_s = record.at_s
             life.last_token_s = record.at_s
+            self._read_sign(life, record.at_s)
         elif record.kind == "finished":
             life.finished_s = record.at_s
         elif record.kind == "refused":
@@ -136,6 +139,13 @@
             last = life.attempts[-1]
             last.stopped_s = min(last.stopped_s, record.at_s)
             last.whole |= record.detail == Outcome.RAN.value
+            self._read_sign(life, record.at_s)
+
+    def _read_sign(self, life: Life, at_s: float) -> None:
+        """Note that an entry heard of the upstream of an attempt."""
+        if life.attempts:
+            upstream = life.attempts[-1].upstream
+            self._signs_s_by_upstream.setdefault(upstream, []).append(at_s)
 
     def _is_good(self, life: Life) -> bool:
         if life.finished_s < 0.0 or life.left:
@@ -257,6 +267,7 @@
                     for attempt in self._running_at(life.refused_s)
                     if attempt.stopped_s > life.refused_s + CANCEL_GRACE_S
                     and not self._is_faulty(attempt.upstream, life.refused_s)
+                    and self._seen_mended(attempt.upstream, life.refused_s)
                 )
                 found += self._exceeds_floors(life, running)
         return found
@@ -377,6 +388,21 @@
                 faulty = value
         return faulty
 
+    def _seen_mended(self, upstream: str, at_s: float) -> bool:
+        """Whether an entry can know that an upstream has recovered.
+
+        Progress of an answer there shows it at once, a load report later.
+        """
+        mended_s = [
+            changed_s
+            for changed_s, faulty in self._faulty.get(upstream, ())
+            if changed_s <= at_s and not faulty
+        ]
+        if not mended_s or at_s - mended_s[-1] >= REPORT_LAG_S:
+            return True
+        signs_s = self._signs_s_by_upstream.get(upstream, [])
+        return bool(_count(signs_s, mended_s[-1], at_s))
+
 
 def _cost(life: Life) -> float:
     arrival = life.arrival
--- a/src/shallotfold/_entry/fair_share.py
+++ b/src/shallotfold/_entry/fair_share.py
@@ -12,15 +12,20 @@
     Attributes:
         virtual_by_name: Cost charged so far, divided by the weight.
         virtual_now: Virtual time of the last name that was served.
+        idle_credit: Cost, divided by the weight, that a name may fall behind
+            while it has nothing waiting.
     """
 
     virtual_by_name: dict[str, float] = attrs.field(factory=dict)
     virtual_now: float = 0.0
+    idle_credit: float = 0.0
 
     def join(self, name: str) -> None:
-        """Let a name wait for service; idle time earns no credit."""
+        """Let a name wait for service; idle time earns little credit."""
         virtual = self.virtual_by_name.get(name, 0.0)
-        self.virtual_by_name[name] = max(virtual, self.virtual_now)
+        self.virtual_by_name[name] = max(
+            virtual, self.virtual_now - self.idle_credit
+        )
 
     def order(self, names: Iterable[str]) -> list[str]:
         """Return the names, the one served least first."""
--- a/src/shallotfold/_entry/judging.py
+++ b/src/shallotfold/_entry/judging.py
@@ -22,6 +22,9 @@
             sampled.append(upstream)
     healths = [routing.health_of(state, u.name) for u in upstreams]
     eject_stragglers(healths, len(upstreams), now_s)
+    for upstream in upstreams:
+        if routing.health_of(state, upstream.name).slow:
+            _release_floors(pool, upstream.name)
     for upstream in sampled:
         health = routing.health_of(state, upstream.name)
         target_s = _gap_target_s(state, pool, upstream.name)
@@ -29,6 +32,12 @@
         health.adapt_bound(target_s, running, upstream.slots)
 
 
+def _release_floors(pool: Pool, upstream: str) -> None:
+    """Let a class use its floor slots elsewhere while an upstream is slow."""
+    for key in pool.keys_by_upstream.get(upstream, ()):
+        pool.running_by_attempt[key].floor = False
+
+
 def _gap_target_s(state: EntryState, pool: Pool, upstream: str) -> float | None:
     classes = state.configuration.current.classes_by_name
     names = {
--- a/src/shallotfold/_entry/pool_queue.py
+++ b/src/shallotfold/_entry/pool_queue.py
@@ -12,6 +12,10 @@
 
 AttemptKey = tuple[str, int]
 
+# Cost in output tokens of about two answers of a chat: a workspace whose only
+# waiting request expired keeps its turn for the next one.
+IDLE_CREDIT = 300.0
+
 
 @attrs.define(kw_only=True)
 class QueuedGrant:
@@ -53,7 +57,9 @@
     waiting_by_workspace: dict[str, collections.deque[QueuedGrant]] = (
         attrs.field(factory=dict)
     )
-    share: FairShare = attrs.field(factory=FairShare)
+    share: FairShare = attrs.field(
+        factory=lambda: FairShare(idle_credit=IDLE_CREDIT)
+    )
 
 
 @attrs.define(kw_only=True)
--- a/tests/benchmarks/test_policy.py
+++ b/tests/benchmarks/test_policy.py
@@ -1,7 +1,11 @@
 import pytest
 
 from benchmarks import policy
+from benchmarks.policy_model import naive
 from benchmarks.policy_model import scenarios
+from benchmarks.policy_model.checker import Checker
+from benchmarks.policy_model.simulation import Record
+from benchmarks.policy_model.simulation import Simulation
 
 
 @pytest.mark.parametrize("name", ["burst_low", "entry_lost"])
@@ -12,6 +16,72 @@
     assert policy.run_current(scenario) == first, "repeatable to the bit"
 
 
+@pytest.mark.parametrize(
+    ("seed", "deployment", "name"),
+    [
+        # An upstream had recovered, but no answer or report showed it yet.
+        (52, "mwangaza", "two_more_at_once"),
+        (5150, "switchback", "two_at_once"),
+        # A workspace of few requests lost its turn whenever its only waiting
+        # request had to be refused.
+        (777001, "switchback", "burst_top"),
+        # A class had all its floor slots on an upstream that turned slow.
+        (52, "mwangaza", "two_at_once"),
+    ],
+)
+def test_seed_that_failed_once(seed: int, deployment: str, name: str) -> None:
+    scenario = next(
+        s
+        for s in scenarios.make_scenarios(seed)
+        if (s.deployment.name, s.name) == (deployment, name)
+    )
+    assert policy.run_current(scenario)["violations"] == 0
+
+
+def _refused_beside_lower_tier(
+    *, seen_s: float, mended_s: float
+) -> dict[str, int]:
+    """Judge a refusal at 20 s beside three lower attempts on one upstream."""
+    scenario = next(
+        s
+        for s in scenarios.make_scenarios(1)
+        if (s.deployment.name, s.name) == ("switchback", "burst_top")
+    )
+    simulation = Simulation(
+        scenario, lambda *_: naive.NaiveState(), naive.reduce
+    )
+    classes = simulation.configuration.classes_by_name
+    refused = next(a for a in simulation.arrivals if a.class_name == "chat")
+    lowest = max(classes, key=lambda n: classes[n].tier)
+    lower = [a for a in simulation.arrivals if a.class_name == lowest][:3]
+    simulation.trace = [
+        Record(0.0, "finished", simulation.arrivals[-1].request_id),
+        Record(0.0, "faulty", detail="model-0"),
+        *(Record(1.0, "started", a.request_id, 1, "model-0") for a in lower),
+        Record(mended_s, "mended", detail="model-0"),
+        Record(seen_s, "tokens", lower[0].request_id, 1),
+        Record(20.0, "refused", refused.request_id, 0, "target_missed"),
+    ]
+    found = Checker(simulation).figures()["violations_by_rule"]
+    assert isinstance(found, dict)
+    return found
+
+
+@pytest.mark.parametrize(
+    ("mended_s", "seen_s", "violations"),
+    [
+        (19.0, 18.0, 0),
+        (19.0, 19.5, 1),
+        (18.4, 18.0, 1),
+    ],
+)
+def test_recovered_upstream_is_usable_once_an_entry_can_know(
+    mended_s: float, seen_s: float, violations: int
+) -> None:
+    found = _refused_beside_lower_tier(mended_s=mended_s, seen_s=seen_s)
+    assert found["shed_for_lower"] == violations
+
+
 def test_checker_sees_what_naive_entries_break() -> None:
     scenario = next(
         s for s in scenarios.make_scenarios(1) if s.name == "reclaim"
--- a/tests/entry/test_pools.py
+++ b/tests/entry/test_pools.py
@@ -2,6 +2,8 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
+from shallotfold._entry import floors
+from shallotfold._entry import judging
 from shallotfold._entry.fair_share import FairShare
 from shallotfold._entry.limits import SlidingCount
 from shallotfold._entry.ownership import rendezvous
@@ -188,6 +190,36 @@
     assert share.order(["busy", "idle"]) == ["busy", "idle"]
 
 
+def test_turn_lost_to_an_expired_request_is_kept_for_the_next() -> None:
+    share = FairShare(idle_credit=300.0)
+    share.join("busy")
+    share.join("small")
+    for _ in range(10):
+        share.serve("busy", 100.0, 1.0)
+    share.join("small")
+    share.join("late")
+    share.serve("small", 100.0, 1.0)
+    assert share.order(["busy", "small", "late"])[0] == "late"
+    assert share.order(["busy", "small"]) == ["small", "busy"]
+    assert share.virtual_by_name["late"] == share.virtual_now - 300.0
+
+
+def test_class_uses_its_floor_elsewhere_while_an_upstream_is_slow() -> None:
+    entry = make_entry_with_floor()
+    entry.arrive("high-0")
+    entry.arrive("low-0", class_name="tags")
+    entry.arrive("high-1")
+    ended = entry.end("high-0", Outcome.RAN, output_tokens=200)
+    assert started(ended) == ["low-0"]
+    pool = next(iter(entry.state.pools.pools_by_name.values()))
+    slow = entry.state.requests.open_by_id["low-0"].upstream
+    now_s = entry.now_s
+    assert floors.free_slots(entry.state, pool, "tags", now_s) == 0
+    entry.state.pools.health_by_upstream[slow].slow = True
+    judging.judge(entry.state, pool, now_s)
+    assert floors.free_slots(entry.state, pool, "tags", now_s) == 1
+
+
 def test_entry_cut_off_from_most_others_uses_its_share_only() -> None:
     upstreams = {"m1": make_upstream("m1", model="one", slots=18)}
     entry = make_entry(attrs.evolve(CONFIGURATION, upstreams_by_name=upstreams))
