--- a/benchmarks/configuration_load.py
+++ b/benchmarks/configuration_load.py
@@ -11,9 +11,9 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry import reducer
-from shallotfold._entry.configuration_sync import ConfigurationSync
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.reducing import reducer
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.store.configuration_sync import ConfigurationSync
 from shallotfold._fleet.configuration_store import ConfigurationStore
 from shallotfold._model.configuration import Configuration
 from shallotfold._model.serialization import dump_configuration
--- a/benchmarks/fleet_scale.py
+++ b/benchmarks/fleet_scale.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from shallotfold._entry import membership
+from shallotfold._entry.membership import membership
 from shallotfold._wire.codec import PEER_CODEC
 from shallotfold._wire.framing import frame
 from tests.entry.fleet import Fleet
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -15,8 +15,8 @@
 from benchmarks.policy_model.checker import Checker
 from benchmarks.policy_model.scenarios import Scenario
 from benchmarks.policy_model.simulation import Simulation
-from shallotfold._entry import reducer
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.reducing import reducer
+from shallotfold._entry.state.entry_state import EntryState
 
 MAX_PROCESSES = 4
 
--- a/benchmarks/policy_model/checker.py
+++ b/benchmarks/policy_model/checker.py
@@ -14,7 +14,7 @@
 from benchmarks.policy_model.simulation import REPORT_LAG_S
 from benchmarks.policy_model.simulation import Record
 from benchmarks.policy_model.simulation import Simulation
-from shallotfold._entry.estimates import cost_of
+from shallotfold._entry.state.estimates import cost_of
 from shallotfold._model.configuration import RequestClass
 from shallotfold._model.requests import Outcome
 
--- a/benchmarks/policy_model/upstreams.py
+++ b/benchmarks/policy_model/upstreams.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from shallotfold._entry.estimates import PROMPT_TOKEN_COST
+from shallotfold._entry.state.estimates import PROMPT_TOKEN_COST
 from shallotfold._model.configuration import Upstream
 from shallotfold._model.upstreams import UpstreamLoad
 
--- a/benchmarks/policy_model/variants.py
+++ b/benchmarks/policy_model/variants.py
@@ -3,12 +3,12 @@
 from unittest import mock
 import zlib
 
-from shallotfold._entry import asking
-from shallotfold._entry import ownership
-from shallotfold._entry import routing
-from shallotfold._entry.pool_queue import QueuedGrant
-from shallotfold._entry.pool_state import Pool
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.pools import ownership
+from shallotfold._entry.pools import routing
+from shallotfold._entry.requests import asking
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.pool_queue import QueuedGrant
+from shallotfold._entry.state.pool_state import Pool
 from shallotfold._model.configuration import Upstream
 
 VARIANTS = ("owner", "two_choices", "slot_shares")
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -22,8 +22,8 @@
 
 from benchmarks import fleet_scale
 from shallotfold._entry import events
-from shallotfold._entry import reducer
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.reducing import reducer
+from shallotfold._entry.state.entry_state import EntryState
 from shallotfold._fleet.usage_flush import UsageFlush
 from shallotfold._fleet.usage_flush import encode_flush
 from shallotfold._model.configuration import Configuration
--- a/src/shallotfold/_entry/fleet_parts.py
+++ b/src/shallotfold/_entry/fleet_parts.py
@@ -1,12 +1,12 @@
 """Make the parts of an entry that join it to its fleet."""
 
 from shallotfold._entry import effects
-from shallotfold._entry.configuration_sync import ConfigurationSync
-from shallotfold._entry.host_sync import HostSync
-from shallotfold._entry.peer_network import PeerNetwork
-from shallotfold._entry.peer_network import PeerNetworkSettings
-from shallotfold._entry.shell import EntryShell
-from shallotfold._entry.shell import Part
+from shallotfold._entry.peers.host_sync import HostSync
+from shallotfold._entry.peers.peer_network import PeerNetwork
+from shallotfold._entry.peers.peer_network import PeerNetworkSettings
+from shallotfold._entry.serving.shell import EntryShell
+from shallotfold._entry.serving.shell import Part
+from shallotfold._entry.store.configuration_sync import ConfigurationSync
 from shallotfold._services.http_hosts import HttpHostList
 from shallotfold._services.http_store import HttpStore
 from shallotfold._services.ports import Store
--- /dev/null
+++ b/src/shallotfold/_entry/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tell which entries live and how fresh their configuration is."""
--- a/src/shallotfold/_entry/freshness.py
+++ b/src/shallotfold/_entry/membership/freshness.py
@@ -5,14 +5,8 @@
 and the entry serves on; fewer mean that this entry is cut off.
 """
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
-from shallotfold._entry import members
-
-if TYPE_CHECKING:
-    from shallotfold._entry.state import EntryState
+from shallotfold._entry.membership import members
+from shallotfold._entry.state.entry_state import EntryState
 
 FRESH_LIMIT_S = 3.5
 
--- a/src/shallotfold/_entry/membership.py
+++ b/src/shallotfold/_entry/membership/membership.py
@@ -6,28 +6,23 @@
 link passes for a live one.
 """
 
-from __future__ import annotations
-
 import math
-from typing import TYPE_CHECKING
 
 from shallotfold._entry import effects
-from shallotfold._entry import freshness
-from shallotfold._entry import reach
-from shallotfold._entry.members import RECENT_LOSS_S
-from shallotfold._entry.members import Peer
-from shallotfold._entry.members import beat_interval_s
-from shallotfold._entry.members import live_entries
-from shallotfold._entry.members import refresh_live
-from shallotfold._entry.members import refresh_live_at_times
-from shallotfold._entry.neighbours import choose_neighbours
+from shallotfold._entry import events
+from shallotfold._entry.membership import freshness
+from shallotfold._entry.membership.members import RECENT_LOSS_S
+from shallotfold._entry.membership.members import beat_interval_s
+from shallotfold._entry.membership.members import live_entries
+from shallotfold._entry.membership.members import refresh_live
+from shallotfold._entry.membership.members import refresh_live_at_times
+from shallotfold._entry.state import reach
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.membership_state import Peer
+from shallotfold._entry.state.neighbours import choose_neighbours
 from shallotfold._model.upstreams import HostRole
 from shallotfold._wire.control_messages import Heartbeat
 
-if TYPE_CHECKING:
-    from shallotfold._entry import events
-    from shallotfold._entry.state import EntryState
-
 __all__ = ["live_entries"]
 
 REJOIN_DELAY_S = 1.0
--- /dev/null
+++ b/src/shallotfold/_entry/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Show operators what an entry does."""
--- a/src/shallotfold/_entry/operator_server.py
+++ b/src/shallotfold/_entry/operators/operator_server.py
@@ -10,16 +10,16 @@
 from aiohttp import web
 from loguru import logger
 
-from shallotfold._entry import membership
-from shallotfold._entry import status_page
-from shallotfold._entry.attainment import Attainment
-from shallotfold._entry.callers import CallerServer
-from shallotfold._entry.explanations import Explanations
-from shallotfold._entry.explanations import Step
-from shallotfold._entry.headers import basic_password
-from shallotfold._entry.headers import bearer_key
-from shallotfold._entry.shell import EntryShell
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.membership import membership
+from shallotfold._entry.operators import status_page
+from shallotfold._entry.operators.attainment import Attainment
+from shallotfold._entry.operators.explanations import Explanations
+from shallotfold._entry.operators.explanations import Step
+from shallotfold._entry.serving.callers import CallerServer
+from shallotfold._entry.serving.headers import basic_password
+from shallotfold._entry.serving.headers import bearer_key
+from shallotfold._entry.serving.shell import EntryShell
+from shallotfold._entry.state.entry_state import EntryState
 from shallotfold._settings.addresses import Address
 from shallotfold._settings.entry import OperatorPortSettings
 
--- a/src/shallotfold/_entry/status_page.py
+++ b/src/shallotfold/_entry/operators/status_page.py
@@ -8,12 +8,12 @@
 import html
 import time
 
-from shallotfold._entry import membership
-from shallotfold._entry.attainment import WINDOW_MINUTES
-from shallotfold._entry.attainment import Attainment
-from shallotfold._entry.attainment import Row
-from shallotfold._entry.attainment import Tally
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.membership import membership
+from shallotfold._entry.operators.attainment import WINDOW_MINUTES
+from shallotfold._entry.operators.attainment import Attainment
+from shallotfold._entry.operators.attainment import Row
+from shallotfold._entry.operators.attainment import Tally
+from shallotfold._entry.state.entry_state import EntryState
 
 MAX_TABLE_ROWS = 1000
 BAR_WIDTH = 12
--- /dev/null
+++ b/src/shallotfold/_entry/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Keep streams to other entries."""
--- a/src/shallotfold/_entry/peer_network.py
+++ b/src/shallotfold/_entry/peers/peer_network.py
@@ -11,10 +11,10 @@
 from loguru import logger
 
 from shallotfold._entry import events
-from shallotfold._entry.neighbours import choose_neighbours
-from shallotfold._entry.peer_stream import STREAM_ERRORS
-from shallotfold._entry.peer_stream import PeerStream
-from shallotfold._entry.refusal_log import RefusalLog
+from shallotfold._entry.peers.peer_stream import STREAM_ERRORS
+from shallotfold._entry.peers.peer_stream import PeerStream
+from shallotfold._entry.peers.refusal_log import RefusalLog
+from shallotfold._entry.state.neighbours import choose_neighbours
 from shallotfold._errors import HandshakeError
 from shallotfold._model.upstreams import HostRecord
 from shallotfold._model.upstreams import HostRole
--- /dev/null
+++ b/src/shallotfold/_entry/pools/__init__.py
@@ -0,0 +1,1 @@
+"""Own pools of upstreams: queue, grant, preempt and refuse."""
--- a/src/shallotfold/_entry/floors.py
+++ b/src/shallotfold/_entry/pools/floors.py
@@ -1,18 +1,12 @@
 """Keep every class alive by a small share of its pool."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
-from shallotfold._entry import estimates
-from shallotfold._entry import routing
-from shallotfold._entry.pool_queue import QueuedGrant
-from shallotfold._entry.pool_state import Pool
+from shallotfold._entry.pools import routing
+from shallotfold._entry.state import estimates
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.pool_queue import QueuedGrant
+from shallotfold._entry.state.pool_state import Pool
 from shallotfold._model.configuration import RequestClass
 
-if TYPE_CHECKING:
-    from shallotfold._entry.state import EntryState
-
 DEFAULT_CREDIT = 1.0
 
 
--- a/src/shallotfold/_entry/granting.py
+++ b/src/shallotfold/_entry/pools/granting.py
@@ -1,25 +1,19 @@
 """Grant waiting requests in order, and refuse those that came too late."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from shallotfold._entry import effects
-from shallotfold._entry import floors
-from shallotfold._entry import ownership
-from shallotfold._entry import preemption
-from shallotfold._entry import routing
-from shallotfold._entry.pool_queue import AttemptKey
-from shallotfold._entry.pool_queue import QueuedGrant
-from shallotfold._entry.pool_state import Pool
-from shallotfold._entry.pool_state import RunningGrant
+from shallotfold._entry.pools import floors
+from shallotfold._entry.pools import ownership
+from shallotfold._entry.pools import preemption
+from shallotfold._entry.pools import routing
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.pool_queue import AttemptKey
+from shallotfold._entry.state.pool_queue import QueuedGrant
+from shallotfold._entry.state.pool_state import Pool
+from shallotfold._entry.state.pool_state import RunningGrant
 from shallotfold._model.configuration import Upstream
 from shallotfold._model.requests import RefusalCode
 from shallotfold._wire import grant_messages
 
-if TYPE_CHECKING:
-    from shallotfold._entry.state import EntryState
-
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 30.0
 HIGHEST_PRIORITY = 1
--- a/src/shallotfold/_entry/judging.py
+++ b/src/shallotfold/_entry/pools/judging.py
@@ -1,15 +1,9 @@
 """Judge the speed of a pool's upstreams by their latest progress."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
-from shallotfold._entry import routing
-from shallotfold._entry.pool_state import Pool
-from shallotfold._entry.upstream_health import eject_stragglers
-
-if TYPE_CHECKING:
-    from shallotfold._entry.state import EntryState
+from shallotfold._entry.pools import routing
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.pool_state import Pool
+from shallotfold._entry.state.upstream_health import eject_stragglers
 
 
 def judge(state: EntryState, pool: Pool, now_s: float) -> None:
--- a/src/shallotfold/_entry/ownership.py
+++ b/src/shallotfold/_entry/pools/ownership.py
@@ -1,16 +1,11 @@
 """Agree, without talking, on which entry owns a pool or a ledger."""
 
-from __future__ import annotations
-
 from collections.abc import Sequence
 import functools
 import hashlib
-from typing import TYPE_CHECKING
-
-from shallotfold._entry import membership
 
-if TYPE_CHECKING:
-    from shallotfold._entry.state import EntryState
+from shallotfold._entry.membership import membership
+from shallotfold._entry.state.entry_state import EntryState
 
 
 def candidates(state: EntryState) -> tuple[str, ...]:
--- a/src/shallotfold/_entry/pools.py
+++ b/src/shallotfold/_entry/pools/pools.py
@@ -1,34 +1,27 @@
 """Own pools of upstreams: queue grant requests and grant them in order."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from shallotfold._entry import effects
-from shallotfold._entry import estimates
-from shallotfold._entry import granting
-from shallotfold._entry import judging
-from shallotfold._entry import ownership
-from shallotfold._entry import preemption
-from shallotfold._entry import reconciling
-from shallotfold._entry import routing
-from shallotfold._entry.catalog import Catalog
-from shallotfold._entry.catalog import build_catalog
-from shallotfold._entry.pool_queue import QueuedGrant
-from shallotfold._entry.pool_state import LOWEST_TIER
-from shallotfold._entry.pool_state import Pool
-from shallotfold._entry.pool_state import RunningGrant
-from shallotfold._entry.pool_state import get_pool
+from shallotfold._entry import events
+from shallotfold._entry.pools import granting
+from shallotfold._entry.pools import judging
+from shallotfold._entry.pools import ownership
+from shallotfold._entry.pools import preemption
+from shallotfold._entry.pools import reconciling
+from shallotfold._entry.pools import routing
+from shallotfold._entry.state import estimates
+from shallotfold._entry.state.catalog import Catalog
+from shallotfold._entry.state.catalog import build_catalog
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.pool_queue import QueuedGrant
+from shallotfold._entry.state.pool_state import LOWEST_TIER
+from shallotfold._entry.state.pool_state import Pool
+from shallotfold._entry.state.pool_state import RunningGrant
 from shallotfold._model.configuration import Upstream
 from shallotfold._model.requests import Outcome
 from shallotfold._model.upstreams import HostRole
 from shallotfold._model.upstreams import HostState
 from shallotfold._wire import grant_messages
 
-if TYPE_CHECKING:
-    from shallotfold._entry import events
-    from shallotfold._entry.state import EntryState
-
 JUDGE_INTERVAL_S = 1.0
 UNASKED_S = 5.0
 
@@ -174,7 +167,7 @@
     owner = ownership.owner_of(state, request.pool)
     if owner != state.host and not request.redirects:
         return [_redirect(host, request, owner)]
-    pool = get_pool(state, request.pool)
+    pool = state.pools.pool(request.pool)
     _note_take_over(pool, now_s, owned=owner == state.host)
     key = (request.request_id, request.attempt)
     running = pool.running_by_attempt.get(key)
--- a/src/shallotfold/_entry/preemption.py
+++ b/src/shallotfold/_entry/pools/preemption.py
@@ -1,23 +1,18 @@
 """Choose running attempts to cancel for higher tiers or faster upstreams."""
 
-from __future__ import annotations
-
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
 
 from shallotfold._entry import effects
-from shallotfold._entry import floors
-from shallotfold._entry import routing
-from shallotfold._entry.pool_queue import AttemptKey
-from shallotfold._entry.pool_queue import QueuedGrant
-from shallotfold._entry.pool_state import Pool
-from shallotfold._entry.pool_state import RunningGrant
-from shallotfold._entry.upstream_health import SILENCE_S
+from shallotfold._entry.pools import floors
+from shallotfold._entry.pools import routing
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.pool_queue import AttemptKey
+from shallotfold._entry.state.pool_queue import QueuedGrant
+from shallotfold._entry.state.pool_state import Pool
+from shallotfold._entry.state.pool_state import RunningGrant
+from shallotfold._entry.state.upstream_health import SILENCE_S
 from shallotfold._wire import grant_messages
 
-if TYPE_CHECKING:
-    from shallotfold._entry.state import EntryState
-
 LEAD_S = 0.2
 REPEAT_S = 1.0
 GRACE_S = 0.25
--- a/src/shallotfold/_entry/reconciling.py
+++ b/src/shallotfold/_entry/pools/reconciling.py
@@ -1,21 +1,14 @@
 """Make the picture of a pool agree with what entries say they run."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from shallotfold._entry import effects
-from shallotfold._entry import granting
-from shallotfold._entry import membership
-from shallotfold._entry.pool_state import LOWEST_TIER
-from shallotfold._entry.pool_state import Pool
-from shallotfold._entry.pool_state import RunningGrant
-from shallotfold._entry.pool_state import get_pool
+from shallotfold._entry.membership import membership
+from shallotfold._entry.pools import granting
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.pool_state import LOWEST_TIER
+from shallotfold._entry.state.pool_state import Pool
+from shallotfold._entry.state.pool_state import RunningGrant
 from shallotfold._wire import grant_messages
 
-if TYPE_CHECKING:
-    from shallotfold._entry.state import EntryState
-
 UNSEEN_S = 16.0
 ENDED_MEMORY_S = 20.0
 ANNOUNCED_LATE_S = 1.0
@@ -28,7 +21,7 @@
     now_s: float,
 ) -> list[effects.Effect]:
     """Make the picture of a pool agree with what an entry says it runs."""
-    pool = get_pool(state, message.pool)
+    pool = state.pools.pool(message.pool)
     listed = set()
     for attempt in message.attempts:
         key = (attempt.request_id, attempt.attempt)
--- a/src/shallotfold/_entry/routing.py
+++ b/src/shallotfold/_entry/pools/routing.py
@@ -1,20 +1,14 @@
 """Choose the upstream for a granted request."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 import attrs
 
-from shallotfold._entry import ownership
-from shallotfold._entry.pool_queue import QueuedGrant
-from shallotfold._entry.pool_state import Pool
-from shallotfold._entry.upstream_health import UpstreamHealth
+from shallotfold._entry.pools import ownership
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.pool_queue import QueuedGrant
+from shallotfold._entry.state.pool_state import Pool
+from shallotfold._entry.state.upstream_health import UpstreamHealth
 from shallotfold._model.configuration import Upstream
 
-if TYPE_CHECKING:
-    from shallotfold._entry.state import EntryState
-
 HARMLESS_LOAD = 0.7
 PRICE_WEIGHT = 0.5
 UNPROBED_PENALTY_S = 0.5
--- /dev/null
+++ b/src/shallotfold/_entry/reducing/__init__.py
@@ -0,0 +1,1 @@
+"""Pass events to the parts of the reducer."""
--- /dev/null
+++ b/src/shallotfold/_entry/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Take requests from their arrival to their final answer."""
--- a/src/shallotfold/_entry/admission.py
+++ b/src/shallotfold/_entry/requests/admission.py
@@ -1,25 +1,20 @@
 """Decide whether a request may be served at all."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
 import zlib
 
 import attrs
 
-from shallotfold._entry import keys
-from shallotfold._entry import limits
-from shallotfold._entry import pools
-from shallotfold._entry.catalog import service_of
+from shallotfold._entry.pools import pools
+from shallotfold._entry.requests import keys
+from shallotfold._entry.requests import limits
+from shallotfold._entry.state.catalog import service_of
+from shallotfold._entry.state.entry_state import EntryState
 from shallotfold._model.configuration import Route
 from shallotfold._model.configuration import Workspace
 from shallotfold._model.requests import CallerRequest
 from shallotfold._model.requests import Refusal
 from shallotfold._model.requests import RefusalCode
 
-if TYPE_CHECKING:
-    from shallotfold._entry.state import EntryState
-
 SHUTDOWN_RETRY_AFTER_S = 1.0
 NO_UPSTREAM_RETRY_AFTER_S = 5.0
 
--- a/src/shallotfold/_entry/asking.py
+++ b/src/shallotfold/_entry/requests/asking.py
@@ -1,20 +1,14 @@
 """Ask the owners of pools for grants and keep them informed."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from shallotfold._entry import effects
-from shallotfold._entry import open_requests
-from shallotfold._entry import ownership
-from shallotfold._entry.open_requests import OpenRequest
-from shallotfold._entry.open_requests import Phase
+from shallotfold._entry.pools import ownership
+from shallotfold._entry.requests import latest_start
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.open_requests import OpenRequest
+from shallotfold._entry.state.open_requests import Phase
 from shallotfold._model.requests import Outcome
 from shallotfold._wire import grant_messages
 
-if TYPE_CHECKING:
-    from shallotfold._entry.state import EntryState
-
 REPEAT_INTERVAL_S = 2.0
 QUEUED_REPEAT_INTERVAL_S = 10.0
 OWNER_SILENCE_S = 0.1
@@ -78,7 +72,7 @@
         prefix_digests=request.prefix_digests,
         repeatable=request.idempotent,
         avoid=opened.avoid,
-        slack_s=open_requests.latest_start_s(state, opened) - now_s,
+        slack_s=latest_start.latest_start_s(state, opened) - now_s,
         preemptible=opened.resumable,
         redirects=redirects,
     )
--- a/src/shallotfold/_entry/attempts.py
+++ b/src/shallotfold/_entry/requests/attempts.py
@@ -1,20 +1,14 @@
 """Start, watch and end single attempts of a request on upstreams."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
-from shallotfold._entry import asking
 from shallotfold._entry import effects
-from shallotfold._entry.open_requests import OpenRequest
-from shallotfold._entry.open_requests import Phase
+from shallotfold._entry import events
+from shallotfold._entry.requests import asking
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.open_requests import OpenRequest
+from shallotfold._entry.state.open_requests import Phase
 from shallotfold._model.configuration import Upstream
 from shallotfold._model.requests import Outcome
 
-if TYPE_CHECKING:
-    from shallotfold._entry import events
-    from shallotfold._entry.state import EntryState
-
 MAX_FAILURES = 4
 MIN_STALL_S = 2.0
 STALL_FACTOR = 5.0
--- a/src/shallotfold/_entry/claiming.py
+++ b/src/shallotfold/_entry/requests/claiming.py
@@ -1,23 +1,17 @@
 """Claim idempotency keys before requests are dispatched."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
-from shallotfold._entry import asking
 from shallotfold._entry import effects
-from shallotfold._entry import endings
-from shallotfold._entry import limits
-from shallotfold._entry.open_requests import OpenRequest
-from shallotfold._entry.open_requests import Phase
+from shallotfold._entry import events
+from shallotfold._entry.requests import asking
+from shallotfold._entry.requests import endings
+from shallotfold._entry.requests import limits
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.open_requests import OpenRequest
+from shallotfold._entry.state.open_requests import Phase
 from shallotfold._model.requests import Outcome
 from shallotfold._model.requests import Refusal
 from shallotfold._model.requests import RefusalCode
 
-if TYPE_CHECKING:
-    from shallotfold._entry import events
-    from shallotfold._entry.state import EntryState
-
 RETRY_AFTER_S = 1.0
 
 
--- a/src/shallotfold/_entry/endings.py
+++ b/src/shallotfold/_entry/requests/endings.py
@@ -1,24 +1,18 @@
 """End requests: with a whole answer, a refusal, or nothing."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
-from shallotfold._entry import asking
-from shallotfold._entry import attempts
 from shallotfold._entry import effects
-from shallotfold._entry import limits
-from shallotfold._entry import usage
-from shallotfold._entry.open_requests import OpenRequest
-from shallotfold._entry.open_requests import Phase
+from shallotfold._entry import events
+from shallotfold._entry.requests import asking
+from shallotfold._entry.requests import attempts
+from shallotfold._entry.requests import limits
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.open_requests import OpenRequest
+from shallotfold._entry.state.open_requests import Phase
+from shallotfold._entry.usage import usage
 from shallotfold._model.requests import Outcome
 from shallotfold._model.requests import Refusal
 from shallotfold._model.requests import RefusalCode
 
-if TYPE_CHECKING:
-    from shallotfold._entry import events
-    from shallotfold._entry.state import EntryState
-
 
 def give_up(
     state: EntryState, opened: OpenRequest, now_s: float, retry_after_s: float
--- a/src/shallotfold/_entry/keys.py
+++ b/src/shallotfold/_entry/requests/keys.py
@@ -1,19 +1,13 @@
 """Decide which workspace a key entitles to what."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
-from shallotfold._entry import freshness
+from shallotfold._entry.membership import freshness
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.open_requests import OpenRequest
 from shallotfold._model.configuration import Configuration
 from shallotfold._model.configuration import Workspace
 from shallotfold._model.requests import Refusal
 from shallotfold._model.requests import RefusalCode
 
-if TYPE_CHECKING:
-    from shallotfold._entry.open_requests import OpenRequest
-    from shallotfold._entry.state import EntryState
-
 STALE_RETRY_AFTER_S = 2.0
 
 
--- a/src/shallotfold/_entry/owner_answers.py
+++ b/src/shallotfold/_entry/requests/owner_answers.py
@@ -1,23 +1,17 @@
 """Act on what the owners of pools answer."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
-from shallotfold._entry import asking
-from shallotfold._entry import attempts
 from shallotfold._entry import effects
-from shallotfold._entry import endings
-from shallotfold._entry import pools
-from shallotfold._entry.open_requests import OpenRequest
-from shallotfold._entry.open_requests import Phase
+from shallotfold._entry import events
+from shallotfold._entry.pools import pools
+from shallotfold._entry.requests import asking
+from shallotfold._entry.requests import attempts
+from shallotfold._entry.requests import endings
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.open_requests import OpenRequest
+from shallotfold._entry.state.open_requests import Phase
 from shallotfold._model.requests import Refusal
 from shallotfold._wire import grant_messages
 
-if TYPE_CHECKING:
-    from shallotfold._entry import events
-    from shallotfold._entry.state import EntryState
-
 
 def on_message(
     state: EntryState, event: events.PeerMessageReceived
--- a/src/shallotfold/_entry/requests.py
+++ b/src/shallotfold/_entry/requests/requests.py
@@ -1,27 +1,21 @@
 """Follow a caller's request from its arrival to its final answer."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
-from shallotfold._entry import admission
-from shallotfold._entry import asking
-from shallotfold._entry import attempts
-from shallotfold._entry import claiming
 from shallotfold._entry import effects
-from shallotfold._entry import endings
-from shallotfold._entry import open_requests
-from shallotfold._entry import usage
-from shallotfold._entry.open_requests import OpenRequest
-from shallotfold._entry.open_requests import Phase
+from shallotfold._entry import events
+from shallotfold._entry.requests import admission
+from shallotfold._entry.requests import asking
+from shallotfold._entry.requests import attempts
+from shallotfold._entry.requests import claiming
+from shallotfold._entry.requests import endings
+from shallotfold._entry.requests import latest_start
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.open_requests import OpenRequest
+from shallotfold._entry.state.open_requests import Phase
+from shallotfold._entry.usage import usage
 from shallotfold._model.requests import Outcome
 from shallotfold._model.requests import Refusal
 from shallotfold._model.requests import RefusalCode
 
-if TYPE_CHECKING:
-    from shallotfold._entry import events
-    from shallotfold._entry.state import EntryState
-
 RETRY_AFTER_S = 1.0
 CLAIM_TIMEOUT_S = 5.0
 
@@ -190,7 +184,7 @@
 def _check_waiting(
     state: EntryState, opened: OpenRequest, now_s: float
 ) -> list[effects.Effect]:
-    if now_s > open_requests.latest_start_s(state, opened) + RETRY_AFTER_S:
+    if now_s > latest_start.latest_start_s(state, opened) + RETRY_AFTER_S:
         refusal = Refusal(
             code=RefusalCode.TARGET_MISSED,
             message="The target can no longer be met; repeat later.",
--- a/src/shallotfold/_entry/withdrawal.py
+++ b/src/shallotfold/_entry/requests/withdrawal.py
@@ -1,15 +1,9 @@
 """End open requests whose key no longer holds."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from shallotfold._entry import effects
-from shallotfold._entry import keys
-from shallotfold._entry import requests
-
-if TYPE_CHECKING:
-    from shallotfold._entry.state import EntryState
+from shallotfold._entry.requests import keys
+from shallotfold._entry.requests import requests
+from shallotfold._entry.state.entry_state import EntryState
 
 
 def end_unentitled(state: EntryState) -> list[effects.Effect]:
--- /dev/null
+++ b/src/shallotfold/_entry/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to callers and upstreams."""
--- a/src/shallotfold/_entry/exchange.py
+++ b/src/shallotfold/_entry/serving/exchange.py
@@ -1,23 +1,18 @@
 """Hold what the shell keeps of one caller's request until its final answer."""
 
-from __future__ import annotations
-
 import asyncio
+from collections.abc import Callable
 import time
-from typing import TYPE_CHECKING
 
 from aiohttp import web
 import attrs
 
 from shallotfold._entry import events
-from shallotfold._entry import headers
+from shallotfold._entry.serving import headers
 from shallotfold._model.requests import CallerRequest
 from shallotfold._model.requests import RecordedAnswer
 from shallotfold._model.requests import Refusal
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 TOKENS_REPORT_INTERVAL_S = 0.05
 # A transport holds back its writer from 64 KiB on.
 NO_WAIT_BYTES = 32 * 1024
--- a/src/shallotfold/_entry/exchanges.py
+++ b/src/shallotfold/_entry/serving/exchanges.py
@@ -6,11 +6,11 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry.exchange import Exchange
-from shallotfold._entry.exchange import Finished
-from shallotfold._entry.exchange import Refused
-from shallotfold._entry.exchange import Replayed
-from shallotfold._entry.shell import EntryShell
+from shallotfold._entry.serving.exchange import Exchange
+from shallotfold._entry.serving.exchange import Finished
+from shallotfold._entry.serving.exchange import Refused
+from shallotfold._entry.serving.exchange import Replayed
+from shallotfold._entry.serving.shell import EntryShell
 from shallotfold._model.requests import RecordedAnswer
 
 RunAttempt = Callable[
--- a/src/shallotfold/_entry/intake.py
+++ b/src/shallotfold/_entry/serving/intake.py
@@ -11,10 +11,10 @@
 from aiohttp import web
 import attrs
 
-from shallotfold._entry import headers
-from shallotfold._entry import parsing
-from shallotfold._entry.exchange import Exchange
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.serving import headers
+from shallotfold._entry.serving import parsing
+from shallotfold._entry.serving.exchange import Exchange
+from shallotfold._entry.state.entry_state import EntryState
 from shallotfold._model.configuration import Route
 from shallotfold._model.requests import CallerRequest
 from shallotfold._model.requests import Refusal
--- a/src/shallotfold/_entry/refusals.py
+++ b/src/shallotfold/_entry/serving/refusals.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from shallotfold._entry import headers
+from shallotfold._entry.serving import headers
 from shallotfold._model.requests import Outcome
 from shallotfold._model.requests import Refusal
 from shallotfold._model.requests import RefusalCode
--- a/src/shallotfold/_entry/shell.py
+++ b/src/shallotfold/_entry/serving/shell.py
@@ -12,8 +12,8 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry import reducer
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.reducing import reducer
+from shallotfold._entry.state.entry_state import EntryState
 from shallotfold._model.requests import Outcome
 from shallotfold._model.requests import Refusal
 from shallotfold._model.requests import RefusalCode
--- a/src/shallotfold/_entry/stream_relay.py
+++ b/src/shallotfold/_entry/serving/stream_relay.py
@@ -4,12 +4,12 @@
 import json
 
 from shallotfold._entry import events
-from shallotfold._entry.exchange import Exchange
-from shallotfold._entry.sse import END_DATA
-from shallotfold._entry.sse import Chunk
-from shallotfold._entry.sse import EventSplitter
-from shallotfold._entry.sse import StreamError
-from shallotfold._entry.sse import read_chunk
+from shallotfold._entry.serving.exchange import Exchange
+from shallotfold._entry.serving.sse import END_DATA
+from shallotfold._entry.serving.sse import Chunk
+from shallotfold._entry.serving.sse import EventSplitter
+from shallotfold._entry.serving.sse import StreamError
+from shallotfold._entry.serving.sse import read_chunk
 
 _SHARED_FIELDS = ("id", "created", "model")
 
--- a/src/shallotfold/_entry/upstream_client.py
+++ b/src/shallotfold/_entry/serving/upstream_client.py
@@ -16,13 +16,13 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry import headers
-from shallotfold._entry.exchange import Answer
-from shallotfold._entry.exchange import CallerGoneError
-from shallotfold._entry.exchange import Exchange
-from shallotfold._entry.sse import StreamError
-from shallotfold._entry.sse import usage_of
-from shallotfold._entry.stream_relay import StreamRelay
+from shallotfold._entry.serving import headers
+from shallotfold._entry.serving.exchange import Answer
+from shallotfold._entry.serving.exchange import CallerGoneError
+from shallotfold._entry.serving.exchange import Exchange
+from shallotfold._entry.serving.sse import StreamError
+from shallotfold._entry.serving.sse import usage_of
+from shallotfold._entry.serving.stream_relay import StreamRelay
 from shallotfold._errors import ShallotfoldError
 from shallotfold._model.requests import Outcome
 from shallotfold._settings.entry import AttemptSettings
--- a/src/shallotfold/_entry/upstream_watch.py
+++ b/src/shallotfold/_entry/serving/upstream_watch.py
@@ -9,8 +9,8 @@
 from typing import Protocol
 
 from shallotfold._entry import events
-from shallotfold._entry import pools
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.pools import pools
+from shallotfold._entry.state.entry_state import EntryState
 from shallotfold._errors import PlatformError
 from shallotfold._model.configuration import Upstream
 from shallotfold._services.http_cache_events import CacheEvents
--- /dev/null
+++ b/src/shallotfold/_entry/state/__init__.py
@@ -0,0 +1,1 @@
+"""Data that an entry holds; functions on it are in the other packages."""
--- a/src/shallotfold/_entry/state.py
+++ b/src/shallotfold/_entry/state/entry_state.py
@@ -2,13 +2,13 @@
 
 import attrs
 
-from shallotfold._entry.configuration import ConfigurationState
-from shallotfold._entry.demand import DemandState
-from shallotfold._entry.limits import LimitsState
-from shallotfold._entry.members import MembershipState
-from shallotfold._entry.open_requests import RequestsState
-from shallotfold._entry.pool_state import PoolsState
-from shallotfold._entry.usage_state import UsageState
+from shallotfold._entry.state.configuration_state import ConfigurationState
+from shallotfold._entry.state.demand_state import DemandState
+from shallotfold._entry.state.limits_state import LimitsState
+from shallotfold._entry.state.membership_state import MembershipState
+from shallotfold._entry.state.open_requests import RequestsState
+from shallotfold._entry.state.pool_state import PoolsState
+from shallotfold._entry.state.usage_state import UsageState
 
 
 @attrs.define(kw_only=True)
--- a/src/shallotfold/_entry/pool_queue.py
+++ b/src/shallotfold/_entry/state/pool_queue.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from shallotfold._entry.fair_share import FairShare
+from shallotfold._entry.state.fair_share import FairShare
 from shallotfold._wire.grant_messages import GrantRequest
 
 AttemptKey = tuple[str, int]
--- a/src/shallotfold/_entry/pool_state.py
+++ b/src/shallotfold/_entry/state/pool_state.py
@@ -1,22 +1,15 @@
 """Hold the state of the pools that an entry owns."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 import attrs
 
-from shallotfold._entry.catalog import Catalog
-from shallotfold._entry.estimates import Estimates
-from shallotfold._entry.pool_queue import AttemptKey
-from shallotfold._entry.pool_queue import PoolQueue
-from shallotfold._entry.prefix_index import PrefixIndex
-from shallotfold._entry.upstream_health import UpstreamHealth
+from shallotfold._entry.state.catalog import Catalog
+from shallotfold._entry.state.estimates import Estimates
+from shallotfold._entry.state.pool_queue import AttemptKey
+from shallotfold._entry.state.pool_queue import PoolQueue
+from shallotfold._entry.state.prefix_index import PrefixIndex
+from shallotfold._entry.state.upstream_health import UpstreamHealth
 from shallotfold._model.upstreams import HostRecord
 
-if TYPE_CHECKING:
-    from shallotfold._entry.state import EntryState
-
 # Tier of a class that the configuration does not know (yet).
 LOWEST_TIER = 5
 
@@ -127,10 +120,9 @@
     prefixes: PrefixIndex = attrs.field(factory=PrefixIndex)
     judged_s: float = 0.0
 
-
-def get_pool(state: EntryState, name: str) -> Pool:
-    """Return a pool of this entry, new if it was never asked about."""
-    pool = state.pools.pools_by_name.get(name)
-    if pool is None:
-        pool = state.pools.pools_by_name[name] = Pool(name=name)
-    return pool
+    def pool(self, name: str) -> Pool:
+        """Return a pool of this entry, new if it was never asked about."""
+        pool = self.pools_by_name.get(name)
+        if pool is None:
+            pool = self.pools_by_name[name] = Pool(name=name)
+        return pool
--- /dev/null
+++ b/src/shallotfold/_entry/store/__init__.py
@@ -0,0 +1,1 @@
+"""Call the store on behalf of the reducer."""
--- a/src/shallotfold/_entry/configuration_sync.py
+++ b/src/shallotfold/_entry/store/configuration_sync.py
@@ -12,8 +12,8 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry.configuration_parts import split_into_parts
-from shallotfold._entry.configuration_parts import unpack_document
+from shallotfold._entry.state.configuration_parts import split_into_parts
+from shallotfold._entry.state.configuration_parts import unpack_document
 from shallotfold._errors import FrameError
 from shallotfold._errors import InvalidInputError
 from shallotfold._errors import PlatformError
--- a/src/shallotfold/_entry/store_parts.py
+++ b/src/shallotfold/_entry/store_parts.py
@@ -6,11 +6,11 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry.claim_runner import ClaimRunner
-from shallotfold._entry.exchanges import Exchanges
-from shallotfold._entry.shell import EntryShell
-from shallotfold._entry.shell import Part
-from shallotfold._entry.usage_flusher import UsageFlusher
+from shallotfold._entry.serving.exchanges import Exchanges
+from shallotfold._entry.serving.shell import EntryShell
+from shallotfold._entry.serving.shell import Part
+from shallotfold._entry.store.claim_runner import ClaimRunner
+from shallotfold._entry.store.usage_flusher import UsageFlusher
 from shallotfold._services.http_store import HttpStore
 from shallotfold._settings.entry import EntrySettings
 
--- /dev/null
+++ b/src/shallotfold/_entry/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Count what was served and asked for."""
--- a/src/shallotfold/_entry/demand.py
+++ b/src/shallotfold/_entry/usage/demand.py
@@ -1,31 +1,10 @@
 """Count the output tokens that callers ask for, by model and class."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
-import attrs
-
+from shallotfold._entry import effects
+from shallotfold._entry import events
+from shallotfold._entry.state.entry_state import EntryState
 from shallotfold._fleet.usage_flush import ModelDemand
 
-if TYPE_CHECKING:
-    from shallotfold._entry import effects
-    from shallotfold._entry import events
-    from shallotfold._entry.state import EntryState
-
-
-@attrs.define(kw_only=True)
-class DemandState:
-    """Cumulative demand at this entry.
-
-    Attributes:
-        asked_by_key: Estimated output tokens asked for, by model and class.
-        fresh: Whether something was asked for since the last flush.
-    """
-
-    asked_by_key: dict[tuple[str, str], int] = attrs.field(factory=dict)
-    fresh: bool = False
-
 
 def on_arrival(
     state: EntryState, event: events.RequestArrived
--- a/src/shallotfold/_entry/usage.py
+++ b/src/shallotfold/_entry/usage/usage.py
@@ -5,24 +5,18 @@
 while that peer lives. One flush carries all counts to the store.
 """
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 import attrs
 
-from shallotfold._entry import demand
 from shallotfold._entry import effects
-from shallotfold._entry import usage_held
-from shallotfold._entry import usage_holds
-from shallotfold._entry.usage_state import UsageState
+from shallotfold._entry import events
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.usage_state import UsageState
+from shallotfold._entry.usage import demand
+from shallotfold._entry.usage import usage_held
+from shallotfold._entry.usage import usage_holds
 from shallotfold._wire import usage_messages
 from shallotfold._wire.usage_messages import UsageCount
 
-if TYPE_CHECKING:
-    from shallotfold._entry import events
-    from shallotfold._entry.state import EntryState
-
 FLUSH_INTERVAL_S = 3.0
 MAX_FLUSH_INTERVAL_S = 25.0
 FLUSH_BYTES_PER_S = 1000.0
--- a/src/shallotfold/_entry/usage_held.py
+++ b/src/shallotfold/_entry/usage/usage_held.py
@@ -1,19 +1,13 @@
 """Hold counts for peers, and write those of a lost peer to the store."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from shallotfold._entry import effects
-from shallotfold._entry import membership
-from shallotfold._entry.usage_state import HeldSource
+from shallotfold._entry import events
+from shallotfold._entry.membership import membership
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.usage_state import HeldSource
 from shallotfold._fleet.usage_flush import larger_count
 from shallotfold._wire import usage_messages
 
-if TYPE_CHECKING:
-    from shallotfold._entry import events
-    from shallotfold._entry.state import EntryState
-
 LOST_HOST_S = 3.0
 MAX_AGE_S = 120.0
 WRITE_RETRY_S = 3.0
--- a/src/shallotfold/_entry/usage_holds.py
+++ b/src/shallotfold/_entry/usage/usage_holds.py
@@ -1,20 +1,15 @@
 """Let a peer hold our counts before the caller has the whole answer."""
 
-from __future__ import annotations
-
 import hashlib
-from typing import TYPE_CHECKING
 
 from shallotfold._entry import effects
-from shallotfold._entry import membership
-from shallotfold._entry.usage_state import OpenHold
-from shallotfold._entry.usage_state import WaitingAnswer
+from shallotfold._entry import events
+from shallotfold._entry.membership import membership
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.usage_state import OpenHold
+from shallotfold._entry.state.usage_state import WaitingAnswer
 from shallotfold._wire import usage_messages
 
-if TYPE_CHECKING:
-    from shallotfold._entry import events
-    from shallotfold._entry.state import EntryState
-
 HOLD_TIMEOUT_S = 0.05
 HOLD_RETRY_S = 0.5
 AVOID_S = 10.0
--- a/tests/controller/test_usage.py
+++ b/tests/controller/test_usage.py
@@ -7,8 +7,8 @@
 import pytest
 
 from shallotfold._controller import usage_sources
-from shallotfold._entry import usage as entry_usage
-from shallotfold._entry import usage_holds
+from shallotfold._entry.usage import usage as entry_usage
+from shallotfold._entry.usage import usage_holds
 from shallotfold._fleet.audit import AuditFilter
 from shallotfold._fleet.audit import read_records
 from shallotfold._standin.store import StoreFault
--- a/tests/controller/usage_simulation.py
+++ b/tests/controller/usage_simulation.py
@@ -9,10 +9,10 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry import reducer
-from shallotfold._entry import usage
-from shallotfold._entry.state import EntryState
-from shallotfold._entry.usage_flusher import UsageFlusher
+from shallotfold._entry.reducing import reducer
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.store.usage_flusher import UsageFlusher
+from shallotfold._entry.usage import usage
 from tests.controller.simulation import STEP_S
 from tests.controller.simulation import TURNS_PER_STEP
 from tests.controller.simulation import Lifeline
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -5,7 +5,7 @@
 import pytest
 
 from benchmarks import capacity
-from shallotfold._entry.refusals import status_of
+from shallotfold._entry.serving.refusals import status_of
 from shallotfold._model import requests
 
 ROOT = pathlib.Path(__file__).parents[2]
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -10,11 +10,11 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry import reducer
-from shallotfold._entry.configuration_parts import split_into_parts
-from shallotfold._entry.configuration_parts import unpack_document
-from shallotfold._entry.neighbours import choose_neighbours
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.reducing import reducer
+from shallotfold._entry.state.configuration_parts import split_into_parts
+from shallotfold._entry.state.configuration_parts import unpack_document
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.neighbours import choose_neighbours
 from shallotfold._model.configuration import Configuration
 from shallotfold._model.configuration import KeyDigest
 from shallotfold._model.configuration import RequestClass
--- a/tests/entry/live_fleet.py
+++ b/tests/entry/live_fleet.py
@@ -10,12 +10,12 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry.configuration_sync import ConfigurationSync
-from shallotfold._entry.host_sync import HostSync
-from shallotfold._entry.peer_network import PeerNetwork
-from shallotfold._entry.peer_network import PeerNetworkSettings
-from shallotfold._entry.shell import EntryShell
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.peers.host_sync import HostSync
+from shallotfold._entry.peers.peer_network import PeerNetwork
+from shallotfold._entry.peers.peer_network import PeerNetworkSettings
+from shallotfold._entry.serving.shell import EntryShell
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.store.configuration_sync import ConfigurationSync
 from shallotfold._errors import StoreUnavailableError
 from shallotfold._model.requests import CallerRequest
 from shallotfold._model.upstreams import HostRecord
--- a/tests/entry/test_membership.py
+++ b/tests/entry/membership/test_membership.py
@@ -1,10 +1,10 @@
 import pytest
 
 from shallotfold._entry import events
-from shallotfold._entry import membership
-from shallotfold._entry import reach
-from shallotfold._entry import reducer
-from shallotfold._entry.neighbours import choose_neighbours
+from shallotfold._entry.membership import membership
+from shallotfold._entry.reducing import reducer
+from shallotfold._entry.state import reach
+from shallotfold._entry.state.neighbours import choose_neighbours
 from shallotfold._wire.control_messages import Heartbeat
 from tests.entry.fleet import Fleet
 from tests.entry.fleet import make_fleet
--- a/tests/entry/test_operator_server.py
+++ b/tests/entry/operators/test_operator_server.py
@@ -1,9 +1,9 @@
 import hashlib
 import pathlib
 
-from shallotfold._entry.explanations import Explanations
+from shallotfold._entry.operators.explanations import Explanations
 from shallotfold._settings.entry import OperatorPortSettings
-from tests.entry import serving as s
+from tests.entry import served_entry as s
 
 OPERATOR_KEY = "op-0123456789"
 SETTINGS = OperatorPortSettings(
--- a/tests/entry/test_status_page.py
+++ b/tests/entry/operators/test_status_page.py
@@ -4,23 +4,23 @@
 import aiohttp
 
 from shallotfold._entry import effects
-from shallotfold._entry import status_page
-from shallotfold._entry.attainment import Attainment
-from shallotfold._entry.attainment import Tally
-from shallotfold._entry.catalog import Catalog
-from shallotfold._entry.pool_queue import QueuedGrant
-from shallotfold._entry.pool_state import Pool
-from shallotfold._entry.pool_state import RunningGrant
-from shallotfold._entry.state import EntryState
-from shallotfold._entry.upstream_health import UpstreamHealth
+from shallotfold._entry.operators import status_page
+from shallotfold._entry.operators.attainment import Attainment
+from shallotfold._entry.operators.attainment import Tally
+from shallotfold._entry.state.catalog import Catalog
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.state.pool_queue import QueuedGrant
+from shallotfold._entry.state.pool_state import Pool
+from shallotfold._entry.state.pool_state import RunningGrant
+from shallotfold._entry.state.upstream_health import UpstreamHealth
 from shallotfold._model.configuration import Configuration
 from shallotfold._model.configuration import RequestClass
 from shallotfold._model.configuration import Targets
 from shallotfold._model.configuration import Upstream
 from shallotfold._wire.grant_messages import GrantRequest
-from tests.entry import serving as s
-from tests.entry.test_operator_server import OPERATOR_KEY
-from tests.entry.test_operator_server import SETTINGS
+from tests.entry import served_entry as s
+from tests.entry.operators.test_operator_server import OPERATOR_KEY
+from tests.entry.operators.test_operator_server import SETTINGS
 
 EVIL = '<script>alert("1")</script>\'&'
 
--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/peers/test_peer_network.py
@@ -9,10 +9,10 @@
 import pytest
 
 from shallotfold._entry import events
-from shallotfold._entry import peer_network
-from shallotfold._entry import peer_stream
-from shallotfold._entry.peer_network import PeerNetwork
-from shallotfold._entry.peer_network import PeerNetworkSettings
+from shallotfold._entry.peers import peer_network
+from shallotfold._entry.peers import peer_stream
+from shallotfold._entry.peers.peer_network import PeerNetwork
+from shallotfold._entry.peers.peer_network import PeerNetworkSettings
 from shallotfold._errors import HandshakeError
 from shallotfold._model.upstreams import HostRecord
 from shallotfold._model.upstreams import HostRole
--- a/tests/entry/test_pools.py
+++ b/tests/entry/pools/test_pools.py
@@ -2,14 +2,14 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry import floors
-from shallotfold._entry import judging
-from shallotfold._entry.fair_share import FairShare
-from shallotfold._entry.limits import SlidingCount
-from shallotfold._entry.ownership import rendezvous
-from shallotfold._entry.prefix_index import PrefixIndex
-from shallotfold._entry.upstream_health import UpstreamHealth
-from shallotfold._entry.upstream_health import eject_stragglers
+from shallotfold._entry.pools import floors
+from shallotfold._entry.pools import judging
+from shallotfold._entry.pools.ownership import rendezvous
+from shallotfold._entry.state.fair_share import FairShare
+from shallotfold._entry.state.limits_state import SlidingCount
+from shallotfold._entry.state.prefix_index import PrefixIndex
+from shallotfold._entry.state.upstream_health import UpstreamHealth
+from shallotfold._entry.state.upstream_health import eject_stragglers
 from shallotfold._model.requests import Outcome
 from shallotfold._model.requests import RefusalCode
 from shallotfold._model.upstreams import HostRecord
@@ -17,12 +17,12 @@
 from shallotfold._model.upstreams import HostState
 from shallotfold._model.upstreams import UpstreamLoad
 from shallotfold._wire import grant_messages
-from tests.entry.reducing import CONFIGURATION
-from tests.entry.reducing import Entry
-from tests.entry.reducing import make_entry
-from tests.entry.reducing import make_upstream
-from tests.entry.reducing import refusals
-from tests.entry.reducing import started
+from tests.entry.reducer_driver import CONFIGURATION
+from tests.entry.reducer_driver import Entry
+from tests.entry.reducer_driver import make_entry
+from tests.entry.reducer_driver import make_upstream
+from tests.entry.reducer_driver import refusals
+from tests.entry.reducer_driver import started
 
 
 def test_higher_tier_goes_first() -> None:
--- a/tests/entry/test_configuration.py
+++ b/tests/entry/reducing/test_configuration.py
@@ -6,14 +6,14 @@
 from hypothesis.stateful import rule
 import pytest
 
-from shallotfold._entry import configuration_parts
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry import reducer
-from shallotfold._entry.configuration_parts import Assembly
-from shallotfold._entry.configuration_parts import split_into_parts
-from shallotfold._entry.configuration_parts import unpack_document
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.reducing import reducer
+from shallotfold._entry.state import configuration_parts
+from shallotfold._entry.state.configuration_parts import Assembly
+from shallotfold._entry.state.configuration_parts import split_into_parts
+from shallotfold._entry.state.configuration_parts import unpack_document
+from shallotfold._entry.state.entry_state import EntryState
 from shallotfold._errors import FrameError
 from shallotfold._model.serialization import document_sha256
 from shallotfold._model.serialization import dump_configuration
--- a/tests/entry/test_state_machine.py
+++ b/tests/entry/reducing/test_state_machine.py
@@ -12,8 +12,8 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry import reducer
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.reducing import reducer
+from shallotfold._entry.state.entry_state import EntryState
 from shallotfold._model.configuration import Configuration
 from shallotfold._model.configuration import KeyDigest
 from shallotfold._model.configuration import RequestClass
--- a/tests/entry/test_keys.py
+++ b/tests/entry/requests/test_keys.py
@@ -5,11 +5,11 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry import freshness
-from shallotfold._entry import keys
-from shallotfold._entry import membership
-from shallotfold._entry import reducer
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.membership import freshness
+from shallotfold._entry.membership import membership
+from shallotfold._entry.reducing import reducer
+from shallotfold._entry.requests import keys
+from shallotfold._entry.state.entry_state import EntryState
 from shallotfold._model.configuration import Configuration
 from shallotfold._model.configuration import RequestClass
 from shallotfold._model.configuration import Route
--- a/tests/entry/test_limits.py
+++ b/tests/entry/requests/test_limits.py
@@ -9,10 +9,10 @@
 from shallotfold._entry import events
 from shallotfold._model.configuration import Limits
 from shallotfold._model.requests import Outcome
-from tests.entry.reducing import CONFIGURATION
-from tests.entry.reducing import make_entry
-from tests.entry.reducing import make_workspace
-from tests.entry.reducing import refusals
+from tests.entry.reducer_driver import CONFIGURATION
+from tests.entry.reducer_driver import make_entry
+from tests.entry.reducer_driver import make_workspace
+from tests.entry.reducer_driver import refusals
 
 HOSTS = ("e1", "e2", "e3", "e4")
 LIMIT = 60
--- a/tests/entry/test_requests.py
+++ b/tests/entry/requests/test_requests.py
@@ -3,17 +3,17 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry import retry_budget
+from shallotfold._entry.state import retry_budget
 from shallotfold._model.requests import Outcome
 from shallotfold._model.requests import RecordedAnswer
 from shallotfold._model.requests import RefusalCode
 from shallotfold._wire import grant_messages
-from tests.entry.reducing import CONFIGURATION
-from tests.entry.reducing import Entry
-from tests.entry.reducing import make_entry
-from tests.entry.reducing import make_upstream
-from tests.entry.reducing import refusals
-from tests.entry.reducing import started
+from tests.entry.reducer_driver import CONFIGURATION
+from tests.entry.reducer_driver import Entry
+from tests.entry.reducer_driver import make_entry
+from tests.entry.reducer_driver import make_upstream
+from tests.entry.reducer_driver import refusals
+from tests.entry.reducer_driver import started
 
 
 def claim(entry: Entry, request_id: str) -> list[effects.Effect]:
--- a/tests/entry/test_callers.py
+++ b/tests/entry/serving/test_callers.py
@@ -13,7 +13,7 @@
 from shallotfold._settings.addresses import Address
 from shallotfold._settings.common import LogSettings
 from shallotfold._settings.entry import CallerSettings
-from tests.entry import serving as s
+from tests.entry import served_entry as s
 
 
 def free_port() -> int:
--- a/tests/entry/test_parsing.py
+++ b/tests/entry/serving/test_parsing.py
@@ -5,11 +5,11 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from shallotfold._entry.parsing import RejectedRequestError
-from shallotfold._entry.parsing import parse_model_body
-from shallotfold._entry.sse import EventSplitter
-from shallotfold._entry.sse import StreamError
-from shallotfold._entry.sse import read_chunk
+from shallotfold._entry.serving.parsing import RejectedRequestError
+from shallotfold._entry.serving.parsing import parse_model_body
+from shallotfold._entry.serving.sse import EventSplitter
+from shallotfold._entry.serving.sse import StreamError
+from shallotfold._entry.serving.sse import read_chunk
 
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
--- a/tests/entry/test_upstream_client.py
+++ b/tests/entry/serving/test_upstream_client.py
@@ -12,7 +12,7 @@
 from shallotfold._model.requests import Outcome
 from shallotfold._settings.entry import AttemptSettings
 from shallotfold._settings.entry import CallerSettings
-from tests.entry import serving as s
+from tests.entry import served_entry as s
 
 
 def chat_url(served: s.Serving) -> str:
--- a/tests/entry/test_upstream_watch.py
+++ b/tests/entry/serving/test_upstream_watch.py
@@ -3,14 +3,14 @@
 import pytest
 
 from shallotfold._entry import events
-from shallotfold._entry import upstream_watch
-from shallotfold._entry.state import EntryState
-from shallotfold._entry.upstream_watch import UpstreamWatch
+from shallotfold._entry.serving import upstream_watch
+from shallotfold._entry.serving.upstream_watch import UpstreamWatch
+from shallotfold._entry.state.entry_state import EntryState
 from shallotfold._errors import PlatformError
 from shallotfold._model.upstreams import UpstreamLoad
 from shallotfold._services.http_cache_events import CacheEvent
 from shallotfold._services.http_cache_events import CacheEvents
-from tests.entry import serving as s
+from tests.entry import served_entry as s
 
 LOAD = UpstreamLoad(running=1, queued=0, slots=8)
 
--- a/tests/entry/test_catalog.py
+++ b/tests/entry/state/test_catalog.py
@@ -1,4 +1,4 @@
-from shallotfold._entry.catalog import build_catalog
+from shallotfold._entry.state.catalog import build_catalog
 from shallotfold._model.configuration import Configuration
 from shallotfold._model.configuration import Offer
 from shallotfold._model.upstreams import HostRecord
--- a/tests/entry/test_claim_runner.py
+++ b/tests/entry/store/test_claim_runner.py
@@ -5,10 +5,10 @@
 import attrs
 import pytest
 
-from shallotfold._entry import claim_runner
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry.claim_runner import ClaimRunner
+from shallotfold._entry.store import claim_runner
+from shallotfold._entry.store.claim_runner import ClaimRunner
 from shallotfold._fleet import claims
 from shallotfold._model.requests import Outcome
 from shallotfold._model.requests import RecordedAnswer
--- a/tests/entry/test_configuration_sync.py
+++ b/tests/entry/store/test_configuration_sync.py
@@ -6,14 +6,14 @@
 import attrs
 import pytest
 
-from shallotfold._entry import configuration_sync
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry import host_sync
-from shallotfold._entry.configuration_parts import split_into_parts
-from shallotfold._entry.configuration_sync import ConfigurationSync
-from shallotfold._entry.configuration_sync import watch_time_s
-from shallotfold._entry.host_sync import HostSync
+from shallotfold._entry.peers import host_sync
+from shallotfold._entry.peers.host_sync import HostSync
+from shallotfold._entry.state.configuration_parts import split_into_parts
+from shallotfold._entry.store import configuration_sync
+from shallotfold._entry.store.configuration_sync import ConfigurationSync
+from shallotfold._entry.store.configuration_sync import watch_time_s
 from shallotfold._errors import PlatformError
 from shallotfold._fleet.chunk_loader import pack_chunks
 from shallotfold._fleet.chunking import split_document
--- a/tests/entry/test_fleet_parts.py
+++ b/tests/entry/test_fleet_parts.py
@@ -1,13 +1,13 @@
 import asyncio
 
 from shallotfold._entry import effects
-from shallotfold._entry.configuration_sync import ConfigurationSync
 from shallotfold._entry.fleet_parts import make_fleet_parts
-from shallotfold._entry.host_sync import HostSync
-from shallotfold._entry.peer_network import PeerNetwork
+from shallotfold._entry.peers.host_sync import HostSync
+from shallotfold._entry.peers.peer_network import PeerNetwork
 from shallotfold._entry.process import EntryProcess
-from shallotfold._entry.shell import EntryShell
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.serving.shell import EntryShell
+from shallotfold._entry.state.entry_state import EntryState
+from shallotfold._entry.store.configuration_sync import ConfigurationSync
 from shallotfold._settings.addresses import Address
 from shallotfold._settings.common import PlatformSettings
 from shallotfold._settings.entry import EntrySettings
--- a/tests/entry/test_live_fleet.py
+++ b/tests/entry/test_live_fleet.py
@@ -2,8 +2,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
-from shallotfold._entry import membership
-from shallotfold._entry.freshness import FRESH_LIMIT_S
+from shallotfold._entry.membership import membership
+from shallotfold._entry.membership.freshness import FRESH_LIMIT_S
 from shallotfold._fleet.configuration_store import ConfigurationStore
 from shallotfold._model.serialization import dump_configuration
 from shallotfold._standin.store import StoreFault
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -9,8 +9,8 @@
 
 from shallotfold._entry import effects
 from shallotfold._entry import events
-from shallotfold._entry import reducer
-from shallotfold._entry.state import EntryState
+from shallotfold._entry.reducing import reducer
+from shallotfold._entry.state.entry_state import EntryState
 from shallotfold._fleet.configuration_store import ConfigurationStore
 from shallotfold._model.serialization import dump_configuration
 from shallotfold._services.http_store import HttpStore
@@ -18,7 +18,7 @@
 from shallotfold._settings.common import PlatformSettings
 from shallotfold._settings.standin import PlatformStandinSettings
 from shallotfold._standin.platform_http import make_platform_server
-from tests.entry import serving as s
+from tests.entry import served_entry as s
 
 
 @contextlib.asynccontextmanager
