Split the gateway by job, with imports in one direction

40 modules lay side by side and two imported each other (a relay named the gateway's type). The relay now says what it needs of its owner. Packages: core, http, deciding, duties, serving, peers, following. Nothing else changes.

--- a/src/shallotfold/_cli/gateway_main.py
+++ b/src/shallotfold/_cli/gateway_main.py
@@ -10,8 +10,8 @@
 from shallotfold._cli.common import make_parser
 from shallotfold._cli.common import run_guarded
 from shallotfold._errors import UsageError
+from shallotfold._gateway.core.settings import GatewaySettings
 from shallotfold._gateway.process import GatewayProcess
-from shallotfold._gateway.settings import GatewaySettings
 from shallotfold._runtime.loop import run_process
 from shallotfold.platform import names
 from shallotfold.platform.documents import PlatformDialect
--- /dev/null
+++ b/src/shallotfold/_gateway/core/__init__.py
@@ -0,0 +1,1 @@
+"""What all parts of the gateway share."""
--- a/src/shallotfold/_gateway/decision_log.py
+++ b/src/shallotfold/_gateway/core/decision_log.py
@@ -10,7 +10,7 @@
 
 from loguru import logger
 
-from shallotfold._gateway.clocks import boot_s
+from shallotfold._gateway.core.clocks import boot_s
 
 if TYPE_CHECKING:
     from loguru import Message
--- a/src/shallotfold/_gateway/ports.py
+++ b/src/shallotfold/_gateway/core/ports.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from shallotfold._gateway.model import GatewayConfiguration
-from shallotfold._gateway.model import Upstream
-from shallotfold._gateway.wire_names import HeaderNames
+from shallotfold._gateway.core.model import GatewayConfiguration
+from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.core.wire_names import HeaderNames
 from shallotfold._services.ports import Store
 from shallotfold._services.ports import StoreChanges
 
--- /dev/null
+++ b/src/shallotfold/_gateway/deciding/__init__.py
@@ -0,0 +1,1 @@
+"""Decide where requests go; no network."""
--- a/src/shallotfold/_gateway/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -10,14 +10,14 @@
 
 import attrs
 
-from shallotfold._gateway import effects
-from shallotfold._gateway import events
-from shallotfold._gateway.model import Prompt
-from shallotfold._gateway.model import Route
-from shallotfold._gateway.model import RouteKind
-from shallotfold._gateway.model import Upstream
-from shallotfold._gateway.placement import Placement
-from shallotfold._gateway.retry_budget import FleetRetryBudget
+from shallotfold._gateway.core.model import Prompt
+from shallotfold._gateway.core.model import Route
+from shallotfold._gateway.core.model import RouteKind
+from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.deciding import effects
+from shallotfold._gateway.deciding import events
+from shallotfold._gateway.deciding.placement import Placement
+from shallotfold._gateway.deciding.retry_budget import FleetRetryBudget
 from shallotfold._model.events import Event
 
 # Callers should be back before half of what they can still wait is over, and
--- a/src/shallotfold/_gateway/effects.py
+++ b/src/shallotfold/_gateway/deciding/effects.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from shallotfold._gateway.model import Upstream
+from shallotfold._gateway.core.model import Upstream
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_gateway/events.py
+++ b/src/shallotfold/_gateway/deciding/events.py
@@ -8,9 +8,9 @@
 
 import attrs
 
-from shallotfold._gateway.model import Prompt
-from shallotfold._gateway.model import Route
-from shallotfold._gateway.model import Upstream
+from shallotfold._gateway.core.model import Prompt
+from shallotfold._gateway.core.model import Route
+from shallotfold._gateway.core.model import Upstream
 from shallotfold._model.events import Event
 
 
--- a/src/shallotfold/_gateway/placement.py
+++ b/src/shallotfold/_gateway/deciding/placement.py
@@ -12,10 +12,10 @@
 
 import attrs
 
-from shallotfold._gateway.model import Prompt
-from shallotfold._gateway.model import Upstream
-from shallotfold._gateway.upstream_loads import UpstreamLoads
-from shallotfold._gateway.upstream_trust import UpstreamTrust
+from shallotfold._gateway.core.model import Prompt
+from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.deciding.upstream_loads import UpstreamLoads
+from shallotfold._gateway.deciding.upstream_trust import UpstreamTrust
 
 # Running requests slow a batch by about as much as reading these tokens.
 TOKENS_PER_RUNNING_REQUEST = 60.0
--- a/src/shallotfold/_gateway/upstream_loads.py
+++ b/src/shallotfold/_gateway/deciding/upstream_loads.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from shallotfold._gateway.events import PeerLoad
+from shallotfold._gateway.deciding.events import PeerLoad
 
 # Older words of a peer are worth less than none: its requests have ended.
 PEER_LOAD_MAX_AGE_S = 2.0
--- /dev/null
+++ b/src/shallotfold/_gateway/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Do once for the whole fleet: report usage, order upstreams."""
--- a/src/shallotfold/_gateway/duty_lease.py
+++ b/src/shallotfold/_gateway/duties/duty_lease.py
@@ -7,10 +7,10 @@
 from shallotfold._errors import LeaseLostError
 from shallotfold._errors import PlatformError
 from shallotfold._errors import StoreConflictError
-from shallotfold._gateway import decision_log
-from shallotfold._gateway.clocks import boot_s
-from shallotfold._gateway.ports import WatchedStore
-from shallotfold._gateway.repeating import Repeater
+from shallotfold._gateway.core import decision_log
+from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.core.ports import WatchedStore
+from shallotfold._gateway.core.repeating import Repeater
 
 DUTY_KEY = "shallotfold/duties"
 CHECK_INTERVAL_S = 0.3
--- a/src/shallotfold/_gateway/scaling.py
+++ b/src/shallotfold/_gateway/duties/scaling.py
@@ -9,11 +9,11 @@
 
 import attrs
 
-from shallotfold._gateway.model import ScalingLimits
-from shallotfold._gateway.model import Service
-from shallotfold._gateway.model import Upstream
-from shallotfold._gateway.ports import DutyOutcome
-from shallotfold._gateway.ports import UpstreamCount
+from shallotfold._gateway.core.model import ScalingLimits
+from shallotfold._gateway.core.model import Service
+from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.core.ports import DutyOutcome
+from shallotfold._gateway.core.ports import UpstreamCount
 
 # Reclaimable upstreams are preferred while they cost less than this share.
 CHEAP_SPOT_RATIO = 0.5
--- a/src/shallotfold/_gateway/upstream_ordering.py
+++ b/src/shallotfold/_gateway/duties/upstream_ordering.py
@@ -3,15 +3,15 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
-from shallotfold._gateway import decision_log
-from shallotfold._gateway.clocks import boot_s
-from shallotfold._gateway.duty_lease import DutyLease
-from shallotfold._gateway.model import Service
-from shallotfold._gateway.model import Upstream
-from shallotfold._gateway.ports import DutyCalls
-from shallotfold._gateway.ports import DutyOutcome
-from shallotfold._gateway.repeating import Repeater
-from shallotfold._gateway.scaling import ScalingPlanner
+from shallotfold._gateway.core import decision_log
+from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.core.model import Service
+from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.core.ports import DutyCalls
+from shallotfold._gateway.core.ports import DutyOutcome
+from shallotfold._gateway.core.repeating import Repeater
+from shallotfold._gateway.duties.duty_lease import DutyLease
+from shallotfold._gateway.duties.scaling import ScalingPlanner
 
 CHECK_INTERVAL_S = 0.5
 
--- a/src/shallotfold/_gateway/usage_reporting.py
+++ b/src/shallotfold/_gateway/duties/usage_reporting.py
@@ -6,15 +6,15 @@
 
 from shallotfold._errors import PlatformError
 from shallotfold._errors import StoreConflictError
-from shallotfold._gateway import decision_log
-from shallotfold._gateway.clocks import boot_s
-from shallotfold._gateway.duty_lease import DutyLease
-from shallotfold._gateway.ports import DutyCalls
-from shallotfold._gateway.ports import DutyOutcome
-from shallotfold._gateway.ports import WatchedStore
-from shallotfold._gateway.repeating import Repeater
-from shallotfold._gateway.usage_counts import Counts
-from shallotfold._gateway.usage_counts import UsageCounts
+from shallotfold._gateway.core import decision_log
+from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.core.ports import DutyCalls
+from shallotfold._gateway.core.ports import DutyOutcome
+from shallotfold._gateway.core.ports import WatchedStore
+from shallotfold._gateway.core.repeating import Repeater
+from shallotfold._gateway.duties.duty_lease import DutyLease
+from shallotfold._gateway.duties.usage_counts import Counts
+from shallotfold._gateway.duties.usage_counts import UsageCounts
 
 FROZEN_PREFIX = "shallotfold/usage/"
 CHECK_INTERVAL_S = 0.4
--- /dev/null
+++ b/src/shallotfold/_gateway/following/__init__.py
@@ -0,0 +1,1 @@
+"""Believe what the store and peers say."""
--- a/src/shallotfold/_gateway/beliefs.py
+++ b/src/shallotfold/_gateway/following/beliefs.py
@@ -9,14 +9,14 @@
 from loguru import logger
 import msgpack
 
-from shallotfold._gateway import decision_log
-from shallotfold._gateway.clocks import boot_s
-from shallotfold._gateway.model import Service
-from shallotfold._gateway.model import Upstream
-from shallotfold._gateway.ports import Dialect
-from shallotfold._gateway.route_table import RouteTable
-from shallotfold._gateway.serving import Gateway
-from shallotfold._gateway.upstream_registry import UpstreamRegistry
+from shallotfold._gateway.core import decision_log
+from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.core.model import Service
+from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.core.ports import Dialect
+from shallotfold._gateway.following.upstream_registry import UpstreamRegistry
+from shallotfold._gateway.serving.route_table import RouteTable
+from shallotfold._gateway.serving.serving import Gateway
 from shallotfold._services.ports import StoreChanges
 from shallotfold._services.ports import StoredValue
 
--- a/src/shallotfold/_gateway/catching_up.py
+++ b/src/shallotfold/_gateway/following/catching_up.py
@@ -5,13 +5,13 @@
 
 from loguru import logger
 
-from shallotfold._gateway.beliefs import Beliefs
-from shallotfold._gateway.clocks import boot_s
-from shallotfold._gateway.http_calls import CallFailedError
-from shallotfold._gateway.http_calls import HttpCaller
-from shallotfold._gateway.peers import Peers
-from shallotfold._gateway.peers import PeerWord
-from shallotfold._gateway.store_following import PrefixFollower
+from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.following.beliefs import Beliefs
+from shallotfold._gateway.following.store_following import PrefixFollower
+from shallotfold._gateway.http.http_calls import CallFailedError
+from shallotfold._gateway.http.http_calls import HttpCaller
+from shallotfold._gateway.peers.peers import Peers
+from shallotfold._gateway.peers.peers import PeerWord
 
 SNAPSHOT_PATH = "/peer/snapshot"
 # What a peer knows and this host doesn't is asked of the store again after
--- a/src/shallotfold/_gateway/store_following.py
+++ b/src/shallotfold/_gateway/following/store_following.py
@@ -8,8 +8,8 @@
 
 from shallotfold._errors import HistoryLostError
 from shallotfold._errors import StoreUnavailableError
-from shallotfold._gateway import decision_log
-from shallotfold._gateway.ports import WatchedStore
+from shallotfold._gateway.core import decision_log
+from shallotfold._gateway.core.ports import WatchedStore
 from shallotfold._services.ports import StoreChanges
 
 # Each watch is a priced call. A host alone must notice soon that an answer
--- /dev/null
+++ b/src/shallotfold/_gateway/http/__init__.py
@@ -0,0 +1,1 @@
+"""Read and write HTTP, and keep connections to upstreams."""
--- a/src/shallotfold/_gateway/http_calls.py
+++ b/src/shallotfold/_gateway/http/http_calls.py
@@ -6,10 +6,10 @@
 import attrs
 
 from shallotfold._errors import PlatformError
-from shallotfold._gateway.messages import Headers
-from shallotfold._gateway.messages import find_header
-from shallotfold._gateway.messages import request_bytes
-from shallotfold._gateway.upstream_connection import UpstreamConnection
+from shallotfold._gateway.http.messages import Headers
+from shallotfold._gateway.http.messages import find_header
+from shallotfold._gateway.http.messages import request_bytes
+from shallotfold._gateway.http.upstream_connection import UpstreamConnection
 
 CONNECT_TIMEOUT_S = 0.8
 MAX_IDLE_S = 20.0
--- a/src/shallotfold/_gateway/upstream_connection.py
+++ b/src/shallotfold/_gateway/http/upstream_connection.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from shallotfold._gateway.messages import Headers
+from shallotfold._gateway.http.messages import Headers
 
 # A peer that vanished without a reset is noticed after this long.
 SILENT_PEER_TIMEOUT_MS = 2_000
--- a/src/shallotfold/_gateway/upstream_pool.py
+++ b/src/shallotfold/_gateway/http/upstream_pool.py
@@ -8,9 +8,9 @@
 import attrs
 from loguru import logger
 
-from shallotfold._gateway.model import Upstream
-from shallotfold._gateway.upstream_connection import AnswerReader
-from shallotfold._gateway.upstream_connection import UpstreamConnection
+from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.http.upstream_connection import AnswerReader
+from shallotfold._gateway.http.upstream_connection import UpstreamConnection
 
 CONNECT_TIMEOUT_S = 0.6
 # Peers that name no idle time are assumed to keep connections this long.
--- /dev/null
+++ b/src/shallotfold/_gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tell the other hosts what this one knows."""
--- a/src/shallotfold/_gateway/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -19,10 +19,10 @@
 from loguru import logger
 import msgpack
 
-from shallotfold._gateway import decision_log
-from shallotfold._gateway.clocks import boot_s
-from shallotfold._gateway.events import PeerLoad
-from shallotfold._gateway.repeating import Repeater
+from shallotfold._gateway.core import decision_log
+from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.core.repeating import Repeater
+from shallotfold._gateway.deciding.events import PeerLoad
 
 PROTOCOL_VERSION = 3
 SHORTEST_INTERVAL_S = 0.4
--- /dev/null
+++ b/src/shallotfold/_gateway/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers."""
--- a/src/shallotfold/_gateway/attempt.py
+++ b/src/shallotfold/_gateway/serving/attempt.py
@@ -5,11 +5,11 @@
 from http import HTTPStatus
 from typing import Protocol
 
-from shallotfold._gateway.event_stream import EventCutter
-from shallotfold._gateway.event_stream import StreamEvent
-from shallotfold._gateway.messages import Headers
-from shallotfold._gateway.model import Upstream
-from shallotfold._gateway.upstream_pool import Sending
+from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.http.event_stream import EventCutter
+from shallotfold._gateway.http.event_stream import StreamEvent
+from shallotfold._gateway.http.messages import Headers
+from shallotfold._gateway.http.upstream_pool import Sending
 
 # Answers that aren't streams are held until they are whole, up to this size.
 MAX_HELD_ANSWER_BYTES = 8_388_608
--- a/src/shallotfold/_gateway/caller_connection.py
+++ b/src/shallotfold/_gateway/serving/caller_connection.py
@@ -9,9 +9,9 @@
 import httptools
 from loguru import logger
 
-from shallotfold._gateway.messages import IncomingRequest
-from shallotfold._gateway.messages import plain_answer
-from shallotfold._gateway.model import RequestLimits
+from shallotfold._gateway.core.model import RequestLimits
+from shallotfold._gateway.http.messages import IncomingRequest
+from shallotfold._gateway.http.messages import plain_answer
 
 # A caller that pipelines more than this waits until answers are out.
 MAX_WAITING_REQUESTS = 4
--- a/src/shallotfold/_gateway/forwarding.py
+++ b/src/shallotfold/_gateway/serving/forwarding.py
@@ -2,12 +2,12 @@
 
 import attrs
 
-from shallotfold._gateway.messages import HOP_HEADERS
-from shallotfold._gateway.messages import Headers
-from shallotfold._gateway.messages import IncomingRequest
-from shallotfold._gateway.messages import named_by_connection
-from shallotfold._gateway.messages import request_bytes
-from shallotfold._gateway.wire_names import HeaderNames
+from shallotfold._gateway.core.wire_names import HeaderNames
+from shallotfold._gateway.http.messages import HOP_HEADERS
+from shallotfold._gateway.http.messages import Headers
+from shallotfold._gateway.http.messages import IncomingRequest
+from shallotfold._gateway.http.messages import named_by_connection
+from shallotfold._gateway.http.messages import request_bytes
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_gateway/pages.py
+++ b/src/shallotfold/_gateway/serving/pages.py
@@ -7,10 +7,10 @@
 
 import attrs
 
-from shallotfold._gateway.caller_connection import CallerConnection
-from shallotfold._gateway.messages import IncomingRequest
-from shallotfold._gateway.messages import plain_answer
-from shallotfold._gateway.model import RequestLimits
+from shallotfold._gateway.core.model import RequestLimits
+from shallotfold._gateway.http.messages import IncomingRequest
+from shallotfold._gateway.http.messages import plain_answer
+from shallotfold._gateway.serving.caller_connection import CallerConnection
 from shallotfold._settings.addresses import Address
 
 
--- a/src/shallotfold/_gateway/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -1,37 +1,36 @@
 """Carry one request to upstreams and its answer back, byte for byte."""
 
-from __future__ import annotations
-
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import attrs
 
-from shallotfold._gateway import decision_log
-from shallotfold._gateway import effects
-from shallotfold._gateway import events
-from shallotfold._gateway.attempt import Attempt
-from shallotfold._gateway.caller_connection import CallerConnection
-from shallotfold._gateway.clocks import boot_s
-from shallotfold._gateway.event_stream import StreamEvent
-from shallotfold._gateway.forwarding import SystemHeaders
-from shallotfold._gateway.forwarding import forwarded_headers
-from shallotfold._gateway.forwarding import forwarded_request
-from shallotfold._gateway.messages import LAST_CHUNK
-from shallotfold._gateway.messages import Headers
-from shallotfold._gateway.messages import IncomingRequest
-from shallotfold._gateway.messages import chunk
-from shallotfold._gateway.messages import find_header
-from shallotfold._gateway.messages import head_bytes
-from shallotfold._gateway.messages import plain_answer
-from shallotfold._gateway.model import Route
-from shallotfold._gateway.model import RouteKind
-from shallotfold._gateway.model import Upstream
-from shallotfold._gateway.model import Workspace
-from shallotfold._gateway.upstream_pool import Sending
-
-if TYPE_CHECKING:
-    from shallotfold._gateway.serving import Gateway
+from shallotfold._gateway.core import decision_log
+from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.core.figures import Figures
+from shallotfold._gateway.core.model import Route
+from shallotfold._gateway.core.model import RouteKind
+from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.core.model import Workspace
+from shallotfold._gateway.core.wire_names import HeaderNames
+from shallotfold._gateway.deciding import effects
+from shallotfold._gateway.deciding import events
+from shallotfold._gateway.http.event_stream import StreamEvent
+from shallotfold._gateway.http.messages import LAST_CHUNK
+from shallotfold._gateway.http.messages import Headers
+from shallotfold._gateway.http.messages import IncomingRequest
+from shallotfold._gateway.http.messages import chunk
+from shallotfold._gateway.http.messages import find_header
+from shallotfold._gateway.http.messages import head_bytes
+from shallotfold._gateway.http.messages import plain_answer
+from shallotfold._gateway.http.upstream_pool import Sending
+from shallotfold._gateway.http.upstream_pool import UpstreamPool
+from shallotfold._gateway.serving.attempt import Attempt
+from shallotfold._gateway.serving.caller_connection import CallerConnection
+from shallotfold._gateway.serving.forwarding import SystemHeaders
+from shallotfold._gateway.serving.forwarding import forwarded_headers
+from shallotfold._gateway.serving.forwarding import forwarded_request
+from shallotfold._model.events import Event
 
 _MS_PER_S = 1000.0
 
@@ -51,12 +50,35 @@
     rank: int
 
 
+class Owner(Protocol):
+    """What a relay needs of the gateway that it works for.
+
+    Attributes:
+        names: Names of the headers on the wire.
+        pool: Connections to upstreams.
+        figures: Counters and histograms.
+    """
+
+    names: HeaderNames
+    pool: UpstreamPool
+    figures: Figures
+
+    def deliver(self, event: Event) -> None:
+        """Let the dispatcher decide on an event and run its effects."""
+
+    def ended(self, relay: "Relay") -> None:
+        """Forget a relay that gave its final answer."""
+
+    def count_run(self, relay: "Relay") -> None:
+        """Count that an upstream began to run the request."""
+
+
 class Relay:
     """The work on one request, from its arrival to its final answer."""
 
     def __init__(
         self,
-        gateway: Gateway,
+        gateway: Owner,
         number: int,
         request: IncomingRequest,
         connection: CallerConnection,
--- a/src/shallotfold/_gateway/request_reading.py
+++ b/src/shallotfold/_gateway/serving/request_reading.py
@@ -1,10 +1,10 @@
 """Read what a request declares about its deadline and its prompt."""
 
-from shallotfold._gateway.messages import IncomingRequest
-from shallotfold._gateway.messages import find_header
-from shallotfold._gateway.model import Prompt
-from shallotfold._gateway.model import PromptPart
-from shallotfold._gateway.wire_names import HeaderNames
+from shallotfold._gateway.core.model import Prompt
+from shallotfold._gateway.core.model import PromptPart
+from shallotfold._gateway.core.wire_names import HeaderNames
+from shallotfold._gateway.http.messages import IncomingRequest
+from shallotfold._gateway.http.messages import find_header
 
 _MS_PER_S = 1000.0
 
--- a/src/shallotfold/_gateway/route_table.py
+++ b/src/shallotfold/_gateway/serving/route_table.py
@@ -3,9 +3,9 @@
 import bisect
 import itertools
 
-from shallotfold._gateway.model import GatewayConfiguration
-from shallotfold._gateway.model import Route
-from shallotfold._gateway.model import Workspace
+from shallotfold._gateway.core.model import GatewayConfiguration
+from shallotfold._gateway.core.model import Route
+from shallotfold._gateway.core.model import Workspace
 
 # Engines know ranks from 0 to this one.
 LAST_RANK = 9
--- a/src/shallotfold/_gateway/serving.py
+++ b/src/shallotfold/_gateway/serving/serving.py
@@ -10,29 +10,29 @@
 
 import attrs
 
-from shallotfold._gateway import decision_log
-from shallotfold._gateway import effects
-from shallotfold._gateway import events
-from shallotfold._gateway.caller_connection import CallerConnection
-from shallotfold._gateway.caller_connection import Exchange
-from shallotfold._gateway.clocks import boot_s
-from shallotfold._gateway.dispatcher import Dispatcher
-from shallotfold._gateway.figures import Figures
-from shallotfold._gateway.messages import IncomingRequest
-from shallotfold._gateway.messages import find_header
-from shallotfold._gateway.messages import plain_answer
-from shallotfold._gateway.model import RequestLimits
-from shallotfold._gateway.model import Upstream
-from shallotfold._gateway.relay import Admission
-from shallotfold._gateway.relay import Relay
-from shallotfold._gateway.repeating import Repeater
-from shallotfold._gateway.request_reading import read_deadline_s
-from shallotfold._gateway.request_reading import read_prompt
-from shallotfold._gateway.route_table import RouteTable
-from shallotfold._gateway.route_table import choose_service
-from shallotfold._gateway.upstream_pool import UpstreamPool
-from shallotfold._gateway.usage_counts import UsageCounts
-from shallotfold._gateway.wire_names import HeaderNames
+from shallotfold._gateway.core import decision_log
+from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.core.figures import Figures
+from shallotfold._gateway.core.model import RequestLimits
+from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.core.repeating import Repeater
+from shallotfold._gateway.core.wire_names import HeaderNames
+from shallotfold._gateway.deciding import effects
+from shallotfold._gateway.deciding import events
+from shallotfold._gateway.deciding.dispatcher import Dispatcher
+from shallotfold._gateway.duties.usage_counts import UsageCounts
+from shallotfold._gateway.http.messages import IncomingRequest
+from shallotfold._gateway.http.messages import find_header
+from shallotfold._gateway.http.messages import plain_answer
+from shallotfold._gateway.http.upstream_pool import UpstreamPool
+from shallotfold._gateway.serving.caller_connection import CallerConnection
+from shallotfold._gateway.serving.caller_connection import Exchange
+from shallotfold._gateway.serving.relay import Admission
+from shallotfold._gateway.serving.relay import Relay
+from shallotfold._gateway.serving.request_reading import read_deadline_s
+from shallotfold._gateway.serving.request_reading import read_prompt
+from shallotfold._gateway.serving.route_table import RouteTable
+from shallotfold._gateway.serving.route_table import choose_service
 from shallotfold._model.events import Event
 
 # Callers that name no deadline wait at most this long.
--- a/src/shallotfold/platform/documents.py
+++ b/src/shallotfold/platform/documents.py
@@ -3,16 +3,16 @@
 import json
 from typing import Any
 
-from shallotfold._gateway.model import GatewayConfiguration
-from shallotfold._gateway.model import RequestLimits
-from shallotfold._gateway.model import Route
-from shallotfold._gateway.model import RouteKind
-from shallotfold._gateway.model import ScalingLimits
-from shallotfold._gateway.model import Service
-from shallotfold._gateway.model import SplitShare
-from shallotfold._gateway.model import Upstream
-from shallotfold._gateway.model import Workspace
-from shallotfold._gateway.wire_names import HeaderNames
+from shallotfold._gateway.core.model import GatewayConfiguration
+from shallotfold._gateway.core.model import RequestLimits
+from shallotfold._gateway.core.model import Route
+from shallotfold._gateway.core.model import RouteKind
+from shallotfold._gateway.core.model import ScalingLimits
+from shallotfold._gateway.core.model import Service
+from shallotfold._gateway.core.model import SplitShare
+from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.core.model import Workspace
+from shallotfold._gateway.core.wire_names import HeaderNames
 from shallotfold.platform import names
 
 _MS_PER_S = 1000.0
--- a/src/shallotfold/platform/duty_calls.py
+++ b/src/shallotfold/platform/duty_calls.py
@@ -4,11 +4,11 @@
 import json
 from typing import Any
 
-from shallotfold._gateway import decision_log
-from shallotfold._gateway.http_calls import CallFailedError
-from shallotfold._gateway.http_calls import HttpCaller
-from shallotfold._gateway.ports import DutyOutcome
-from shallotfold._gateway.ports import UpstreamCount
+from shallotfold._gateway.core import decision_log
+from shallotfold._gateway.core.ports import DutyOutcome
+from shallotfold._gateway.core.ports import UpstreamCount
+from shallotfold._gateway.http.http_calls import CallFailedError
+from shallotfold._gateway.http.http_calls import HttpCaller
 from shallotfold._settings.addresses import Address
 from shallotfold.platform import names
 
--- a/src/shallotfold/platform/names.py
+++ b/src/shallotfold/platform/names.py
@@ -1,6 +1,6 @@
 """Spell the platform's headers, paths and store keys."""
 
-from shallotfold._gateway.wire_names import HeaderNames
+from shallotfold._gateway.core.wire_names import HeaderNames
 
 HEADERS = HeaderNames(
     request_id=b"attempt-id",
--- a/src/shallotfold/platform/settings.py
+++ b/src/shallotfold/platform/settings.py
@@ -6,7 +6,7 @@
 
 from shallotfold._errors import Fault
 from shallotfold._errors import InvalidInputError
-from shallotfold._gateway.settings import GatewaySettings
+from shallotfold._gateway.core.settings import GatewaySettings
 from shallotfold._settings.addresses import Address
 from shallotfold._settings.addresses import parse_address
 
--- a/src/shallotfold/platform/store.py
+++ b/src/shallotfold/platform/store.py
@@ -11,9 +11,9 @@
 from shallotfold._errors import LeaseLostError
 from shallotfold._errors import StoreConflictError
 from shallotfold._errors import StoreUnavailableError
-from shallotfold._gateway.http_calls import CallAnswer
-from shallotfold._gateway.http_calls import CallFailedError
-from shallotfold._gateway.http_calls import HttpCaller
+from shallotfold._gateway.http.http_calls import CallAnswer
+from shallotfold._gateway.http.http_calls import CallFailedError
+from shallotfold._gateway.http.http_calls import HttpCaller
 from shallotfold._services.ports import Lease
 from shallotfold._services.ports import StoreChanges
 from shallotfold._services.ports import StoredValue
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/deciding/test_dispatcher.py
@@ -4,10 +4,10 @@
 from hypothesis import strategies
 import pytest
 
-from shallotfold._gateway import effects
-from shallotfold._gateway import events
-from shallotfold._gateway.model import Route
-from shallotfold._gateway.model import RouteKind
+from shallotfold._gateway.core.model import Route
+from shallotfold._gateway.core.model import RouteKind
+from shallotfold._gateway.deciding import effects
+from shallotfold._gateway.deciding import events
 from shallotfold._model.events import Event
 from tests.gateway.making import Desk
 from tests.gateway.making import make_prompt
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/deciding/test_placement.py
@@ -1,13 +1,13 @@
 """Check where requests go under the loads that hurt most."""
 
-from shallotfold._gateway.events import PeerLoad
-from shallotfold._gateway.model import Prompt
-from shallotfold._gateway.model import PromptPart
-from shallotfold._gateway.model import Upstream
-from shallotfold._gateway.placement import PREFIX_KEPT_S
-from shallotfold._gateway.placement import Placement
-from shallotfold._gateway.placement import fitting_engines
-from shallotfold._gateway.placement import homes_of
+from shallotfold._gateway.core.model import Prompt
+from shallotfold._gateway.core.model import PromptPart
+from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.deciding.events import PeerLoad
+from shallotfold._gateway.deciding.placement import PREFIX_KEPT_S
+from shallotfold._gateway.deciding.placement import Placement
+from shallotfold._gateway.deciding.placement import fitting_engines
+from shallotfold._gateway.deciding.placement import homes_of
 from tests.gateway.making import make_prompt
 from tests.gateway.making import make_upstream
 
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/duties/test_duties.py
@@ -5,13 +5,13 @@
 
 import pytest
 
-from shallotfold._gateway import duty_lease
-from shallotfold._gateway import usage_reporting
-from shallotfold._gateway.duty_lease import DutyLease
-from shallotfold._gateway.ports import DutyOutcome
-from shallotfold._gateway.ports import UpstreamCount
-from shallotfold._gateway.usage_counts import UsageCounts
-from shallotfold._gateway.usage_reporting import UsageReporter
+from shallotfold._gateway.core.ports import DutyOutcome
+from shallotfold._gateway.core.ports import UpstreamCount
+from shallotfold._gateway.duties import duty_lease
+from shallotfold._gateway.duties import usage_reporting
+from shallotfold._gateway.duties.duty_lease import DutyLease
+from shallotfold._gateway.duties.usage_counts import UsageCounts
+from shallotfold._gateway.duties.usage_reporting import UsageReporter
 from shallotfold.platform.store import PlatformStore
 from tests.platform.conftest import Scene
 from tests.platform.store_standin import StoreStandIn
--- a/tests/gateway/test_scaling.py
+++ b/tests/gateway/duties/test_scaling.py
@@ -1,11 +1,11 @@
 """Check how many upstreams are ordered, and when."""
 
-from shallotfold._gateway.model import ScalingLimits
-from shallotfold._gateway.model import Service
-from shallotfold._gateway.model import Upstream
-from shallotfold._gateway.ports import DutyOutcome
-from shallotfold._gateway.ports import UpstreamCount
-from shallotfold._gateway.scaling import ScalingPlanner
+from shallotfold._gateway.core.model import ScalingLimits
+from shallotfold._gateway.core.model import Service
+from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.core.ports import DutyOutcome
+from shallotfold._gateway.core.ports import UpstreamCount
+from shallotfold._gateway.duties.scaling import ScalingPlanner
 from tests.gateway.making import SERVICE
 from tests.gateway.making import make_upstream
 
--- a/tests/gateway/test_usage_counts.py
+++ b/tests/gateway/duties/test_usage_counts.py
@@ -1,6 +1,6 @@
 """Check the counts that hosts share."""
 
-from shallotfold._gateway.usage_counts import UsageCounts
+from shallotfold._gateway.duties.usage_counts import UsageCounts
 
 
 def test_counts_of_all_hosts_are_added_once() -> None:
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/following/test_beliefs.py
@@ -6,19 +6,19 @@
 
 import pytest
 
-from shallotfold._gateway import catching_up
-from shallotfold._gateway.beliefs import Beliefs
-from shallotfold._gateway.catching_up import CatchingUp
-from shallotfold._gateway.clocks import boot_s
-from shallotfold._gateway.dispatcher import Dispatcher
-from shallotfold._gateway.figures import Figures
-from shallotfold._gateway.peers import Peers
-from shallotfold._gateway.peers import PeerWord
-from shallotfold._gateway.placement import Placement
-from shallotfold._gateway.repeating import Repeater
-from shallotfold._gateway.retry_budget import FleetRetryBudget
-from shallotfold._gateway.serving import Gateway
-from shallotfold._gateway.usage_counts import UsageCounts
+from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.core.figures import Figures
+from shallotfold._gateway.core.repeating import Repeater
+from shallotfold._gateway.deciding.dispatcher import Dispatcher
+from shallotfold._gateway.deciding.placement import Placement
+from shallotfold._gateway.deciding.retry_budget import FleetRetryBudget
+from shallotfold._gateway.duties.usage_counts import UsageCounts
+from shallotfold._gateway.following import catching_up
+from shallotfold._gateway.following.beliefs import Beliefs
+from shallotfold._gateway.following.catching_up import CatchingUp
+from shallotfold._gateway.peers.peers import Peers
+from shallotfold._gateway.peers.peers import PeerWord
+from shallotfold._gateway.serving.serving import Gateway
 from shallotfold._services.ports import StoreChanges
 from shallotfold._services.ports import StoredValue
 from shallotfold.platform.documents import PlatformDialect
--- a/tests/gateway/test_store_following.py
+++ b/tests/gateway/following/test_store_following.py
@@ -8,8 +8,8 @@
 
 from shallotfold._errors import HistoryLostError
 from shallotfold._errors import StoreUnavailableError
-from shallotfold._gateway import store_following
-from shallotfold._gateway.store_following import PrefixFollower
+from shallotfold._gateway.following import store_following
+from shallotfold._gateway.following.store_following import PrefixFollower
 from shallotfold._services.ports import StoreChanges
 from shallotfold._services.ports import StoredValue
 
--- a/tests/gateway/test_upstream_registry.py
+++ b/tests/gateway/following/test_upstream_registry.py
@@ -1,7 +1,7 @@
 """Check what is believed of upstreams around outages of the store."""
 
-from shallotfold._gateway.upstream_registry import RETURN_GRACE_S
-from shallotfold._gateway.upstream_registry import UpstreamRegistry
+from shallotfold._gateway.following.upstream_registry import RETURN_GRACE_S
+from shallotfold._gateway.following.upstream_registry import UpstreamRegistry
 from shallotfold._services.ports import StoredValue
 
 NAMES = ("a", "b", "c", "d", "e")
--- a/tests/gateway/test_upstream_connection.py
+++ b/tests/gateway/http/test_upstream_connection.py
@@ -6,9 +6,9 @@
 import attrs
 import pytest
 
-from shallotfold._gateway.messages import Headers
-from shallotfold._gateway.messages import find_header
-from shallotfold._gateway.upstream_connection import UpstreamConnection
+from shallotfold._gateway.http.messages import Headers
+from shallotfold._gateway.http.messages import find_header
+from shallotfold._gateway.http.upstream_connection import UpstreamConnection
 from shallotfold._runtime.loop import new_event_loop
 from tests.gateway.backends import Backend
 from tests.gateway.backends import whole
--- a/tests/gateway/making.py
+++ b/tests/gateway/making.py
@@ -1,20 +1,20 @@
 """Make the values that the tests of the gateway share."""
 
-from shallotfold._gateway import effects
-from shallotfold._gateway import events
-from shallotfold._gateway.dispatcher import Dispatcher
-from shallotfold._gateway.model import GatewayConfiguration
-from shallotfold._gateway.model import Prompt
-from shallotfold._gateway.model import PromptPart
-from shallotfold._gateway.model import RequestLimits
-from shallotfold._gateway.model import Route
-from shallotfold._gateway.model import RouteKind
-from shallotfold._gateway.model import Service
-from shallotfold._gateway.model import SplitShare
-from shallotfold._gateway.model import Upstream
-from shallotfold._gateway.model import Workspace
-from shallotfold._gateway.placement import Placement
-from shallotfold._gateway.retry_budget import FleetRetryBudget
+from shallotfold._gateway.core.model import GatewayConfiguration
+from shallotfold._gateway.core.model import Prompt
+from shallotfold._gateway.core.model import PromptPart
+from shallotfold._gateway.core.model import RequestLimits
+from shallotfold._gateway.core.model import Route
+from shallotfold._gateway.core.model import RouteKind
+from shallotfold._gateway.core.model import Service
+from shallotfold._gateway.core.model import SplitShare
+from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.core.model import Workspace
+from shallotfold._gateway.deciding import effects
+from shallotfold._gateway.deciding import events
+from shallotfold._gateway.deciding.dispatcher import Dispatcher
+from shallotfold._gateway.deciding.placement import Placement
+from shallotfold._gateway.deciding.retry_budget import FleetRetryBudget
 from shallotfold._model.events import Event
 
 SERVICE = "writers"
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/peers/test_peers.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from shallotfold._gateway import peers as peers_module
-from shallotfold._gateway.clocks import boot_s
-from shallotfold._gateway.events import PeerLoad
-from shallotfold._gateway.peers import OwnWord
-from shallotfold._gateway.peers import Peers
-from shallotfold._gateway.peers import PeerWord
+from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.deciding.events import PeerLoad
+from shallotfold._gateway.peers import peers as peers_module
+from shallotfold._gateway.peers.peers import OwnWord
+from shallotfold._gateway.peers.peers import Peers
+from shallotfold._gateway.peers.peers import PeerWord
 
 
 def make_peers(number: int, seeds: tuple[str, ...] = ()) -> Peers:
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/serving/test_serving.py
@@ -6,17 +6,17 @@
 
 import pytest
 
-from shallotfold._gateway import upstream_pool
-from shallotfold._gateway.dispatcher import Dispatcher
-from shallotfold._gateway.figures import Figures
-from shallotfold._gateway.model import GatewayConfiguration
-from shallotfold._gateway.model import RequestLimits
-from shallotfold._gateway.model import RouteKind
-from shallotfold._gateway.placement import Placement
-from shallotfold._gateway.retry_budget import FleetRetryBudget
-from shallotfold._gateway.route_table import RouteTable
-from shallotfold._gateway.serving import Gateway
-from shallotfold._gateway.usage_counts import UsageCounts
+from shallotfold._gateway.core.figures import Figures
+from shallotfold._gateway.core.model import GatewayConfiguration
+from shallotfold._gateway.core.model import RequestLimits
+from shallotfold._gateway.core.model import RouteKind
+from shallotfold._gateway.deciding.dispatcher import Dispatcher
+from shallotfold._gateway.deciding.placement import Placement
+from shallotfold._gateway.deciding.retry_budget import FleetRetryBudget
+from shallotfold._gateway.duties.usage_counts import UsageCounts
+from shallotfold._gateway.http import upstream_pool
+from shallotfold._gateway.serving.route_table import RouteTable
+from shallotfold._gateway.serving.serving import Gateway
 from shallotfold._runtime.loop import new_event_loop
 from shallotfold.platform.names import HEADERS
 from tests.gateway.backends import Backend
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from shallotfold._gateway.model import RouteKind
-from shallotfold._gateway.route_table import RouteTable
-from shallotfold._gateway.route_table import choose_service
+from shallotfold._gateway.core.model import RouteKind
+from shallotfold._gateway.serving.route_table import RouteTable
+from shallotfold._gateway.serving.route_table import choose_service
 from shallotfold.platform.documents import PlatformDialect
 
 DIALECT = PlatformDialect()
