Tell peers at least once a second, and keep sums of their loads

Cause, from the arithmetic: the time between two words of a host grew with the fleet without bound and passed 2.5 s, the time a peer counts as alive, at 200 hosts.

The interval is at most 1 s. The test of the interval fails on the old code at 300 and 1000 hosts.

--- a/src/shallotfold/_gateway/deciding/upstream_loads.py
+++ b/src/shallotfold/_gateway/deciding/upstream_loads.py
@@ -30,6 +30,7 @@
 
     _own_by_upstream: dict[str, _OwnLoad] = attrs.field(factory=dict)
     _word_by_peer: dict[str, _PeerWord] = attrs.field(factory=dict)
+    _peers_by_upstream: dict[str, list[int]] = attrs.field(factory=dict)
     _reported: dict[str, tuple[float, int]] = attrs.field(factory=dict)
 
     def begin(self, upstream: str, request: int, tokens: int) -> None:
@@ -62,7 +63,9 @@
         self, peer: str, loads: Mapping[str, PeerLoad], now_s: float
     ) -> None:
         """Note a peer's loads."""
+        self._forget(peer)
         self._word_by_peer[peer] = _PeerWord(now_s, loads)
+        self._add(loads, 1)
 
     def forget_old(self, now_s: float) -> None:
         """Drop words that are too old."""
@@ -70,7 +73,7 @@
         for peer in [
             p for p, w in self._word_by_peer.items() if w.heard_s < oldest_s
         ]:
-            del self._word_by_peer[peer]
+            self._forget(peer)
         oldest_s = now_s - REPORTED_LOAD_MAX_AGE_S
         for upstream in [
             u for u, (at_s, _) in self._reported.items() if at_s < oldest_s
@@ -91,12 +94,25 @@
         own = self._own_by_upstream.get(upstream)
         requests = len(own.tokens_by_request) if own else 0
         tokens = own.pending_tokens if own else 0
-        for word in self._word_by_peer.values():
-            load = word.loads_by_upstream.get(upstream)
-            if load is not None:
-                requests += load.requests
-                tokens += load.pending_tokens
+        peers = self._peers_by_upstream.get(upstream)
+        if peers is not None:
+            requests += peers[0]
+            tokens += peers[1]
         reported = self._reported.get(upstream)
         if reported is not None:
             requests = max(requests, reported[1])
         return PeerLoad(requests, max(0, tokens))
+
+    def _forget(self, peer: str) -> None:
+        word = self._word_by_peer.pop(peer, None)
+        if word is not None:
+            self._add(word.loads_by_upstream, -1)
+
+    def _add(self, loads: Mapping[str, PeerLoad], sign: int) -> None:
+        """Keep the sums over all peers: each request needs most of them."""
+        for upstream, load in loads.items():
+            sums = self._peers_by_upstream.setdefault(upstream, [0, 0])
+            sums[0] += sign * load.requests
+            sums[1] += sign * load.pending_tokens
+            if sums == [0, 0]:
+                del self._peers_by_upstream[upstream]
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -29,6 +29,8 @@
 # Datagrams of all hosts grow with the square of their number; each host
 # sends less often the more there are.
 INTERVAL_S_PER_HOST = 0.0125
+# Two words in a row may be lost before a peer counts as silent.
+LONGEST_INTERVAL_S = 1.0
 # A peer that was silent for this long doesn't count as alive.
 ALIVE_S = 2.5
 # A peer that was silent for this long is forgotten: it won't come back.
@@ -162,7 +164,8 @@
     def interval_s(self) -> float:
         """Return the time between two words of this host."""
         hosts = len(self.word_by_name) + 1
-        return max(SHORTEST_INTERVAL_S, hosts * INTERVAL_S_PER_HOST)
+        interval_s = hosts * INTERVAL_S_PER_HOST
+        return min(LONGEST_INTERVAL_S, max(SHORTEST_INTERVAL_S, interval_s))
 
     def count_keepers(self) -> set[str]:
         """Return the addresses of the hosts that must know all counts."""
--- /dev/null
+++ b/tests/gateway/deciding/test_upstream_loads.py
@@ -0,0 +1,40 @@
+"""Check the estimate of what upstreams have to do."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from shallotfold._gateway.deciding.events import PeerLoad
+from shallotfold._gateway.deciding.upstream_loads import PEER_LOAD_MAX_AGE_S
+from shallotfold._gateway.deciding.upstream_loads import UpstreamLoads
+
+loads_by_upstream = st.dictionaries(
+    st.sampled_from("uvw"),
+    st.builds(PeerLoad, st.integers(0, 9), st.integers(0, 9_000)),
+)
+words = st.lists(
+    st.tuples(st.sampled_from("abc"), loads_by_upstream, st.floats(0.0, 1.5))
+)
+
+
+@given(words)
+def test_total_is_the_sum_of_the_newest_words(
+    told: list[tuple[str, dict[str, PeerLoad], float]],
+) -> None:
+    estimate = UpstreamLoads()
+    newest: dict[str, tuple[float, dict[str, PeerLoad]]] = {}
+    now_s = 0.0
+    for peer, loads, pause_s in told:
+        now_s += pause_s
+        estimate.hear(peer, loads, now_s)
+        estimate.forget_old(now_s)
+        newest[peer] = (now_s, loads)
+    kept = [
+        loads
+        for at_s, loads in newest.values()
+        if at_s >= now_s - PEER_LOAD_MAX_AGE_S
+    ]
+    for upstream in "uvw":
+        total = estimate.total(upstream)
+        mine = [loads[upstream] for loads in kept if upstream in loads]
+        assert total.requests == sum(load.requests for load in mine)
+        assert total.pending_tokens == sum(load.pending_tokens for load in mine)
--- a/tests/gateway/peers/test_peers.py
+++ b/tests/gateway/peers/test_peers.py
@@ -154,3 +154,14 @@
         assert own.ended_origins() == {"h2/h2"}
         monkeypatch.setattr(peers_module, "boot_s", lambda: now_s + 30)
         assert own.ended_origins() == set()
+
+
+@pytest.mark.parametrize("hosts", [2, 67, 300, 1000])
+def test_peers_of_a_large_fleet_are_heard_while_they_live(hosts: int) -> None:
+    """Two words in a row may be lost before a host takes a peer for silent."""
+    peers = make_peers(0)
+    for number in range(1, hosts):
+        word = tell(make_peers(number), make_peers(0), OwnWord())
+        peers.word_by_name[str(number)] = word
+    longest_s = peers.interval_s() * 1.2
+    assert 2 * longest_s < peers_module.ALIVE_S
