--- a/benchmarks/platform_days.py
+++ b/benchmarks/platform_days.py
@@ -1,15 +1,19 @@
 """Write day files with every kind of trouble of the users' platform.
 
-Each file pairs kinds that a site's own list may not name; the users' bench
-plays them on every site where they fit.
+Some files play kinds that a site's own list may not name one after another,
+others play kinds of different files in pairs, at nearly the same moment. The
+users' bench plays them on every site where they fit.
 """
 
+import argparse
 import pathlib
+import random
 
 FOLDER = pathlib.Path(__file__).parents[1] / "deploy" / "days"
 LENGTH_S = 42
-# Troubles as the users' pages list them: kind, how, other figures.
-FAULTS: dict[str, list[tuple[str, str, str]]] = {
+# A trouble as the users' pages list it: kind, how, other figures.
+Trouble = tuple[str, str, str]
+FAULTS: dict[str, list[Trouble]] = {
     "cut-servers": [
         ("srv_cut", "", "share = 0.25, for_s = 5.0"),
         ("srv_cut", "fronts", "share = 0.3, x = 0.3, for_s = 5.0"),
@@ -102,7 +106,7 @@
         ("srv_crash", "rack", "share = 0.2, for_s = 4.0"),
     ],
 }
-PLANS: dict[str, list[tuple[str, str, str]]] = {
+PLANS: dict[str, list[Trouble]] = {
     "planned-stops": [
         ("roll_term", "busy", "share = 1.0, gap_s = 1.5"),
         ("hup", "", "share = 1.0, gap_s = 2.0"),
@@ -125,25 +129,75 @@
 }
 
 
-def render(name: str, table: str, troubles: list[tuple[str, str, str]]) -> str:
+PAIR_DAYS = 12
+PAIRS_A_DAY = 4
+# The second of a pair begins at most this long after the first.
+PAIR_SPREAD_S = 1.5
+
+
+def render_entry(at_s: float, trouble: Trouble) -> str:
+    """Return one trouble as a row of a day file."""
+    kind, how, figures = trouble
+    fields = [f"at = {at_s:.1f}", f'kind = "{kind}"']
+    fields += [f'how = "{how}"'] if how else []
+    fields += [figures] if figures else []
+    return f"  {{ {', '.join(fields)} }},"
+
+
+def render(name: str, rows_by_table: dict[str, list[str]]) -> str:
     """Return the text of one day file."""
-    lines = [f'name = "{name}"', 'slot = "trouble"', f"{table} = ["]
+    lines = [f'name = "{name}"', 'slot = "trouble"']
+    for table, rows in rows_by_table.items():
+        if rows:
+            lines += [f"{table} = [", *rows, "]"]
+    return "\n".join(lines) + "\n"
+
+
+def alone(troubles: list[Trouble]) -> list[str]:
+    """Return rows for troubles that follow each other."""
     gap_s = LENGTH_S * 0.8 / len(troubles)
-    for number, (kind, how, figures) in enumerate(troubles):
-        fields = [f"at = {1.0 + number * gap_s:.1f}", f'kind = "{kind}"']
-        fields += [f'how = "{how}"'] if how else []
-        fields += [figures] if figures else []
-        lines.append(f"  {{ {', '.join(fields)} }},")
-    return "\n".join([*lines, "]"]) + "\n"
+    return [
+        render_entry(1.0 + number * gap_s, trouble)
+        for number, trouble in enumerate(troubles)
+    ]
+
+
+def in_pairs(draw: random.Random) -> dict[str, list[str]]:
+    """Return rows for a day of pairs, each of two different files."""
+    rows_by_table: dict[str, list[str]] = {"plan": [], "faults": []}
+    sources = [("faults", name) for name in FAULTS]
+    sources += [("plan", name) for name in PLANS]
+    gap_s = LENGTH_S * 0.8 / PAIRS_A_DAY
+    for number in range(PAIRS_A_DAY):
+        for order, (table, name) in enumerate(draw.sample(sources, 2)):
+            days = FAULTS if table == "faults" else PLANS
+            at_s = 1.0 + number * gap_s
+            at_s += order * draw.uniform(0.0, PAIR_SPREAD_S)
+            trouble = draw.choice(days[name])
+            rows_by_table[table].append(render_entry(at_s, trouble))
+    return rows_by_table
 
 
 def main() -> None:
     """Write all day files."""
-    FOLDER.mkdir(parents=True, exist_ok=True)
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--pairs-seed", type=int, default=1, help="draws the pairs (1)"
+    )
+    parser.add_argument(
+        "--folder", type=pathlib.Path, default=FOLDER, help="where to write"
+    )
+    arguments = parser.parse_args()
+    folder = arguments.folder
+    folder.mkdir(parents=True, exist_ok=True)
     for table, days in (("faults", FAULTS), ("plan", PLANS)):
         for name, troubles in days.items():
-            text = render(name, table, troubles)
-            (FOLDER / f"{name}.toml").write_text(text)
+            text = render(name, {table: alone(troubles)})
+            (folder / f"{name}.toml").write_text(text)
+    draw = random.Random(arguments.pairs_seed)
+    for number in range(PAIR_DAYS):
+        name = f"pairs-{number + 1:02}"
+        (folder / f"{name}.toml").write_text(render(name, in_pairs(draw)))
 
 
 if __name__ == "__main__":
--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -118,7 +118,7 @@
         self._open[event.request] = request
         self.budget.count_request(event.service, event.now_s)
         return self._send(request, event.now_s) or self._refuse(
-            request, event.now_s, "no upstream has room"
+            request, "no upstream has room"
         )
 
     def _on_unsent(self, event: events.AttemptUnsent) -> Effects:
@@ -129,7 +129,7 @@
         self._end_attempt(request)
         request.attempts -= 1
         return self._send(request, event.now_s) or self._give_up(
-            request, event.now_s, "upstreams can't be reached"
+            request, "upstreams can't be reached"
         )
 
     def _on_rejected(self, event: events.AttemptRejected) -> Effects:
@@ -142,7 +142,7 @@
             self.placement.trust.failed(request.upstream, event.now_s)
         self._end_attempt(request)
         return self._repeat(request, event.now_s) or self._give_up(
-            request, event.now_s, "upstream rejected the request unrun"
+            request, "upstream rejected the request unrun"
         )
 
     def _on_progressed(self, event: events.AttemptProgressed) -> Effects:
@@ -327,20 +327,15 @@
             return cancel + self._deliver_failure(request)
         return cancel + self._fail(request, "time ran out", timed_out=True)
 
-    def _give_up(
-        self, request: _OpenRequest, now_s: float, reason: str
-    ) -> Effects:
+    def _give_up(self, request: _OpenRequest, reason: str) -> Effects:
         """End a request after an attempt that is known not to have run."""
         if request.failure_held and not request.answered:
             return self._deliver_failure(request)
         if request.may_have_run or request.answered:
             return self._fail(request, reason)
-        return self._refuse(request, now_s, reason)
+        return self._refuse(request, reason)
 
-    def _refuse(
-        self, request: _OpenRequest, now_s: float, reason: str
-    ) -> Effects:
-        del now_s
+    def _refuse(self, request: _OpenRequest, reason: str) -> Effects:
         self._open.pop(request.request, None)
         return [
             effects.Refuse(
--- /dev/null
+++ b/tests/gateway/serving/test_forwarding.py
@@ -0,0 +1,105 @@
+"""Check that requests and answers are passed on as they are."""
+
+import pytest
+
+from shallotfold._gateway.core.model import RequestLimits
+from tests.gateway.backends import Backend
+from tests.gateway.serving.site import Site
+from tests.gateway.serving.site import play
+from tests.gateway.serving.site import request
+from tests.gateway.serving.site import signed
+from tests.gateway.serving.site import status_of
+
+
+def test_a_request_is_passed_on_unchanged_and_its_answer_returned() -> None:
+    backend = Backend(lambda _: signed(b"\x00\xffbody"))
+
+    async def scene(site: Site) -> None:
+        answer = await site.ask(
+            request("/book/a%2Fb?q=1", "X-Mine: 5", method="POST", body=b"abc")
+        )
+        assert answer.endswith(b"\r\n\r\n\x00\xffbody")
+        assert b"Response-Signature: s\r\n" in answer
+
+    play([backend], scene)
+    (sent,) = backend.requests
+    assert sent.startswith(b"POST /book/a%2Fb?q=1 HTTP/1.1\r\n")
+    assert sent.endswith(b"\r\n\r\nabc")
+    assert b"X-Mine: 5\r\n" in sent
+    assert b"Attempt-Id: 77\r\n" in sent
+
+
+@pytest.mark.parametrize("path", ["/lookup/1", "/open/1"])
+def test_headers_of_the_system_are_never_the_caller_s(path: str) -> None:
+    backend = Backend(lambda _: signed())
+    forged = (
+        "Tenant-Name: south",
+        "Request-Priority: 0",
+        "Expected-Instance: other",
+        "Expected-Version: 3",
+        "Cache-Retention: x",
+        "Cache-Pin-Duration: 9",
+        "Kv-Fetch: 10.0.0.1:1",
+        "Kv-From: 10.0.0.1:1/3",
+        "Kv-Cache-Replica: 10.0.0.1:1",
+    )
+
+    async def scene(site: Site) -> None:
+        assert status_of(await site.ask(request(path, *forged))) == 200
+
+    play([backend], scene)
+    (sent,) = backend.requests
+    assert b"expected-instance: u0\r\n" in sent
+    assert b"secret" not in sent
+    for value in (b"south", b"other", b"Cache-", b"Kv-", b"Expected-Version"):
+        assert value not in sent
+    assert (b"tenant-name: north" in sent) == (path == "/lookup/1")
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (request("/nowhere/1"), 404),
+        (request(key="wrong"), 401),
+        (request(key=""), 401),
+        (request("/open/1", key=""), 200),
+        (b"NONSENSE\r\n\r\n", 400),
+        (request("/lookup/1", "Transfer-Encoding: chunked", body=b"x"), 400),
+    ],
+)
+def test_what_isn_t_allowed_is_answered_here(data: bytes, status: int) -> None:
+    async def scene(site: Site) -> None:
+        assert status_of(await site.ask(data)) == status
+
+    play([Backend(lambda _: signed())], scene)
+
+
+def test_limits_of_requests_hold() -> None:
+    limits = RequestLimits(
+        max_header_bytes=500,
+        max_body_bytes=10,
+        header_timeout_s=0.3,
+        idle_timeout_s=0.6,
+    )
+
+    async def scene(site: Site) -> None:
+        big = await site.ask(request("/lookup/1", "X-Big: " + "x" * 900))
+        assert status_of(big) == 431
+        long = await site.ask(request("/book/1", method="POST", body=b"x" * 11))
+        assert status_of(long) == 413
+        slow = await site.ask(b"GET /lookup/1 HTTP/1.1\r\nHost: sh")
+        assert status_of(slow) == 408
+        stalled = request("/book/1", method="POST", body=b"x" * 9)[:-3]
+        assert status_of(await site.ask(stalled)) == 408
+
+    play([Backend(lambda _: signed())], scene, limits)
+
+
+def test_runs_are_counted_for_the_workspace() -> None:
+    async def scene(site: Site) -> None:
+        await site.ask(request())
+        await site.ask(request("/open/1"))
+        await site.ask(request("/nowhere/1"))
+
+    site = play([Backend(lambda _: signed())], scene)
+    assert site.counts.total(0) == {"north": 1}
