Wait for the counts of cut-off hosts while a window isn't due

A window is now closed once every peer that may still run has told its counts after the end, at the latest 2.5 s before it is due. Words say whether they carry counts (protocol of the peers: version 4). Tests: the three times of the window in test_duties fail on the old code.

--- a/src/shallotfold/_gateway/duties/usage_reporting.py
+++ b/src/shallotfold/_gateway/duties/usage_reporting.py
@@ -18,8 +18,13 @@
 
 FROZEN_PREFIX = "shallotfold/usage/"
 CHECK_INTERVAL_S = 0.4
-# Peers' last counts of a window arrive within this time after its end.
+# A peer's word of this long after the end of a window has all counts of it.
+SETTLING_S = 1.0
+# Where nobody is silent, such words of all peers arrive within this time.
 GATHERING_S = 2.4
+# Where somebody is, a window is closed this long before it is due: time for
+# freezing and sending it, both once again.
+RESERVE_S = 2.5
 REPEAT_S = 0.8
 # Frozen figures that a holder leaves in the store, for a successor.
 KEPT_FIGURES = 24
@@ -39,7 +44,21 @@
         host: str,
         lateness_s: float,
         true_s: Callable[[], float],
+        all_counted_since: Callable[[float], bool],
     ) -> None:
+        """Make a reporter.
+
+        Args:
+            store: Keeps the frozen figures.
+            calls: The platform's interface for duties.
+            lease: The lease of the duties.
+            counts: What this host and its peers counted.
+            host: Name of this host.
+            lateness_s: A window is due this long after its end.
+            true_s: Returns the true time of day.
+            all_counted_since: Tells whether all peers that may run have told
+                their counts after a true time.
+        """
         self._store = store
         self._calls = calls
         self._lease = lease
@@ -47,6 +66,7 @@
         self._host = host
         self._lateness_s = lateness_s
         self._true_s = true_s
+        self._all_counted_since = all_counted_since
         self._frozen: dict[int, Counts] = {}
         self._reported: set[int] = set()
         self._revision_by_key: dict[str, int] = {}
@@ -86,9 +106,16 @@
         return [
             window
             for window in range(oldest, newest + 1)
-            if window not in self._reported
+            if window not in self._reported and self._is_closed(window, now_s)
         ]
 
+    def _is_closed(self, window: int, now_s: float) -> bool:
+        """Whether no more counts of a window are to be waited for."""
+        end_s = (window + 1) * self._counts.window_s
+        if now_s >= end_s + self._lateness_s - RESERVE_S:
+            return True
+        return self._all_counted_since(end_s + SETTLING_S)
+
     async def _report(self, window: int) -> None:
         if window not in self._frozen:
             counts = self._counts.total(window)
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import math
 import random
 import statistics
 import time
@@ -24,7 +25,7 @@
 from shallotfold._gateway.core.repeating import Repeater
 from shallotfold._gateway.deciding.events import PeerLoad
 
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 SHORTEST_INTERVAL_S = 0.4
 # Datagrams of all hosts grow with the square of their number; each host
 # sends less often the more there are.
@@ -33,6 +34,8 @@
 LONGEST_INTERVAL_S = 1.0
 # A peer that was silent for this long doesn't count as alive.
 ALIVE_S = 2.5
+# A peer that was silent for longer has ended, or its counts come too late.
+MAY_RUN_S = 20.0
 # A peer that was silent for this long is forgotten: it won't come back.
 FORGOTTEN_S = 60.0
 # Seeds are asked this often, also when peers are known: partitions heal.
@@ -63,6 +66,7 @@
         may_hold_duties: Whether it serves and the store answers it.
         loads_by_upstream: What it has under way.
         counts_by_window: What it counted.
+        counts_heard_s: When it last told its counts, on the boot clock.
         ended_counts: What it heard from incarnations that have ended, by
             origin and window.
         prefixes_sent: Shared parts of prompts that it sent since its last
@@ -80,6 +84,7 @@
     may_hold_duties: bool
     loads_by_upstream: Mapping[str, PeerLoad]
     counts_by_window: Mapping[int, dict[str, int]]
+    counts_heard_s: float
     ended_counts: Mapping[str, Mapping[int, dict[str, int]]]
     prefixes_sent: Sequence[tuple[str, str]]
 
@@ -154,6 +159,20 @@
         """
         return boot_s() + self._clock_offset_s
 
+    def all_counted_since(self, true_s: float) -> bool:
+        """Whether every peer that may run told its counts after a true time.
+
+        A peer that fell silent lately may have ended, or may be cut off and
+        serve on.
+        """
+        since_s = true_s - self._clock_offset_s
+        oldest_s = boot_s() - MAY_RUN_S
+        return all(
+            word.counts_heard_s >= since_s
+            for word in self.word_by_name.values()
+            if word.heard_s >= oldest_s
+        )
+
     def agree_on_time(self) -> None:
         """Take the median of all known clocks as the true one."""
         offsets_s = [word.clock_offset_s for word in self.alive()]
@@ -203,7 +222,7 @@
                     word.duty,
                     word.may_hold_duties,
                     loads,
-                    word.counts_by_window if with_counts else {},
+                    word.counts_by_window if with_counts else None,
                     word.ended_counts
                     if with_counts and self.keeps_counts(word)
                     else {},
@@ -237,7 +256,8 @@
                 upstream: PeerLoad(*load)
                 for upstream, load in fields[8].items()
             },
-            counts_by_window=fields[9],
+            counts_by_window=fields[9] or {},
+            counts_heard_s=-math.inf if fields[9] is None else now_s,
             ended_counts=fields[10],
             prefixes_sent=[(key, upstream) for key, upstream in fields[12]],
         )
@@ -247,6 +267,11 @@
         """Take a peer's word; returns whether it is another host's."""
         if word.name == self._name:
             return False
+        before = self.word_by_name.get(word.name)
+        if before is not None and before.incarnation == word.incarnation:
+            word.counts_heard_s = max(
+                word.counts_heard_s, before.counts_heard_s
+            )
         self.word_by_name[word.name] = word
         self._heard_s_by_origin[word.origin] = word.heard_s
         return True
--- a/tests/gateway/duties/test_duties.py
+++ b/tests/gateway/duties/test_duties.py
@@ -53,10 +53,23 @@
 
 
 def make_reporter(
-    store: PlatformStore, calls: Calls, lease: DutyLease, counts: UsageCounts
+    store: PlatformStore,
+    calls: Calls,
+    lease: DutyLease,
+    counts: UsageCounts,
+    true_s: float = 1008.0,
+    *,
+    complete: bool = True,
 ) -> UsageReporter:
     return UsageReporter(
-        store, calls, lease, counts, "h1", 10.0, lambda: 1008.0
+        store,
+        calls,
+        lease,
+        counts,
+        "h1",
+        10.0,
+        lambda: true_s,
+        lambda since_s: complete,
     )
 
 
@@ -133,6 +146,34 @@
     play_store(scene)
 
 
+@pytest.mark.parametrize(
+    ("true_s", "reported"), [(1008.0, False), (1012.0, False), (1013.0, True)]
+)
+def test_counts_of_a_silent_host_are_waited_for_while_there_is_time(
+    play_store: Play, true_s: float, reported: bool
+) -> None:
+    """Found on a day with cut-off hosts: a window lacked a fifth of its runs.
+
+    The window ends at 1005 and is due at 1015.
+    """
+
+    async def scene(store: PlatformStore, standin: StoreStandIn) -> None:
+        lease, calls = make_lease(store, "h1"), Calls()
+        counts = UsageCounts(window_s=5.0)
+        counts.add("north", 1001.0)
+        await lease.start()
+        reporter = make_reporter(
+            store, calls, lease, counts, true_s, complete=False
+        )
+        await reporter.start()
+        await asyncio.sleep(0.4)
+        assert (200 in [window for window, _, _ in calls.reports]) == reported
+        await reporter.close()
+        await lease.close()
+
+    play_store(scene)
+
+
 def test_another_holder_sends_the_figures_that_were_frozen(
     play_store: Play,
 ) -> None:
--- a/tests/gateway/following/test_beliefs.py
+++ b/tests/gateway/following/test_beliefs.py
@@ -144,6 +144,7 @@
                 may_hold_duties=True,
                 loads_by_upstream={},
                 counts_by_window={},
+                counts_heard_s=0.0,
                 ended_counts={},
                 prefixes_sent=(),
             )
--- a/tests/gateway/peers/test_peers.py
+++ b/tests/gateway/peers/test_peers.py
@@ -72,6 +72,7 @@
         may_hold_duties=True,
         loads_by_upstream={},
         counts_by_window={},
+        counts_heard_s=0.0,
         ended_counts={},
         prefixes_sent=(),
     )
@@ -165,3 +166,26 @@
         peers.word_by_name[str(number)] = word
     longest_s = peers.interval_s() * 1.2
     assert 2 * longest_s < peers_module.ALIVE_S
+
+
+def test_counts_are_complete_when_every_peer_told_them_in_time() -> None:
+    listener, near, far = (make_peers(number) for number in range(3))
+    counted = OwnWord(counts_by_window={1: {"north": 2}})
+    tell(near, listener, counted)
+    assert listener.all_counted_since(listener.true_s() - 1.0)
+    assert not listener.all_counted_since(listener.true_s() + 1.0)
+    brief, _ = listener.decode(far.encode(counted, with_counts=False), far.ip)
+    listener.hear(brief)
+    assert not listener.all_counted_since(listener.true_s() - 1.0)
+    tell(far, listener, OwnWord())
+    assert listener.all_counted_since(listener.true_s() - 1.0)
+
+
+def test_a_peer_that_was_silent_for_long_is_not_waited_for(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    listener, gone = make_peers(0), make_peers(1)
+    tell(gone, listener, OwnWord())
+    now_s = boot_s() + peers_module.MAY_RUN_S + 1.0
+    monkeypatch.setattr(peers_module, "boot_s", lambda: now_s)
+    assert listener.all_counted_since(listener.true_s() - 1.0)
