Let prompts with a long target wait where their shared part lies

Half a second of reading counted as much against a target of 1.5 s as against one of 0.25 s. Hosts that left a full holder scattered, so that one prefix was read at many engines.

A wait now counts by the part of the target that it uses up, a shared token that is read again 6 instead of 2, and hosts that leave a full holder turn to the homes of the prefix first. Engines are divided and homes computed once per change of upstreams instead of per request, and of more than 96 engines a sample is compared: at 3000 engines a placement cost milliseconds.

test_dispatcher: the hot prefix is now spread over all four engines by 200 requests instead of 100; that hardly anybody waits for a slot while others are free is checked besides.

--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -16,6 +16,7 @@
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.deciding import effects
 from shallotfold._gateway.deciding import events
+from shallotfold._gateway.deciding.engine_set import EngineSet
 from shallotfold._gateway.deciding.placement import Placement
 from shallotfold._gateway.deciding.retry_budget import FleetRetryBudget
 from shallotfold._model.events import Event
@@ -77,6 +78,7 @@
         self.placement = placement
         self.budget = budget
         self.upstreams_by_id: Mapping[str, Upstream] = {}
+        self._engines_by_service: dict[str, EngineSet] = {}
         self._open: dict[int, _OpenRequest] = {}
         self._handlers: dict[type, Callable[[Any], Effects]] = {
             events.RequestArrived: self._on_arrived,
@@ -204,6 +206,14 @@
 
     def _on_upstreams_changed(self, event: events.UpstreamsChanged) -> Effects:
         self.upstreams_by_id = event.upstreams_by_id
+        serving: dict[str, list[Upstream]] = {}
+        for upstream in event.upstreams_by_id.values():
+            if not upstream.draining:
+                serving.setdefault(upstream.service, []).append(upstream)
+        self._engines_by_service = {
+            service: EngineSet.of(upstreams)
+            for service, upstreams in serving.items()
+        }
         self.placement.trust.keep_only(set(event.upstreams_by_id))
         return []
 
@@ -235,14 +245,17 @@
             return []
         if request.attempts >= request.route.max_attempts:
             return []
-        fit = [
-            u
-            for u in self.upstreams_by_id.values()
-            if u.service == request.service and not u.draining
-        ]
-        candidates = [u for u in fit if u.upstream_id not in request.tried]
+        engines = self._engines_by_service.get(request.service)
+        if engines is None:
+            return []
         place = self.placement
-        upstream = place.choose(candidates, request.prompt, now_s)
+        upstream = place.choose(
+            engines,
+            request.prompt,
+            now_s,
+            request.route.target_s,
+            request.tried,
+        )
         if upstream is None:
             return []
         request.attempts += 1
@@ -251,7 +264,7 @@
         request.sent_s = now_s
         request.progressed_s = None
         prompt = request.prompt
-        kept = place.kept_tokens(fit, prompt, now_s)
+        kept = place.kept_tokens(engines, prompt, now_s)
         tokens = max(
             0, prompt.prompt_tokens - kept.get(upstream.upstream_id, 0)
         )
@@ -267,7 +280,7 @@
                 reason=(
                     f"rank={request.rank} unread={tokens} "
                     f"pending={total.pending_tokens} "
-                    f"requests={total.requests} candidates={len(candidates)}"
+                    f"requests={total.requests} candidates={len(engines.by_id)}"
                 ),
             )
         ]
--- a/src/shallotfold/_gateway/deciding/placement.py
+++ b/src/shallotfold/_gateway/deciding/placement.py
@@ -5,15 +5,13 @@
 of each prefix alike on every host. Load moves requests on to others.
 """
 
-from collections.abc import Iterable
-import functools
-import hashlib
-import heapq
+from collections.abc import Container
 
 import attrs
 
 from shallotfold._gateway.core.model import Prompt
 from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.deciding.engine_set import EngineSet
 from shallotfold._gateway.deciding.upstream_loads import UpstreamLoads
 from shallotfold._gateway.deciding.upstream_trust import UpstreamTrust
 
@@ -28,28 +26,26 @@
 TOKENS_PER_COLD_S = 2_000.0
 # Reading a shared prefix again costs more than the time it takes: it drives
 # other prefixes out and happens again on every such move.
-TOKENS_PER_MISSED_TOKEN = 2.0
-# A prompt with more unread tokens than this slows every stream beside it for
-# several steps of the engine; such prompts keep to engines of their own.
-LONG_PROMPT_TOKENS = 4_096
-LONG_PROMPT_ENGINE_SHARE = 0.6
+TOKENS_PER_MISSED_TOKEN = 6.0
+# A wait uses up a part of the target. With this target a token that is read
+# first counts like an own one; with a longer target it counts less.
+INTERACTIVE_TARGET_S = 0.25
 # Going to an engine of the other kind is worth it beyond this backlog.
 TOKENS_PER_WRONG_KIND = 5_000.0
-# Fewer engines than this are shared by all prompts.
-FEWEST_DIVIDED_ENGINES = 4
 # Crossing data centres costs bytes and a little time, in tokens.
 TOKENS_PER_CROSSING = 150.0
 # Upstreams queue a few requests beyond their slots.
 QUEUE_PER_SLOT = 1.5
 # How likely the first and the second home of a prefix keep it.
 HOME_CHANCES = (1.0, 0.5)
+# The same when others are known to keep it.
+OVERFLOW_CHANCES = (0.3, 0.3)
 # Peers are told where longer shared parts were sent, and of so many at most.
 SHARED_WORTH_TELLING_TOKENS = 1_000
 MOST_TOLD_PREFIXES = 32
 # A prefix that was sent somewhere within this time is still kept there.
 PREFIX_KEPT_S = 12.0
 PREFIX_MEMORY_ENTRIES = 4_096
-DIGESTS_KEPT = 16_384
 
 
 @attrs.define
@@ -112,25 +108,41 @@
     prefixes: PrefixMemory = attrs.field(factory=PrefixMemory)
 
     def choose(
-        self, candidates: Iterable[Upstream], prompt: Prompt, now_s: float
+        self,
+        engines: EngineSet,
+        prompt: Prompt,
+        now_s: float,
+        target_s: float = INTERACTIVE_TARGET_S,
+        tried: Container[str] = (),
     ) -> Upstream | None:
         """Return the upstream where the request costs least, if any has room.
 
         Paused upstreams are used only when no other is left.
+
+        Args:
+            engines: Upstreams of the service.
+            prompt: What is declared about the prompt.
+            now_s: Time on the boot clock.
+            target_s: When the answer should begin, after the request.
+            tried: Upstreams that had an attempt of the request.
         """
-        known = [u for u in candidates if not self.trust.gone(u.upstream_id)]
+        kept_by_upstream = self.kept_tokens(engines, prompt, now_s)
+        known = [
+            u
+            for u in engines.compared(prompt, kept_by_upstream)
+            if u.upstream_id not in tried and not self.trust.gone(u.upstream_id)
+        ]
         usable = [u for u in known if self.trust.usable(u.upstream_id, now_s)]
         roomy = [u for u in usable or known if self._has_room(u)]
         if not roomy:
             return None
-        fit = fitting_engines(known, prompt)
-        kept_by_upstream = self.kept_tokens(known, prompt, now_s)
-        fit_ids = {u.upstream_id for u in fit}
+        fit_ids = engines.fitting_ids(prompt)
+        urgency = min(1.0, INTERACTIVE_TARGET_S / max(target_s, 1e-3))
 
         def cost(upstream: Upstream) -> tuple[float, str]:
             name = upstream.upstream_id
             kept = kept_by_upstream.get(name, 0)
-            found = self._cost(upstream, prompt, kept, now_s)
+            found = self._cost(upstream, prompt, kept, urgency, now_s)
             if name not in fit_ids:
                 found += TOKENS_PER_WRONG_KIND
             return found, name
@@ -138,25 +150,29 @@
         return min(roomy, key=cost)
 
     def kept_tokens(
-        self, upstreams: Iterable[Upstream], prompt: Prompt, now_s: float
+        self, engines: EngineSet, prompt: Prompt, now_s: float
     ) -> dict[str, int]:
         """Return the tokens of a prompt that upstreams probably keep.
 
         Only upstreams that keep some are named. While no host has told of a
         prefix, its home is expected to keep it, and its second home by half:
-        all hosts turn to them first.
+        all hosts turn to them first. Later they count as likely places to
+        which other hosts moved it, so that hosts which leave a full holder
+        at the same moment meet.
         """
         key = prompt.shared_key
         if not key:
             return {}
-        holders = self.prefixes.holders(key, now_s)
-        known = list(upstreams)
-        alive = {u.upstream_id for u in known}
-        kept = dict.fromkeys(holders & alive, prompt.shared_tokens)
-        if not kept:
-            homes = homes_of(key, fitting_engines(known, prompt))
-            for name, chance in zip(homes, HOME_CHANCES, strict=False):
-                kept[name] = round(prompt.shared_tokens * chance)
+        kept = {
+            name: prompt.shared_tokens
+            for name in self.prefixes.holders(key, now_s)
+            if name in engines.by_id
+        }
+        chances = OVERFLOW_CHANCES if kept else HOME_CHANCES
+        for name, chance in zip(
+            engines.homes_of(prompt), chances, strict=False
+        ):
+            kept.setdefault(name, round(prompt.shared_tokens * chance))
         return kept
 
     def _has_room(self, upstream: Upstream) -> bool:
@@ -170,6 +186,7 @@
         upstream: Upstream,
         prompt: Prompt,
         kept: int,
+        urgency: float,
         now_s: float,
     ) -> float:
         load = self.loads.total(upstream.upstream_id)
@@ -177,10 +194,10 @@
         own_tokens = prompt.prompt_tokens - prompt.shared_tokens
         missed = prompt.shared_tokens - kept
         cost = own_tokens + TOKENS_PER_MISSED_TOKEN * missed
-        cost += load.pending_tokens
         cost += TOKENS_PER_RUNNING_REQUEST * load.requests
         waiting = max(0, load.requests + 1 - slots)
-        cost += TOKENS_PER_ANSWER * waiting / slots
+        wait = load.pending_tokens + TOKENS_PER_ANSWER * waiting / slots
+        cost += urgency * wait
         cost += TOKENS_PER_COLD_S * upstream.cold_s
         cost += TOKENS_PER_FAILURE * self.trust.failure_ratio(
             upstream.upstream_id, now_s
@@ -188,40 +205,3 @@
         if upstream.data_centre != self.data_centre:
             cost += TOKENS_PER_CROSSING
         return cost
-
-
-def fitting_engines(
-    upstreams: Iterable[Upstream], prompt: Prompt
-) -> list[Upstream]:
-    """Return the engines that are meant for prompts of this length.
-
-    Every host divides the engines alike, by a hash of their ids, so that few
-    engines change sides when others come and go.
-    """
-    known = list(upstreams)
-    if not prompt.prompt_tokens or len(known) < FEWEST_DIVIDED_ENGINES:
-        return known
-    ranked = sorted(known, key=lambda u: _digest(u.upstream_id))
-    border = round(len(ranked) * LONG_PROMPT_ENGINE_SHARE)
-    if prompt.prompt_tokens > LONG_PROMPT_TOKENS:
-        return ranked[:border]
-    return ranked[border:]
-
-
-def homes_of(key: str, upstreams: Iterable[Upstream]) -> tuple[str, ...]:
-    """Return the upstreams that rendezvous hashing ranks first for a prefix.
-
-    Returns:
-        At most two ids, best first.
-    """
-    ranked = heapq.nlargest(
-        2,
-        (u.upstream_id for u in upstreams),
-        key=lambda name: _digest(f"{key}/{name}"),
-    )
-    return tuple(ranked)
-
-
-@functools.lru_cache(maxsize=DIGESTS_KEPT)
-def _digest(text: str) -> bytes:
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/tests/gateway/deciding/test_dispatcher.py
+++ b/tests/gateway/deciding/test_dispatcher.py
@@ -169,10 +169,12 @@
         upstreams = [make_upstream(name, slots=64) for name in "abcd"]
         desk = Desk(*upstreams)
         chosen = []
-        for request in range(100):
+        for request in range(200):
             desk.arrive(request, prompt=make_prompt("site-7"))
             chosen.append(desk.sent_to())
         assert set(chosen) == set("abcd")
+        # Hardly anybody waits for a slot while other engines have free ones.
+        assert max(chosen.count(name) for name in "abcd") <= 64 * 1.1
 
 
 OUTCOMES = strategies.sampled_from(
--- a/tests/gateway/deciding/test_placement.py
+++ b/tests/gateway/deciding/test_placement.py
@@ -3,11 +3,12 @@
 from shallotfold._gateway.core.model import Prompt
 from shallotfold._gateway.core.model import PromptPart
 from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.deciding.engine_set import MOST_COMPARED
+from shallotfold._gateway.deciding.engine_set import OTHERS_COMPARED
+from shallotfold._gateway.deciding.engine_set import EngineSet
 from shallotfold._gateway.deciding.events import PeerLoad
 from shallotfold._gateway.deciding.placement import PREFIX_KEPT_S
 from shallotfold._gateway.deciding.placement import Placement
-from shallotfold._gateway.deciding.placement import fitting_engines
-from shallotfold._gateway.deciding.placement import homes_of
 from tests.gateway.making import make_prompt
 from tests.gateway.making import make_upstream
 
@@ -27,7 +28,7 @@
 def choose(
     placement: Placement, engines: list[Upstream], prompt: Prompt
 ) -> str:
-    upstream = placement.choose(engines, prompt, NOW_S)
+    upstream = placement.choose(EngineSet.of(engines), prompt, NOW_S)
     assert upstream is not None
     return upstream.upstream_id
 
@@ -38,7 +39,7 @@
     def test_chats_stay_off_the_engines_of_long_prompts(self) -> None:
         engines = make_engines(20, 12)
         placement = Placement(data_centre="a")
-        long_ids = {u.upstream_id for u in fitting_engines(engines, LONG)}
+        long_ids = EngineSet.of(engines).fitting_ids(LONG)
         for request in range(60):
             chosen = choose(placement, engines, CHAT)
             assert chosen not in long_ids
@@ -49,7 +50,7 @@
         """Found on a day of bursts: prompts waited seconds beside room."""
         engines = make_engines(20, 12)
         placement = Placement(data_centre="a")
-        long_ids = {u.upstream_id for u in fitting_engines(engines, LONG)}
+        long_ids = EngineSet.of(engines).fitting_ids(LONG)
         number = 0
         for engine in long_ids:
             for _ in range(13):
@@ -59,13 +60,13 @@
 
     def test_few_engines_are_shared(self) -> None:
         engines = make_engines(3, 128)
-        assert fitting_engines(engines, LONG) == engines
-        assert fitting_engines(engines, CHAT) == engines
+        assert len(EngineSet.of(engines).fitting_ids(LONG)) == 3
+        assert len(EngineSet.of(engines).fitting_ids(CHAT)) == 3
 
     def test_the_division_hardly_moves_when_an_engine_leaves(self) -> None:
         engines = make_engines(40, 12)
-        before = {u.upstream_id for u in fitting_engines(engines, LONG)}
-        after = {u.upstream_id for u in fitting_engines(engines[1:], LONG)}
+        before = EngineSet.of(engines).fitting_ids(LONG)
+        after = EngineSet.of(engines[1:]).fitting_ids(LONG)
         assert len(before ^ after) <= 2
 
 
@@ -74,7 +75,7 @@
 
     def test_all_hosts_spill_to_the_same_second_home(self) -> None:
         engines = make_engines(20, 12)
-        first, second = homes_of("site-1", fitting_engines(engines, LONG))
+        first, second = EngineSet.of(engines).homes_of(LONG)
         chosen = set()
         for host in range(6):
             placement = Placement(data_centre="a")
@@ -93,11 +94,11 @@
         """Found on a day of bursts: a third of shared tokens was reread."""
         engines = make_engines(20, 12)
         sender, listener = (Placement(data_centre="a") for _ in range(2))
-        (home, _) = homes_of("site-1", fitting_engines(engines, LONG))
+        (home, _) = EngineSet.of(engines).homes_of(LONG)
         other = next(
-            u.upstream_id
-            for u in fitting_engines(engines, LONG)
-            if u.upstream_id != home
+            name
+            for name in sorted(EngineSet.of(engines).fitting_ids(LONG))
+            if name != home
         )
         sender.prefixes.send(LONG, other, NOW_S)
         for key, upstream in sender.prefixes.take_fresh():
@@ -117,17 +118,80 @@
         engines = make_engines(20, 12)
         placement = Placement(data_centre="a")
         placement.prefixes.note("site-1", "gone", NOW_S)
-        (home, _) = homes_of("site-1", fitting_engines(engines, LONG))
+        (home, _) = EngineSet.of(engines).homes_of(LONG)
         assert choose(placement, engines, LONG) == home
 
 
+class TestBurstOfLongPrompts:
+    """Long prompts queue where their shared part lies, or read it again."""
+
+    def test_a_prompt_with_a_long_target_waits_for_its_shared_part(
+        self,
+    ) -> None:
+        """Found on a day of bursts: 38% of shared tokens were read again.
+
+        Half a second of reading lies before the prompt at its holder; reading
+        the shared part elsewhere costs everybody more than that wait.
+        """
+        engines = EngineSet.of(make_engines(20, 16))
+        placement = Placement(data_centre="a")
+        holder, _ = engines.homes_of(LONG)
+        placement.prefixes.note("site-1", holder, NOW_S)
+        placement.loads.hear("peer", {holder: PeerLoad(6, 56_000)}, NOW_S)
+        patient = placement.choose(engines, LONG, NOW_S, target_s=1.5)
+        urgent = placement.choose(engines, LONG, NOW_S, target_s=0.25)
+        assert patient is not None
+        assert urgent is not None
+        assert patient.upstream_id == holder
+        assert urgent.upstream_id != holder
+
+    def test_hosts_that_leave_a_full_holder_meet(self) -> None:
+        engines = EngineSet.of(make_engines(40, 16))
+        homes = engines.homes_of(LONG)
+        holder = next(n for n in sorted(engines.by_id) if n not in homes)
+        chosen = set()
+        for host in range(8):
+            placement = Placement(data_centre="a")
+            placement.prefixes.note("site-1", holder, NOW_S)
+            words = {
+                holder: PeerLoad(40, 90_000),
+                f"e{host + 10}": PeerLoad(1, 0),
+            }
+            placement.loads.hear("peer", words, NOW_S)
+            upstream = placement.choose(engines, LONG, NOW_S, target_s=1.5)
+            assert upstream is not None
+            chosen.add(upstream.upstream_id)
+        assert chosen <= set(homes)
+
+
+class TestThousandsOfEngines:
+    """What one request costs must not grow with the fleet."""
+
+    def test_a_part_is_compared_with_the_holder_among_it(self) -> None:
+        engines = EngineSet.of(make_engines(3000, 16))
+        holder = max(engines.by_id)
+        compared = engines.compared(LONG, [holder, "gone"])
+        assert len(compared) <= MOST_COMPARED + OTHERS_COMPARED + 1
+        assert holder in {u.upstream_id for u in compared}
+        placement = Placement(data_centre="a")
+        placement.prefixes.note("site-1", holder, NOW_S)
+        chosen = placement.choose(engines, LONG, NOW_S, target_s=1.5)
+        assert chosen is not None
+        assert chosen.upstream_id == holder
+
+    def test_all_hosts_agree_on_homes_without_talking(self) -> None:
+        engines = make_engines(3000, 16)
+        first = EngineSet.of(engines).homes_of(LONG)
+        assert EngineSet.of(reversed(engines)).homes_of(LONG) == first
+
+
 class TestEnginesWithFewSlots:
     """A slot more or less decides whether a request waits for seconds."""
 
     def test_a_free_engine_wins_over_a_full_home(self) -> None:
         engines = make_engines(10, 12)
         placement = Placement(data_centre="a")
-        (first, _) = homes_of("site-1", fitting_engines(engines, LONG))
+        (first, _) = EngineSet.of(engines).homes_of(LONG)
         for request in range(12):
             placement.loads.begin(first, request, 0)
             placement.loads.progress(first, request)
@@ -136,7 +200,7 @@
     def test_a_busy_home_with_free_slots_keeps_its_prefix(self) -> None:
         engines = make_engines(10, 12)
         placement = Placement(data_centre="a")
-        (first, _) = homes_of("site-1", fitting_engines(engines, LONG))
+        (first, _) = EngineSet.of(engines).homes_of(LONG)
         for request in range(8):
             placement.loads.begin(first, request, 600)
         assert choose(placement, engines, LONG) == first
