--- a/src/shallotfold/_cli/operator_main.py
+++ b/src/shallotfold/_cli/operator_main.py
@@ -24,6 +24,7 @@
 from shallotfold._operator.commands import configuration
 from shallotfold._operator.commands import entries
 from shallotfold._operator.commands import keys
+from shallotfold._operator.commands import logs
 from shallotfold._operator.commands import status
 from shallotfold._operator.commands import usage
 from shallotfold._operator.commands.context import CommandContext
@@ -215,8 +216,19 @@
         "explain", help="tell where a request went and why"
     )
     explain.add_argument("request_id", help="value of the X-Request-Id header")
+    explain.add_argument(
+        "--logs",
+        metavar="FILE",
+        nargs="+",
+        type=pathlib.Path,
+        help="read these logs of gateways instead of asking the entries",
+    )
     explain.set_defaults(
-        command=lambda context, o: entries.explain(context, o.request_id)
+        command=lambda context, o: (
+            logs.explain(context, o.request_id, o.logs)
+            if o.logs
+            else entries.explain(context, o.request_id)
+        )
     )
     trail = commands.add_parser("audit", help="print the audit trail")
     trail.add_argument(
