Step a host's clock in the soak

The time of day of one host at a time is moved by 3 or 4000 s; a window that is reported before its end by true time, or a minute after it, is a violation.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -13,6 +13,10 @@
 ROUTE_TIMEOUT_S = 2.0
 # The final answer may be this much later than the route's time-out.
 TIMEOUT_SLACK_S = 0.75
+# A window is reported after its end by true time. Late reports come from
+# frozen hosts; much later ones would be of another clock.
+EARLIEST_REPORT_S = 0.0
+LATEST_REPORT_S = 60.0
 
 
 def find_violations(
@@ -41,6 +45,12 @@
     for window, figures in duties.figures_by_window.items():
         if len(figures) > 1:
             found.append(f"window {window} was reported with other figures")
+    for window, ages_s in duties.ages_s_by_window.items():
+        found += [
+            f"window {window} was reported {age_s:.1f} s after its end"
+            for age_s in ages_s
+            if not EARLIEST_REPORT_S <= age_s <= LATEST_REPORT_S
+        ]
     for fencing, hosts in duties.hosts_by_fencing.items():
         if len(hosts) > 1:
             found.append(f"fencing number {fencing} came from two hosts")
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -2,10 +2,12 @@
 
 import collections
 import json
+import pathlib
 import subprocess
 import sys
 
 from benchmarks.soak import checks
+from benchmarks.soak import stepped_clock
 from benchmarks.soak.callers import Outcome
 from benchmarks.soak.outside import DutyService
 from benchmarks.soak.outside import Runs
@@ -53,6 +55,24 @@
         assert any(wanted in line for line in judge(outcome, starts)), wanted
 
 
+def test_usage_of_another_time_is_found() -> None:
+    duties = DutyService()
+    duties.ages_s_by_window = {7: [2.5], 8: [-1.0], 9: [4000.0]}
+    found = checks.find_violations([], Runs(), duties, [])
+    assert [line.split(" was")[0] for line in found] == ["window 8", "window 9"]
+
+
+def test_a_stepped_clock_is_off_by_what_its_file_says(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "clock"
+    stepped_clock.write_offset(path, 0.0)
+    clock = stepped_clock.stepped(path, lambda: 100.0)
+    assert clock() == 100.0
+    stepped_clock.write_offset(path, -40.0)
+    assert clock() == 60.0
+
+
 def test_a_short_soak_breaks_no_promise() -> None:
     result = subprocess.run(
         [
