Let each host compare a few drawn engines instead of all

A host now compares the engines that keep the prefix, its homes, and a few drawn ones: 3 of the fitting ones and 3 of all at 67 hosts, more where there are fewer hosts. If none of these has room, all are compared.

--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -227,6 +227,7 @@
 
     def _on_time_passed(self, event: events.TimePassed) -> Effects:
         self.budget.hosts = event.hosts
+        self.placement.hosts = event.hosts
         self.placement.loads.forget_old(event.now_s)
         wanted: Effects = []
         for request in list(self._open.values()):
--- a/src/shallotfold/_gateway/deciding/engine_set.py
+++ b/src/shallotfold/_gateway/deciding/engine_set.py
@@ -21,11 +21,6 @@
 # Homes of so many prefixes are remembered.
 HOMES_KEPT = 4_096
 DIGESTS_KEPT = 16_384
-# Of more upstreams than this a sample is compared for each request: the best
-# of so many is hardly worse than the best of all.
-MOST_COMPARED = 96
-# And so many of both kinds, for the case that all fitting ones are full.
-OTHERS_COMPARED = 16
 
 
 @attrs.frozen
@@ -102,27 +97,19 @@
             self._homes_by_prefix[key] = homes
         return homes
 
-    def compared(self, prompt: Prompt, named: Iterable[str]) -> list[Upstream]:
-        """Return the upstreams to compare for a request.
+    def sample(self, prompt: Prompt, count: int) -> set[str]:
+        """Return the ids of drawn engines.
 
         Args:
-            prompt: Its prompt.
-            named: Upstreams that must be among them if they are in the set.
-
-        Returns:
-            All of a small set, else a sample of fitting engines.
+            prompt: What they are for.
+            count: How many to draw of those that are meant for it, and how
+                many of all, for the case that the former are full.
         """
-        everyone = self._all.upstreams
-        if len(everyone) <= MOST_COMPARED:
-            return list(everyone)
-        fitting = self._side_of(prompt).upstreams
-        sample = random.sample(fitting, min(MOST_COMPARED, len(fitting)))
-        sample += random.sample(everyone, OTHERS_COMPARED)
-        found = {u.upstream_id: u for u in sample}
-        for name in named:
-            if name in self.by_id:
-                found[name] = self.by_id[name]
-        return list(found.values())
+        found: set[str] = set()
+        for upstreams in (self._side_of(prompt).upstreams, self._all.upstreams):
+            drawn = random.sample(upstreams, min(count, len(upstreams)))
+            found.update(u.upstream_id for u in drawn)
+        return found
 
     def _side_of(self, prompt: Prompt) -> _Side:
         if not prompt.prompt_tokens:
--- a/src/shallotfold/_gateway/deciding/placement.py
+++ b/src/shallotfold/_gateway/deciding/placement.py
@@ -5,7 +5,7 @@
 of each prefix alike on every host. Load moves requests on to others.
 """
 
-from collections.abc import Container
+from collections.abc import Set
 
 import attrs
 
@@ -36,6 +36,11 @@
 TOKENS_PER_CROSSING = 150.0
 # Upstreams queue a few requests beyond their slots.
 QUEUE_PER_SLOT = 1.5
+# Hosts know of each other's sends with a delay. If all compared all engines,
+# they would all send to the one that was idle last; each compares a few drawn
+# ones, the fewer the more hosts there are.
+FEWEST_COMPARED = 3
+COMPARED_TIMES_HOSTS = 100
 # How likely the first and the second home of a prefix keep it.
 HOME_CHANCES = (1.0, 0.5)
 # The same when others are known to keep it.
@@ -97,12 +102,14 @@
 
     Attributes:
         data_centre: Where this host runs.
+        hosts: Hosts that send to the same upstreams, this one included.
         loads: Estimated loads.
         trust: How attempts ended.
         prefixes: What was sent where.
     """
 
     data_centre: str
+    hosts: int = 1
     loads: UpstreamLoads = attrs.field(factory=UpstreamLoads)
     trust: UpstreamTrust = attrs.field(factory=UpstreamTrust)
     prefixes: PrefixMemory = attrs.field(factory=PrefixMemory)
@@ -113,7 +120,7 @@
         prompt: Prompt,
         now_s: float,
         target_s: float = INTERACTIVE_TARGET_S,
-        tried: Container[str] = (),
+        tried: Set[str] = frozenset(),
     ) -> Upstream | None:
         """Return the upstream where the request costs least, if any has room.
 
@@ -127,13 +134,13 @@
             tried: Upstreams that had an attempt of the request.
         """
         kept_by_upstream = self.kept_tokens(engines, prompt, now_s)
-        known = [
-            u
-            for u in engines.compared(prompt, kept_by_upstream)
-            if u.upstream_id not in tried and not self.trust.gone(u.upstream_id)
-        ]
-        usable = [u for u in known if self.trust.usable(u.upstream_id, now_s)]
-        roomy = [u for u in usable or known if self._has_room(u)]
+        count = max(FEWEST_COMPARED, COMPARED_TIMES_HOSTS // self.hosts)
+        compared = engines.sample(prompt, count) | kept_by_upstream.keys()
+        roomy = self._roomy(engines, compared - tried)
+        roomy = self._usable(roomy, now_s)
+        if not roomy:
+            roomy = self._roomy(engines, engines.by_id.keys() - tried)
+            roomy = self._usable(roomy, now_s) or roomy
         if not roomy:
             return None
         fit_ids = engines.fitting_ids(prompt)
@@ -175,6 +182,19 @@
             kept.setdefault(name, round(prompt.shared_tokens * chance))
         return kept
 
+    def _roomy(self, engines: EngineSet, names: Set[str]) -> list[Upstream]:
+        return [
+            upstream
+            for upstream in map(engines.by_id.__getitem__, names)
+            if not self.trust.gone(upstream.upstream_id)
+            and self._has_room(upstream)
+        ]
+
+    def _usable(
+        self, upstreams: list[Upstream], now_s: float
+    ) -> list[Upstream]:
+        return [u for u in upstreams if self.trust.usable(u.upstream_id, now_s)]
+
     def _has_room(self, upstream: Upstream) -> bool:
         if upstream.slots <= 0:
             return True
