Work out what gateways tell each other at 64 to 1000 hosts

docs/CAPACITY.md has a table made from the intervals in the code and a measured word. The intervals become functions of the number of hosts.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -12,7 +12,15 @@
 
 import attrs
 
+from shallotfold._gateway.following import store_following
+from shallotfold._gateway.peers import peers
+
 MEGABYTE = 1_000_000
+# A word between gateways with loads at 20 upstreams and 8 prefixes, and the
+# time to read it; measured on one core.
+WORD_BYTES = 602
+WORD_READ_S = 49e-6
+GATEWAY_FLEETS = (64, 100, 300, 350, 1000)
 
 
 @attrs.frozen(kw_only=True)
@@ -213,6 +221,10 @@
         "",
         *_render_breaks(fleet, rows),
         "",
+        "## Between gateways on the users' platform",
+        "",
+        *_render_gateways(),
+        "",
     ]
     return "\n".join(lines)
 
@@ -285,6 +297,29 @@
     ]
 
 
+def _render_gateways() -> list[str]:
+    lines = [
+        "Worked out from a word of "
+        f"{WORD_BYTES} bytes that takes {1e6 * WORD_READ_S:.0f} us to read, "
+        "both measured, and from the intervals in the code. A store call is a "
+        "watch that ran out; each change of upstreams or of the configuration "
+        "adds one a host, changes within the gathering time counted once.",
+        "",
+        "| hosts | words a second, each way | % of a core | Mbit/s, each way "
+        "| store calls a second, all hosts | gathering time |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for hosts in GATEWAY_FLEETS:
+        words = (hosts - 1) / peers.interval_s(hosts)
+        calls = 2 * hosts / store_following.watch_s(hosts)
+        lines.append(
+            f"| {hosts} | {words:.0f} | {100 * words * WORD_READ_S:.1f} "
+            f"| {8 * words * WORD_BYTES / MEGABYTE:.2f} | {calls:.1f} "
+            f"| {store_following.gather_s(hosts):.2f} s |"
+        )
+    return lines
+
+
 def main(argv: Sequence[str] | None = None) -> None:
     """Write the page."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/src/shallotfold/_gateway/following/store_following.py
+++ b/src/shallotfold/_gateway/following/store_following.py
@@ -28,6 +28,18 @@
 LONGEST_PAUSE_S = 0.8
 
 
+def watch_s(hosts: int) -> float:
+    """Return how long a watch waits when `hosts` follow the prefix."""
+    wanted_s = hosts * WATCH_S_PER_HOST
+    return min(LONGEST_WATCH_S, max(SHORTEST_WATCH_S, wanted_s))
+
+
+def gather_s(hosts: int) -> float:
+    """Return how long changes are gathered when `hosts` read them."""
+    wanted_s = hosts * GATHER_S_PER_HOST
+    return min(LONGEST_GATHER_S, max(SHORTEST_GATHER_S, wanted_s))
+
+
 class PrefixFollower:
     """Keeps one prefix up to date."""
 
@@ -106,7 +118,7 @@
             else:
                 self._note_contact(None)
                 if changed:
-                    await asyncio.sleep(self._gather_s())
+                    await asyncio.sleep(gather_s(self._hosts()))
             pause_s = FIRST_PAUSE_S
 
     async def _step(self) -> bool:
@@ -115,7 +127,7 @@
             self._revision = snapshot.revision
             self._on_snapshot(snapshot)
             return False
-        wait_s = self._watch_s() if self._reachable else PROBE_WAIT_S
+        wait_s = watch_s(self._hosts()) if self._reachable else PROBE_WAIT_S
         self._watch = asyncio.create_task(
             self._store.watch(self._prefix, self._revision, wait_s)
         )
@@ -130,14 +142,6 @@
         self._on_changes(changes)
         return bool(changes.changed or changes.deleted)
 
-    def _watch_s(self) -> float:
-        wait_s = self._hosts() * WATCH_S_PER_HOST
-        return min(LONGEST_WATCH_S, max(SHORTEST_WATCH_S, wait_s))
-
-    def _gather_s(self) -> float:
-        gather_s = self._hosts() * GATHER_S_PER_HOST
-        return min(LONGEST_GATHER_S, max(SHORTEST_GATHER_S, gather_s))
-
     def _note_contact(self, error: Exception | None) -> None:
         reachable = error is None
         if reachable is not self._reachable:
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -110,6 +110,12 @@
     prefixes_sent: Sequence[tuple[str, str]] = ()
 
 
+def interval_s(hosts: int) -> float:
+    """Return the time between two words of a host in a fleet of `hosts`."""
+    wanted_s = hosts * INTERVAL_S_PER_HOST
+    return min(LONGEST_INTERVAL_S, max(SHORTEST_INTERVAL_S, wanted_s))
+
+
 class Peers:
     """The other hosts, as far as they were heard.
 
@@ -182,9 +188,7 @@
 
     def interval_s(self) -> float:
         """Return the time between two words of this host."""
-        hosts = len(self.word_by_name) + 1
-        interval_s = hosts * INTERVAL_S_PER_HOST
-        return min(LONGEST_INTERVAL_S, max(SHORTEST_INTERVAL_S, interval_s))
+        return interval_s(len(self.word_by_name) + 1)
 
     def count_keepers(self) -> set[str]:
         """Return the addresses of the hosts that must know all counts."""
