--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -30,6 +30,9 @@
 TRANSIT_S = 0.03
 # An attempt with less time than this can't end in a useful answer.
 SHORTEST_ATTEMPT_S = 0.05
+# Turns the draw of a request into another one for each attempt; steps of the
+# golden ratio spread evenly.
+DRAW_STEP = 0.61803398875
 # A repeatable attempt that is silent for this multiple of the target is
 # given up while another upstream may still answer in time.
 PATIENCE_PER_TARGET = 2.0
@@ -256,6 +259,7 @@
             now_s,
             request.route.target_s,
             request.tried,
+            (request.draw + request.attempts * DRAW_STEP) % 1.0,
         )
         if upstream is None:
             return []
--- a/src/shallotfold/_gateway/deciding/engine_set.py
+++ b/src/shallotfold/_gateway/deciding/engine_set.py
@@ -97,7 +97,7 @@
             self._homes_by_prefix[key] = homes
         return homes
 
-    def sample(self, prompt: Prompt, count: int) -> set[str]:
+    def sample(self, prompt: Prompt, count: int, draw: float) -> set[str]:
         """Return the ids of drawn engines.
 
         Args:
@@ -105,9 +105,10 @@
             count: How many to draw of those that are meant for it, and how
                 many of all, for the case that the former are full.
         """
+        chance = random.Random(draw)
         found: set[str] = set()
         for upstreams in (self._side_of(prompt).upstreams, self._all.upstreams):
-            drawn = random.sample(upstreams, min(count, len(upstreams)))
+            drawn = chance.sample(upstreams, min(count, len(upstreams)))
             found.update(u.upstream_id for u in drawn)
         return found
 
--- a/src/shallotfold/_gateway/deciding/placement.py
+++ b/src/shallotfold/_gateway/deciding/placement.py
@@ -121,6 +121,7 @@
         now_s: float,
         target_s: float = INTERACTIVE_TARGET_S,
         tried: Set[str] = frozenset(),
+        draw: float = 0.0,
     ) -> Upstream | None:
         """Return the upstream where the request costs least, if any has room.
 
@@ -132,10 +133,11 @@
             now_s: Time on the boot clock.
             target_s: When the answer should begin, after the request.
             tried: Upstreams that had an attempt of the request.
+            draw: Random number of the attempt, 0 to 1.
         """
         kept_by_upstream = self.kept_tokens(engines, prompt, now_s)
         count = max(FEWEST_COMPARED, COMPARED_TIMES_HOSTS // self.hosts)
-        compared = engines.sample(prompt, count) | kept_by_upstream.keys()
+        compared = engines.sample(prompt, count, draw) | kept_by_upstream.keys()
         roomy = self._roomy(engines, compared - tried)
         roomy = self._usable(roomy, now_s)
         if not roomy:
--- a/tests/gateway/deciding/test_placement.py
+++ b/tests/gateway/deciding/test_placement.py
@@ -181,7 +181,9 @@
             placement = Placement(data_centre="a", hosts=67)
             placement.loads.hear("peer", words, NOW_S)
             prompt = make_prompt(f"chat-{number}", shared=200)
-            upstream = placement.choose(engines, prompt, NOW_S)
+            upstream = placement.choose(
+                engines, prompt, NOW_S, draw=number / 67
+            )
             assert upstream is not None
             chosen.append(upstream.upstream_id)
         assert chosen.count(idle) < 67 / 2
