--- a/src/shallotfold/_gateway/deciding/engine_set.py
+++ b/src/shallotfold/_gateway/deciding/engine_set.py
@@ -104,6 +104,7 @@
             prompt: What they are for.
             count: How many to draw of those that are meant for it, and how
                 many of all, for the case that the former are full.
+            draw: Random number, 0 to 1; the same one draws the same engines.
         """
         chance = random.Random(draw)
         found: set[str] = set()
