--- a/src/shallotfold/_gateway/duties/usage_reporting.py
+++ b/src/shallotfold/_gateway/duties/usage_reporting.py
@@ -83,7 +83,7 @@
         await self._repeater.close()
 
     async def _report_due(self) -> None:
-        if not self._lease.holds or self._is_learning():
+        if not self._lease.holds:
             return
         for window in self._due_windows():
             try:
@@ -112,9 +112,10 @@
     def _is_closed(self, window: int, now_s: float) -> bool:
         """Whether no more counts of a window are to be waited for."""
         end_s = (window + 1) * self._counts.window_s
-        if now_s >= end_s + self._lateness_s - RESERVE_S:
+        if self._all_counted_since(end_s + SETTLING_S):
             return True
-        return self._all_counted_since(end_s + SETTLING_S)
+        is_urgent = now_s >= end_s + self._lateness_s - RESERVE_S
+        return is_urgent and not self._is_learning()
 
     async def _report(self, window: int) -> None:
         if window not in self._frozen:
--- a/tests/gateway/duties/test_duties.py
+++ b/tests/gateway/duties/test_duties.py
@@ -174,6 +174,35 @@
     play_store(scene)
 
 
+@pytest.mark.parametrize(
+    ("complete", "reported"), [(True, True), (False, False)]
+)
+def test_a_new_holder_reports_at_once_if_all_have_told_their_counts(
+    play_store: Play,
+    monkeypatch: pytest.MonkeyPatch,
+    complete: bool,
+    reported: bool,
+) -> None:
+    """Found after a long outage of the store: the window was due soon."""
+    monkeypatch.setattr(usage_reporting, "LEARNING_S", 60.0)
+
+    async def scene(store: PlatformStore, standin: StoreStandIn) -> None:
+        lease, calls = make_lease(store, "h1"), Calls()
+        counts = UsageCounts(window_s=5.0)
+        counts.add("north", 1001.0)
+        await lease.start()
+        reporter = make_reporter(
+            store, calls, lease, counts, 1014.0, complete=complete
+        )
+        await reporter.start()
+        await asyncio.sleep(0.4)
+        assert (200 in [window for window, _, _ in calls.reports]) == reported
+        await reporter.close()
+        await lease.close()
+
+    play_store(scene)
+
+
 def test_another_holder_sends_the_figures_that_were_frozen(
     play_store: Play,
 ) -> None:
