Don't wait for the counts of one or two of many hosts

Two of 67 hosts hold less than the error that a report may have, so that nothing is gained by waiting. More than 3% of the hosts silent are waited for as before: they are probably cut off and serve on.

--- a/src/shallotfold/_gateway/duties/usage_reporting.py
+++ b/src/shallotfold/_gateway/duties/usage_reporting.py
@@ -22,7 +22,10 @@
 SETTLING_S = 1.0
 # Where nobody is silent, such words of all peers arrive within this time.
 GATHERING_S = 2.4
-# Where somebody is, a window is closed this long before it is due: time for
+# So large a share of the hosts is not waited for: it has hardly more than the
+# half of the error that a report may have.
+MISSING_SHARE = 0.03
+# Where more are silent, a window is closed this long before it is due: time for
 # freezing and sending it, both once again.
 RESERVE_S = 2.5
 REPEAT_S = 0.8
@@ -44,7 +47,7 @@
         host: str,
         lateness_s: float,
         true_s: Callable[[], float],
-        all_counted_since: Callable[[float], bool],
+        counted_share_since: Callable[[float], float],
     ) -> None:
         """Make a reporter.
 
@@ -56,7 +59,7 @@
             host: Name of this host.
             lateness_s: A window is due this long after its end.
             true_s: Returns the true time of day.
-            all_counted_since: Tells whether all peers that may run have told
+            counted_share_since: Returns the share of hosts that have told
                 their counts after a true time.
         """
         self._store = store
@@ -66,7 +69,7 @@
         self._host = host
         self._lateness_s = lateness_s
         self._true_s = true_s
-        self._all_counted_since = all_counted_since
+        self._counted_share_since = counted_share_since
         self._frozen: dict[int, Counts] = {}
         self._reported: set[int] = set()
         self._revision_by_key: dict[str, int] = {}
@@ -112,7 +115,8 @@
     def _is_closed(self, window: int, now_s: float) -> bool:
         """Whether no more counts of a window are to be waited for."""
         end_s = (window + 1) * self._counts.window_s
-        if self._all_counted_since(end_s + SETTLING_S):
+        counted = self._counted_share_since(end_s + SETTLING_S)
+        if counted >= 1.0 - MISSING_SHARE:
             return True
         is_urgent = now_s >= end_s + self._lateness_s - RESERVE_S
         return is_urgent and not self._is_learning()
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -165,19 +165,21 @@
         """
         return boot_s() + self._clock_offset_s
 
-    def all_counted_since(self, true_s: float) -> bool:
-        """Whether every peer that may run told its counts after a true time.
+    def counted_share_since(self, true_s: float) -> float:
+        """Return the share of hosts that told their counts after a true time.
 
-        A peer that fell silent lately may have ended, or may be cut off and
-        serve on.
+        Of all hosts that may run, this one included. A peer that fell silent
+        lately may have ended, or may be cut off and serve on.
         """
         since_s = true_s - self._clock_offset_s
         oldest_s = boot_s() - MAY_RUN_S
-        return all(
-            word.counts_heard_s >= since_s
+        running = [
+            word
             for word in self.word_by_name.values()
             if word.heard_s >= oldest_s
-        )
+        ]
+        counted = sum(word.counts_heard_s >= since_s for word in running)
+        return (1 + counted) / (1 + len(running))
 
     def agree_on_time(self) -> None:
         """Take the median of all known clocks as the true one."""
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -121,7 +121,7 @@
             settings.host,
             settings.usage_lateness_s,
             self._peers.true_s,
-            self._peers.all_counted_since,
+            self._peers.counted_share_since,
         )
         self._ordering = UpstreamOrdering(
             duty_calls,
