Keep only a share of the connections that an upstream accepts

Cause: an upstream resets connections beyond the limit that its service declares for all hosts together. The gateway ignored the limit and kept up to 24 idle ones: 67 hosts could keep 1608 where 530 are accepted, and a reset after sending leaves a request's outcome unknown.

Idle connections of all hosts now take at most a half of the limit.

--- a/src/shallotfold/_gateway/core/model.py
+++ b/src/shallotfold/_gateway/core/model.py
@@ -101,10 +101,13 @@
     Attributes:
         name: Unique name.
         scaling: Limits of orders; `None` when upstreams aren't ordered.
+        connection_limit: Connections that one upstream accepts from all
+            hosts together; further ones are reset. 0: not known.
     """
 
     name: str
     scaling: ScalingLimits | None = None
+    connection_limit: int = 0
 
 
 @attrs.frozen
--- a/src/shallotfold/_gateway/http/upstream_pool.py
+++ b/src/shallotfold/_gateway/http/upstream_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import math
 from typing import Protocol
 
@@ -18,6 +19,9 @@
 # A connection this close to its idle limit may be closing already.
 IDLE_MARGIN_S = 1.0
 MAX_IDLE_CONNECTIONS = 24
+# Of the connections that an upstream accepts, this share may be idle ones of
+# all hosts together; the rest is left for requests under way.
+IDLE_SHARE = 0.5
 # What must not run twice goes on a connection only this soon after its last
 # answer: one that was dropped unnoticed would leave the outcome unknown.
 LONGEST_IDLE_ONCE_S = 1.0
@@ -48,10 +52,31 @@
         ...
 
 
+def idle_limit(connection_limit: int, hosts: int) -> int:
+    """Return how many idle connections one host keeps to an upstream.
+
+    Args:
+        connection_limit: Connections that the upstream accepts from all
+            hosts together; 0: not known.
+        hosts: Hosts that send to it.
+    """
+    if not connection_limit:
+        return MAX_IDLE_CONNECTIONS
+    share = int(connection_limit * IDLE_SHARE / hosts)
+    return max(1, min(MAX_IDLE_CONNECTIONS, share))
+
+
 class UpstreamPool:
     """Idle connections by address and incarnation of an upstream."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit_of: Callable[[Upstream], int]) -> None:
+        """Make a pool.
+
+        Args:
+            limit_of: Returns how many idle connections to keep to an
+                upstream.
+        """
+        self._limit_of = limit_of
         self._idle_by_upstream: dict[
             tuple[str, int, str], collections.deque[UpstreamConnection]
         ] = {}
@@ -108,7 +133,7 @@
         idle = self._idle_by_upstream.setdefault(
             _key(upstream), collections.deque()
         )
-        if len(idle) >= MAX_IDLE_CONNECTIONS:
+        if len(idle) >= self._limit_of(upstream):
             connection.abort()
             return
         idle.append(connection)
--- a/src/shallotfold/_gateway/serving/serving.py
+++ b/src/shallotfold/_gateway/serving/serving.py
@@ -25,6 +25,7 @@
 from shallotfold._gateway.http.messages import find_header
 from shallotfold._gateway.http.messages import plain_answer
 from shallotfold._gateway.http.upstream_pool import UpstreamPool
+from shallotfold._gateway.http.upstream_pool import idle_limit
 from shallotfold._gateway.serving.caller_connection import CallerConnection
 from shallotfold._gateway.serving.caller_connection import Exchange
 from shallotfold._gateway.serving.relay import Admission
@@ -79,7 +80,7 @@
         self.names = names
         self.dispatcher = dispatcher
         self.figures = figures
-        self.pool = UpstreamPool()
+        self.pool = UpstreamPool(self._idle_limit)
         self.table: RouteTable | None = None
         self.stopping_s: float | None = None
         self.ends_s = math.inf
@@ -225,6 +226,14 @@
         if relay.workspace is not None:
             self._usage.add(relay.workspace.name, self._wall_s())
 
+    def _idle_limit(self, upstream: Upstream) -> int:
+        service = None
+        if self.table is not None:
+            services = self.table.configuration.services_by_name
+            service = services.get(upstream.service)
+        limit = service.connection_limit if service is not None else 0
+        return idle_limit(limit, self.hosts)
+
     # Effects.
 
     def _send(self, effect: effects.SendAttempt) -> None:
--- a/src/shallotfold/platform/documents.py
+++ b/src/shallotfold/platform/documents.py
@@ -117,6 +117,8 @@
             spot_price_ratio=scaling.get("SpotPriceRatio", 1.0),
             price_by_data_centre=scaling.get("ZonePrices", {}),
         ),
+        # Of one worker, though it stands at the service.
+        connection_limit=content.get("ConnectionLimit") or 0,
     )
 
 
--- /dev/null
+++ b/tests/gateway/http/test_upstream_pool.py
@@ -0,0 +1,22 @@
+"""Check how many connections a host keeps."""
+
+import pytest
+
+from shallotfold._gateway.http.upstream_pool import MAX_IDLE_CONNECTIONS
+from shallotfold._gateway.http.upstream_pool import idle_limit
+
+
+@pytest.mark.parametrize(
+    ("connection_limit", "hosts", "kept"),
+    [
+        (0, 67, MAX_IDLE_CONNECTIONS),
+        (100_000, 67, MAX_IDLE_CONNECTIONS),
+        (530, 67, 3),
+        (530, 9, MAX_IDLE_CONNECTIONS),
+        (100, 300, 1),
+    ],
+)
+def test_idle_connections_of_all_hosts_leave_room_for_requests(
+    connection_limit: int, hosts: int, kept: int
+) -> None:
+    assert idle_limit(connection_limit, hosts) == kept
--- a/tests/gateway/serving/test_caller_connections.py
+++ b/tests/gateway/serving/test_caller_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from shallotfold._gateway.http import upstream_pool
@@ -35,6 +36,26 @@
     play([backend], scene)
 
 
+def test_a_host_keeps_no_more_connections_than_its_share() -> None:
+    """Upstreams reset connections beyond those that they accept of all."""
+    backend = Backend(lambda _: signed())
+
+    async def scene(site: Site) -> None:
+        assert site.gateway.table is not None
+        services = site.gateway.table.configuration.services_by_name
+        assert isinstance(services, dict)
+        for name, service in services.items():
+            services[name] = attrs.evolve(service, connection_limit=4)
+        site.gateway.hosts = 2
+        await asyncio.gather(*(site.ask(request()) for _ in range(6)))
+        assert site.gateway.pool.connections_made > 1
+        # A half of 4 connections, shared by two hosts.
+        (idle,) = site.gateway.pool._idle_by_upstream.values()
+        assert len(idle) == 1
+
+    play([backend], scene)
+
+
 def test_what_runs_once_avoids_connections_that_were_idle_for_long(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -89,6 +89,7 @@
     assert configuration.workspaces_by_key["k2"].name == "hule"
     assert configuration.limits.max_header_bytes == 100
     assert configuration.limits.header_timeout_s == 3.0
+    assert configuration.services_by_name["first"].connection_limit == 630
     scaling = configuration.services_by_name["first"].scaling
     assert scaling is not None
     assert (scaling.maximum, scaling.spot_price_ratio) == (3, 0.22)
