--- a/src/shallotfold/_cli/common.py
+++ b/src/shallotfold/_cli/common.py
@@ -2,6 +2,7 @@
 
 import argparse
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import pathlib
 import sys
@@ -49,6 +50,8 @@
         ...
 
 
+NO_CHECKS: Mapping[str, Callable[[pathlib.Path], object]] = {}
+
 SettingsT = TypeVar("SettingsT", bound=ServiceSettings)
 
 
@@ -86,6 +89,8 @@
     settings_class: type[SettingsT],
     make_process: Callable[[SettingsT], Process],
     argv: Sequence[str] | None = None,
+    *,
+    check_by_suffix: Mapping[str, Callable[[pathlib.Path], object]] = NO_CHECKS,
 ) -> int:
     """Run a long-running binary from its settings file.
 
@@ -95,6 +100,8 @@
         make_process: Makes the process; raises `UsageError` for settings
             that can't work together, which `--check` reports as well.
         argv: Arguments; the command line when `None`.
+        check_by_suffix: Checks of settings files of other programs, by the
+            suffix of the file; only `--check` reads them.
 
     Returns:
         The exit code.
@@ -114,6 +121,11 @@
     options = parser.parse_args(argv)
 
     def body() -> int:
+        check = check_by_suffix.get(options.settings.suffix)
+        if options.check and check is not None:
+            check(options.settings)
+            print(f"{options.settings}: no faults")
+            return EXIT_OK
         settings = load_settings(options.settings, settings_class)
         configure_logs(
             settings.log, host=settings.host, data_centre=settings.data_centre
--- a/src/shallotfold/_cli/entry_main.py
+++ b/src/shallotfold/_cli/entry_main.py
@@ -7,6 +7,7 @@
 from shallotfold._cli.common import run_service
 from shallotfold._entry.process import EntryProcess
 from shallotfold._settings.entry import EntrySettings
+from shallotfold.platform.settings import load_platform_settings
 
 _DESCRIPTION = """\
 Accept callers of language models and plain services, decide by class,
@@ -28,6 +29,9 @@
   [credentials]
   engines = "..."
 
+--check also reads a settings file of the users' platform (FILE.json), with
+which `shallotfold-gateway` is started.
+
 signals:
   SIGTERM or SIGINT drains: /readyz fails, callers are served until all is
   done or for shutdown_timeout_s; a second one ends the process at once.
@@ -38,4 +42,10 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the binary and return its exit code."""
     parser = make_parser("shallotfold-entry", _DESCRIPTION, _EPILOG)
-    return run_service(parser, EntrySettings, EntryProcess, argv)
+    return run_service(
+        parser,
+        EntrySettings,
+        EntryProcess,
+        argv,
+        check_by_suffix={".json": load_platform_settings},
+    )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from shallotfold._cli import entry_main
 from shallotfold._cli.gateway_main import main
 from shallotfold._errors import InvalidInputError
 from shallotfold.platform.settings import load_platform_settings
@@ -77,3 +78,14 @@
     bad = str(write(tmp_path, Platform={}))
     assert main(["--check", "--settings", bad]) == 2
     assert "Platform.Address" in capsys.readouterr().err
+
+
+def test_the_entry_s_check_reads_the_file_too(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = write(tmp_path)
+    assert entry_main.main(["--settings", str(path), "--check"]) == 0
+    assert f"{path}: no faults" in capsys.readouterr().out
+    path = write(tmp_path, Platform={})
+    assert entry_main.main(["--settings", str(path), "--check"]) == 2
+    assert "Platform.Address" in capsys.readouterr().err
