--- a/tests/docs/test_walkthrough.py
+++ b/tests/docs/test_walkthrough.py
@@ -16,7 +16,10 @@
     setup = (
         "set -euo pipefail\ntrap 'kill $(jobs -p) 2>/dev/null || true' EXIT\n"
     )
-    script = setup + "".join(blocks)
+    # An address of its own, since the page's ports are fixed.
+    number = os.getpid()
+    address = f"127.{20 + number % 200}.{number // 200 % 250}.1"
+    script = (setup + "".join(blocks)).replace("127.0.0.1", address)
     binaries = str(pathlib.Path(sys.executable).parent)
     environment = {
         **os.environ,
