--- a/tests/runtime/test_metric_names.py
+++ b/tests/runtime/test_metric_names.py
@@ -11,7 +11,7 @@
 def used_names() -> set[str]:
     """Names in all metric effects of the reducer, varying parts as `*`."""
     names = set()
-    for path in (ROOT / "src/shallotfold/_entry").glob("*.py"):
+    for path in (ROOT / "src/shallotfold/_entry").rglob("*.py"):
         for node in ast.walk(ast.parse(path.read_text())):
             if not isinstance(node, ast.Call):
                 continue
