Keep the time known so far while a third of the clocks agrees with it

The time known so far is kept while a third of the clocks agrees with it; a host that starts takes what its peers agreed on, which their words now carry (version 5). The tests fail on the median.

--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -25,7 +25,7 @@
 from shallotfold._gateway.core.repeating import Repeater
 from shallotfold._gateway.deciding.events import PeerLoad
 
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 SHORTEST_INTERVAL_S = 0.4
 # Datagrams of all hosts grow with the square of their number; each host
 # sends less often the more there are.
@@ -34,6 +34,11 @@
 LONGEST_INTERVAL_S = 1.0
 # A peer that was silent for this long doesn't count as alive.
 ALIVE_S = 2.5
+# Clocks within this time of each other agree: more than the way of a word.
+CLOCKS_AGREE_S = 0.5
+# As long as this share of the clocks still agrees with the time known so far,
+# the others have been stepped, even if they are more.
+KEEPING_SHARE = 1 / 3
 # A peer that was silent for longer has ended, or its counts come too late.
 MAY_RUN_S = 20.0
 # A peer that was silent for this long is forgotten: it won't come back.
@@ -60,6 +65,8 @@
         ip: Its address.
         heard_s: When it was heard, on the boot clock.
         clock_offset_s: Its time of day less this host's boot clock.
+        agreed_offset_s: The same of the time that it takes for true; `None`:
+            it has not agreed on one yet.
         configuration: Version of its configuration; 0: none.
         upstreams_at: Store revision of the last change of upstreams it knows.
         duty: Fencing number if it holds the duties; 0: it doesn't.
@@ -78,6 +85,7 @@
     ip: str
     heard_s: float
     clock_offset_s: float
+    agreed_offset_s: float | None
     configuration: int
     upstreams_at: int
     duty: int
@@ -116,6 +124,10 @@
     return min(LONGEST_INTERVAL_S, max(SHORTEST_INTERVAL_S, wanted_s))
 
 
+def _near(offsets_s: Sequence[float], offset_s: float) -> list[float]:
+    return [o for o in offsets_s if abs(o - offset_s) <= CLOCKS_AGREE_S]
+
+
 class Peers:
     """The other hosts, as far as they were heard.
 
@@ -136,6 +148,7 @@
         self._heard_s_by_origin: dict[str, float] = {}
         self._alive: frozenset[str] = frozenset()
         self._clock_offset_s = time.time() - boot_s()
+        self._has_agreed = False
 
     @property
     def origin(self) -> str:
@@ -182,11 +195,30 @@
         return (1 + counted) / (1 + len(running))
 
     def agree_on_time(self) -> None:
-        """Take the median of all known clocks as the true one."""
-        offsets_s = [word.clock_offset_s for word in self.alive()]
-        self._clock_offset_s = statistics.median(
-            [time.time() - boot_s(), *offsets_s]
-        )
+        """Take as true what most clocks say, or still say.
+
+        A host that has just started goes by what its peers agreed on before.
+        Later the time known so far is kept while a fair share of the clocks
+        agrees with it: clocks that were stepped may be the majority.
+        """
+        words = self.alive()
+        agreed_s = [
+            word.agreed_offset_s
+            for word in words
+            if word.agreed_offset_s is not None
+        ]
+        if not self._has_agreed and agreed_s:
+            self._clock_offset_s = statistics.median_low(agreed_s)
+            self._has_agreed = True
+        offsets_s = [
+            time.time() - boot_s(),
+            *(word.clock_offset_s for word in words),
+        ]
+        near_s = _near(offsets_s, self._clock_offset_s)
+        if not self._has_agreed or len(near_s) < KEEPING_SHARE * len(offsets_s):
+            near_s = max((_near(offsets_s, o) for o in offsets_s), key=len)
+        self._clock_offset_s = statistics.median(near_s)
+        self._has_agreed = self._has_agreed or len(words) > 0
 
     def interval_s(self) -> float:
         """Return the time between two words of this host."""
@@ -223,6 +255,7 @@
                     self._name,
                     self._incarnation,
                     time.time(),
+                    self.true_s() if self._has_agreed else None,
                     word.configuration,
                     word.upstreams_at,
                     word.duty,
@@ -254,20 +287,21 @@
             ip=ip,
             heard_s=now_s,
             clock_offset_s=fields[3] - now_s,
-            configuration=fields[4],
-            upstreams_at=fields[5],
-            duty=fields[6],
-            may_hold_duties=fields[7],
+            agreed_offset_s=(None if fields[4] is None else fields[4] - now_s),
+            configuration=fields[5],
+            upstreams_at=fields[6],
+            duty=fields[7],
+            may_hold_duties=fields[8],
             loads_by_upstream={
                 upstream: PeerLoad(*load)
-                for upstream, load in fields[8].items()
+                for upstream, load in fields[9].items()
             },
-            counts_by_window=fields[9] or {},
-            counts_heard_s=-math.inf if fields[9] is None else now_s,
-            ended_counts=fields[10],
-            prefixes_sent=[(key, upstream) for key, upstream in fields[12]],
+            counts_by_window=fields[10] or {},
+            counts_heard_s=-math.inf if fields[10] is None else now_s,
+            ended_counts=fields[11],
+            prefixes_sent=[(key, upstream) for key, upstream in fields[13]],
         )
-        return word, fields[11]
+        return word, fields[12]
 
     def hear(self, word: PeerWord) -> bool:
         """Take a peer's word; returns whether it is another host's."""
--- a/tests/gateway/following/test_beliefs.py
+++ b/tests/gateway/following/test_beliefs.py
@@ -138,6 +138,7 @@
                 ip="127.0.0.1",
                 heard_s=boot_s(),
                 clock_offset_s=0.0,
+                agreed_offset_s=None,
                 configuration=9,
                 upstreams_at=0,
                 duty=0,
--- a/tests/gateway/peers/test_peers.py
+++ b/tests/gateway/peers/test_peers.py
@@ -59,13 +59,20 @@
         make_peers(1).decode(data, "10.0.0.9")
 
 
-def make_word(name: str, ip: str, *, wall_s: float = 0.0) -> PeerWord:
+def make_word(
+    name: str,
+    ip: str,
+    *,
+    wall_s: float = 0.0,
+    agreed_s: float | None = None,
+) -> PeerWord:
     return PeerWord(
         name=name,
         incarnation=name,
         ip=ip,
         heard_s=boot_s(),
         clock_offset_s=wall_s - boot_s(),
+        agreed_offset_s=None if agreed_s is None else agreed_s - boot_s(),
         configuration=1,
         upstreams_at=1,
         duty=0,
@@ -96,6 +103,55 @@
     assert own.true_s() == pytest.approx(5000.05, abs=0.2)
 
 
+def hear_clocks(
+    own: Peers, walls_s: list[float], agreed_s: float | None = None
+) -> None:
+    for number, wall_s in enumerate(walls_s, start=2):
+        own.hear(
+            make_word(
+                f"h{number}",
+                f"10.0.0.{number}",
+                wall_s=wall_s,
+                agreed_s=agreed_s,
+            )
+        )
+    own.agree_on_time()
+
+
+def test_true_time_is_kept_while_half_of_the_clocks_are_stepped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Found by a day of clock steps: four of eight hosts were 6 s ahead."""
+    monkeypatch.setattr("time.time", lambda: 5000.0)
+    own = make_peers(1)
+    hear_clocks(own, [5000.0] * 7)
+    hear_clocks(own, [5000.0] * 3 + [5006.0] * 4)
+    assert own.true_s() == pytest.approx(5000.0, abs=0.2)
+    # Its own one, too.
+    monkeypatch.setattr("time.time", lambda: 5006.0)
+    hear_clocks(own, [5000.0] * 3 + [5006.0] * 4)
+    assert own.true_s() == pytest.approx(5000.0, abs=0.2)
+
+
+def test_a_host_that_starts_among_stepped_clocks_asks_what_was_agreed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("time.time", lambda: 5006.0)
+    own = make_peers(1)
+    hear_clocks(own, [5000.0] * 3 + [5006.0] * 4, agreed_s=5000.0)
+    assert own.true_s() == pytest.approx(5000.0, abs=0.2)
+
+
+def test_a_wrong_first_agreement_is_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("time.time", lambda: 5006.0)
+    own = make_peers(1)
+    hear_clocks(own, [5006.0])
+    hear_clocks(own, [5006.0] + [5000.0] * 6)
+    assert own.true_s() == pytest.approx(5000.0, abs=0.2)
+
+
 def test_seeds_are_asked_while_nobody_is_known() -> None:
     own = make_peers(1, ("10.0.0.1", "10.0.0.5"))
     assert own.addresses(with_seeds=False) == {"10.0.0.5"}
