--- a/src/shallotfold/_gateway/http/messages.py
+++ b/src/shallotfold/_gateway/http/messages.py
@@ -1,6 +1,7 @@
 """Represent and encode HTTP/1.1 messages."""
 
 from collections.abc import Iterable
+import enum
 from http import HTTPStatus
 
 import attrs
@@ -24,6 +25,19 @@
 LAST_CHUNK = b"0\r\n\r\n"
 
 
+class BodyFraming(enum.Enum):
+    """What marks the end of a response's body (RFC 9112, section 6.3)."""
+
+    NO_BODY = "no_body"
+    """The status has no body."""
+    LENGTH = "length"
+    """Content-Length."""
+    CHUNKED = "chunked"
+    """The last chunk."""
+    CONNECTION_CLOSE = "connection_close"
+    """The end of the connection."""
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header; `name` is in lower case."""
     for header_name, value in headers:
@@ -40,6 +54,21 @@
     return frozenset(name.strip().lower() for name in value.split(b","))
 
 
+def response_framing(status: int, headers: Headers) -> BodyFraming:
+    """Return how a response's body is framed; names may have any case."""
+    if status in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
+        return BodyFraming.NO_BODY
+    has_length = False
+    for name, value in headers:
+        lowercase_name = name.lower()
+        if lowercase_name == b"transfer-encoding":
+            if b"chunked" in value.lower():
+                return BodyFraming.CHUNKED
+        elif lowercase_name == b"content-length":
+            has_length = True
+    return BodyFraming.LENGTH if has_length else BodyFraming.CONNECTION_CLOSE
+
+
 @attrs.define(kw_only=True)
 class IncomingRequest:
     """A complete request as a caller sent it.
--- a/src/shallotfold/_gateway/http/upstream_connection.py
+++ b/src/shallotfold/_gateway/http/upstream_connection.py
@@ -9,7 +9,9 @@
 
 import httptools
 
+from shallotfold._gateway.http.messages import BodyFraming
 from shallotfold._gateway.http.messages import Headers
+from shallotfold._gateway.http.messages import response_framing
 
 # Detects a server that disappeared without a reset (TCP_USER_TIMEOUT).
 UNACKNOWLEDGED_TIMEOUT_MS = 2_000
@@ -181,14 +183,10 @@
             self._skipping = True
             return
         value_by_name = {name.lower(): value for name, value in self._headers}
-        has_framing = b"content-length" in value_by_name or (
-            b"chunked" in value_by_name.get(b"transfer-encoding", b"").lower()
+        self._close_delimited = (
+            response_framing(self._status, self._headers)
+            is BodyFraming.CONNECTION_CLOSE
         )
-        has_no_body = self._status in (
-            HTTPStatus.NO_CONTENT,
-            HTTPStatus.NOT_MODIFIED,
-        )
-        self._close_delimited = not has_framing and not has_no_body
         self.keep_alive_s = _parse_keep_alive_s(
             value_by_name.get(b"keep-alive", b"")
         )
--- a/src/shallotfold/_gateway/serving/attempt.py
+++ b/src/shallotfold/_gateway/serving/attempt.py
@@ -8,7 +8,9 @@
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.http.event_stream import EventSplitter
 from shallotfold._gateway.http.event_stream import StreamEvent
+from shallotfold._gateway.http.messages import BodyFraming
 from shallotfold._gateway.http.messages import Headers
+from shallotfold._gateway.http.messages import response_framing
 from shallotfold._gateway.http.upstream_pool import SendHandle
 
 # Responses that aren't streams are buffered until complete, up to this size.
@@ -77,6 +79,7 @@
         status: Status of the response.
         reason: Reason phrase of the response.
         headers: Headers of the response, with their names as sent.
+        framing: What marks the end of the body; `None` before the head.
         body: Body received so far, unless the response is a stream.
         splitter: Splits a stream and buffers its incomplete event.
     """
@@ -87,6 +90,7 @@
         self.status = 0
         self.reason = b""
         self.headers: Headers = []
+        self.framing: BodyFraming | None = None
         self.body = bytearray()
         self.splitter = EventSplitter()
         self._handler = handler
@@ -115,6 +119,7 @@
         self.status = status
         self.reason = reason
         self.headers = headers
+        self.framing = response_framing(status, headers)
         self._is_stream = (
             self._handler.expects_stream and status == HTTPStatus.OK
         )
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -233,7 +233,7 @@
             "broken",
             upstream=attempt.upstream.upstream_id,
             reason=reason,
-            last_event=self._last_event_id,
+            **self._stream_position(attempt),
         )
         self._attempt = None
         attempt.cancel()
@@ -401,10 +401,18 @@
         self._gateway.deliver(
             events.AttemptSucceeded(now_s=boot_s(), request=self.request_number)
         )
-        self._finish_request(attempt.status)
+        self._finish_request(attempt.status, **self._stream_position(attempt))
         self._connection.finish(close=self._connection.must_close)
 
-    def _finish_request(self, status: int) -> None:
+    def _stream_position(self, attempt: Attempt) -> dict[str, object]:
+        """Return where a response ended, as fields of a log line."""
+        return {
+            "framing": attempt.framing.value if attempt.framing else None,
+            "last_event": self._last_event_id,
+            "incomplete_event_bytes": len(attempt.splitter.incomplete_event),
+        }
+
+    def _finish_request(self, status: int, **details: object) -> None:
         now_s = boot_s()
         first_event_s = self._first_event_s
         self._log(
@@ -416,6 +424,7 @@
                 if first_event_s is None
                 else round((first_event_s - self._arrived_s) * _MS_PER_S)
             ),
+            **details,
         )
         self._gateway.metrics.count_response(status)
         self._gateway.metrics.observe_first_part(
--- a/tests/gateway/backends.py
+++ b/tests/gateway/backends.py
@@ -90,5 +90,11 @@
     return head + chunks + (b"0\r\n\r\n" if ended else b"")
 
 
+def close_delimited_stream(*parts: bytes) -> bytes:
+    """Return a stream with neither a length nor chunks."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+    return head + b"".join(parts)
+
+
 def sse_event(number: int) -> bytes:
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
