--- a/tests/gateway/serving/test_broken_off_streams.py
+++ b/tests/gateway/serving/test_broken_off_streams.py
@@ -13,6 +13,9 @@
 from tests.gateway.serving.harness import request
 from tests.gateway.serving.harness import run_scenario
 
+LAST_CHUNK = b"0\r\n\r\n"
+TRUNCATED_EVENT = sse_event(3)[:9]
+
 
 def send_stream_request(
     *backends: Backend, path: str = "/chat/1"
@@ -49,7 +52,7 @@
     framing: str,
     incomplete_event_bytes: int,
 ) -> None:
-    """Without them, a stream that was cut off can't be told from a whole one."""
+    """Without them, a truncated stream looks like a whole one in the log."""
     lines: dict[str, dict[str, Any]] = {}
 
     def record(decision: str, **inputs: Any) -> None:
@@ -61,3 +64,44 @@
     assert line["framing"] == framing
     assert line["last_event"] == 1
     assert line["incomplete_event_bytes"] == incomplete_event_bytes
+
+
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize(
+    "response",
+    [
+        close_delimited_stream(sse_event(1), sse_event(2), TRUNCATED_EVENT),
+        stream_response(sse_event(1), sse_event(2), TRUNCATED_EVENT),
+    ],
+    ids=["connection_close", "chunked"],
+)
+def test_stream_that_ends_inside_an_event_has_no_last_chunk(
+    response: bytes, reset: bool
+) -> None:
+    """An engine that broke off a stream in an orderly way seemed to end it."""
+    received, _ = send_stream_request(
+        Backend(lambda _: response, close=True, reset=reset)
+    )
+    assert sse_event(2) in received
+    assert TRUNCATED_EVENT not in received
+    assert not received.endswith(LAST_CHUNK)
+
+
+def test_stream_that_ends_inside_an_event_is_resumed() -> None:
+    """The rest of a resumable stream was never asked for."""
+
+    def respond(sent: bytes) -> bytes:
+        if b"last-event-id: 2" in sent:
+            return close_delimited_stream(sse_event(3), sse_event(4))
+        return close_delimited_stream(
+            sse_event(1), sse_event(2), TRUNCATED_EVENT
+        )
+
+    received, harness = send_stream_request(
+        *(Backend(respond, close=True) for _ in range(2)), path="/talk/1"
+    )
+    body = received.split(b"\r\n\r\n", 1)[1]
+    for number in range(1, 5):
+        assert body.count(sse_event(number)) == 1
+    assert body.endswith(LAST_CHUNK)
+    assert harness.counts.total(0) == {"north": 1}
