Split events at every line end that event streams allow

Callers of an upstream whose event lines end with CR, or with mixed line ends, got no event until the stream had ended: the splitter knew only LF LF and CR LF CR LF.

One pattern replaces the two searches.

--- a/src/shallotfold/_gateway/http/event_stream.py
+++ b/src/shallotfold/_gateway/http/event_stream.py
@@ -1,9 +1,15 @@
 """Split a server-sent event stream into events, byte for byte."""
 
+import re
+
 import attrs
 
 # A stream with a larger event counts as broken.
 MAX_EVENT_BYTES = 1_048_576
+# A line ends with CRLF, LF or CR, and a blank line ends an event. CR LF is one
+# line end, not two.
+_LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
+_EVENT_END = re.compile(_LINE_END + _LINE_END)
 
 
 @attrs.frozen
@@ -40,9 +46,10 @@
         events = []
         start = 0
         while True:
-            end = _event_end(data, start)
-            if end < 0:
+            event_end = _EVENT_END.search(data, start)
+            if event_end is None:
                 break
+            end = event_end.end()
             events.append(
                 StreamEvent(data[start:end], _event_id(data[start:end]))
             )
@@ -53,17 +60,6 @@
         return events
 
 
-def _event_end(data: bytes, start: int) -> int:
-    lf_blank_line = data.find(b"\n\n", start)
-    if b"\r" not in data:
-        return lf_blank_line + 2 if lf_blank_line >= 0 else -1
-    crlf_blank_line = data.find(b"\r\n\r\n", start)
-    ends = [lf_blank_line + 2] if lf_blank_line >= 0 else []
-    if crlf_blank_line >= 0:
-        ends.append(crlf_blank_line + 4)
-    return min(ends, default=-1)
-
-
 def _event_id(event: bytes) -> int | None:
     for line in event.splitlines():
         if line.startswith(b"id:"):
