Treat a stream that ends inside an event as broken off

Cause: the gateway judged completeness by the framing alone. At an orderly end of the connection, or at a last chunk, the relay appended what was left of an incomplete event and ended the answer. A process that ends has its connection closed in an orderly way, so that an answer with neither a length nor chunks ends like a whole one.

Now the attempt asks the event splitter: an end inside an event is a broken attempt, which takes the way of every other one (retry with the last event where the route allows it, else the connection is closed without a last chunk; the upstream's failure is counted). Line ends after the last event are forwarded as before.

--- a/src/shallotfold/_gateway/http/event_stream.py
+++ b/src/shallotfold/_gateway/http/event_stream.py
@@ -33,9 +33,14 @@
 
     @property
     def incomplete_event(self) -> bytes:
-        """Bytes of the last event, which is not complete yet."""
+        """Bytes after the last complete event."""
         return self._buffer
 
+    @property
+    def inside_event(self) -> bool:
+        """Whether a stream that ended here would lack a part of an event."""
+        return bool(self._buffer.strip(b"\r\n"))
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that `data` completes.
 
--- a/src/shallotfold/_gateway/serving/attempt.py
+++ b/src/shallotfold/_gateway/serving/attempt.py
@@ -150,10 +150,14 @@
         """Report the end of the response."""
         if not self._handler.is_current(self):
             return
-        if self._is_stream:
-            self._handler.on_stream_complete(self)
-        else:
+        if not self._is_stream:
             self._handler.on_response_complete(self)
+        elif self.splitter.inside_event:
+            # An orderly end of the connection doesn't prove completeness: the
+            # operating system closes it when the upstream's process ends.
+            self._handler.on_broken(self, "the stream ended inside an event")
+        else:
+            self._handler.on_stream_complete(self)
 
     def on_failure(self, reason: str) -> None:
         """Report that the response failed."""
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -273,9 +273,9 @@
         self._attempt = None
         if not self._head_written:
             self._write_stream_head(attempt)
-        remainder = attempt.splitter.incomplete_event
+        line_ends = attempt.splitter.incomplete_event
         self._connection.write(
-            (encode_chunk(remainder) if remainder else b"") + LAST_CHUNK
+            (encode_chunk(line_ends) if line_ends else b"") + LAST_CHUNK
         )
         self._finish_stream(attempt)
 
