Treat a close-delimited stream without events as broken off

A chunked stream without events stays complete, since its last chunk says so (a test of its own).

The test failed before (200 with the last chunk instead of 502).

--- a/src/shallotfold/_gateway/serving/attempt.py
+++ b/src/shallotfold/_gateway/serving/attempt.py
@@ -152,14 +152,26 @@
             return
         if not self._is_stream:
             self._handler.on_response_complete(self)
-        elif self.splitter.inside_event:
-            # An orderly end of the connection doesn't prove completeness: the
-            # operating system closes it when the upstream's process ends.
-            self._handler.on_broken(self, "the stream ended inside an event")
-        else:
+            return
+        truncation = self._find_truncation()
+        if truncation is None:
             self._handler.on_stream_complete(self)
+        else:
+            self._handler.on_broken(self, truncation)
 
     def on_failure(self, reason: str) -> None:
         """Report that the response failed."""
         if self._handler.is_current(self):
             self._handler.on_broken(self, reason)
+
+    def _find_truncation(self) -> str | None:
+        """Return why a stream whose framing has ended isn't complete.
+
+        An orderly end of the connection doesn't prove completeness: the
+        operating system closes it when the upstream's process ends.
+        """
+        if self.splitter.inside_event:
+            return "the stream ended inside an event"
+        if not self._started and self.framing is BodyFraming.CONNECTION_CLOSE:
+            return "the connection ended before the first event"
+        return None
--- a/tests/gateway/serving/test_broken_off_streams.py
+++ b/tests/gateway/serving/test_broken_off_streams.py
@@ -12,6 +12,7 @@
 from tests.gateway.serving.harness import GatewayHarness
 from tests.gateway.serving.harness import request
 from tests.gateway.serving.harness import run_scenario
+from tests.gateway.serving.harness import status_of
 
 LAST_CHUNK = b"0\r\n\r\n"
 TRUNCATED_EVENT = sse_event(3)[:9]
@@ -105,3 +106,18 @@
         assert body.count(sse_event(number)) == 1
     assert body.endswith(LAST_CHUNK)
     assert harness.counts.total(0) == {"north": 1}
+
+
+def test_stream_without_length_and_events_is_a_failure() -> None:
+    """An engine that crashed before its first event seemed to send none."""
+    received, _ = send_stream_request(
+        Backend(lambda _: close_delimited_stream(), close=True)
+    )
+    assert status_of(received) == 502
+
+
+def test_chunked_stream_without_events_is_complete() -> None:
+    """A stream that is resumed after its last event has no further one."""
+    received, _ = send_stream_request(Backend(lambda _: stream_response()))
+    assert status_of(received) == 200
+    assert received.endswith(LAST_CHUNK)
