Detect a reset that cuts off an answer without a length

A caller of an entry got the first part of an answer as a whole one, with a Content-Length of the part, when the upstream sent neither a length nor chunks and its connection was reset; the part was also recorded for the idempotency key.

The client now asks the connection how it ended where nothing else ends the body: after a reset the outcome is unknown and the caller gets 502. Streams of models weren't affected, since they need their end marker; JSON answers of models and of the platform must parse.

The new test failed in both cases with a reset (200 with half an answer, on asyncio and on uvloop) and passes now, like the two with an orderly end; 266 tests of the entry and the layout pass.

--- a/src/shallotfold/_entry/serving/upstream_client.py
+++ b/src/shallotfold/_entry/serving/upstream_client.py
@@ -24,6 +24,8 @@
 from shallotfold._entry.serving.sse import read_usage
 from shallotfold._entry.serving.stream_relay import StreamRelay
 from shallotfold._errors import ShallotfoldError
+from shallotfold._gateway.http.messages import BodyFraming
+from shallotfold._gateway.http.messages import response_framing
 from shallotfold._model.requests import Outcome
 from shallotfold._settings.entry import AttemptSettings
 
@@ -237,6 +239,7 @@
         )
 
     async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
+        connection_end = _get_connection_end(response)
         limit = self._settings.max_answer_bytes
         parts = []
         size = 0
@@ -248,6 +251,8 @@
                     "raise attempts.max_answer_bytes"
                 )
             parts.append(part)
+        if connection_end is not None:
+            await connection_end
         return b"".join(parts)
 
     def _headers(
@@ -323,6 +328,28 @@
         )
 
 
+def _get_connection_end(
+    response: aiohttp.ClientResponse,
+) -> asyncio.Future[None] | None:
+    """Return the end of the connection if nothing else ends the body.
+
+    It raises `aiohttp.ClientError` after a reset, which `response.content`
+    reports like an orderly end.
+    """
+    framing = response_framing(response.status, response.raw_headers)
+    if response.method == "HEAD" or framing is not BodyFraming.CONNECTION_CLOSE:
+        return None
+    connection = response.connection
+    protocol = None if connection is None else connection.protocol
+    connection_end = None if protocol is None else protocol.closed
+    if connection_end is None:
+        raise InvalidAnswerError(
+            "the connection ended before the response was read; whether it "
+            "was reset is unknown"
+        )
+    return connection_end
+
+
 async def _read_body_end(response: aiohttp.ClientResponse) -> None:
     """Read the end of a body, so that its connection can be reused."""
     try:
--- a/src/shallotfold/_gateway/http/messages.py
+++ b/src/shallotfold/_gateway/http/messages.py
@@ -54,7 +54,9 @@
     return frozenset(name.strip().lower() for name in value.split(b","))
 
 
-def response_framing(status: int, headers: Headers) -> BodyFraming:
+def response_framing(
+    status: int, headers: Iterable[tuple[bytes, bytes]]
+) -> BodyFraming:
     """Return how a response's body is framed; names may have any case."""
     if status in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
         return BodyFraming.NO_BODY
