Reset connections of stand-ins instead of closing them

The stand-ins of services and engines, and the soak's proxy, said that they reset a connection but mostly ended it in an orderly way: aborting a transport resets only while received bytes are unread. The proxy also turned an upstream's reset into an orderly end, and passed the end of a connection on while it dropped the data before it.

One function resets a connection (SO_LINGER with 0 s); the constant moves there from the fenced client.

--- a/benchmarks/soak/proxy.py
+++ b/benchmarks/soak/proxy.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from shallotfold._runtime.sockets import reset_connection
+
 BLOCK_BYTES = 16_384
 
 
@@ -23,6 +25,7 @@
 
 
 BLOCK_DELAY_S = 0.15
+LOSSY_FAULTS = frozenset({Fault.SILENCE, Fault.ONE_WAY})
 
 
 @attrs.define(eq=False)
@@ -55,7 +58,7 @@
     def reset(self) -> None:
         """Reset all open connections."""
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset_connection(writer.transport)
 
     def set_fault(self, fault: Fault) -> None:
         """Inject a fault into all connections from now on."""
@@ -69,7 +72,7 @@
         self._writers.add(writer)
         try:
             if self.fault is Fault.RESET:
-                writer.transport.abort()
+                reset_connection(writer.transport)
                 return
             target_reader, target_writer = await asyncio.open_connection(
                 *self.target
@@ -84,8 +87,8 @@
                 target_writer.transport.abort()
                 self._writers.discard(target_writer)
         except OSError:
-            # The target is down: the caller's connection is closed.
-            pass
+            # The target is down, or one side reset its connection.
+            reset_connection(writer.transport)
         finally:
             writer.close()
             self._writers.discard(writer)
@@ -106,5 +109,8 @@
                 await asyncio.sleep(BLOCK_DELAY_S)
             writer.write(block)
             await writer.drain()
+        if self.fault in LOSSY_FAULTS:
+            # The end would arrive without the data that was dropped.
+            return
         # Pass on the end of the stream, after all of its data.
         writer.close()
--- a/src/shallotfold/_services/fenced_http.py
+++ b/src/shallotfold/_services/fenced_http.py
@@ -10,7 +10,6 @@
 import asyncio
 from collections.abc import Callable
 import socket
-import struct
 import time
 from typing import Any
 
@@ -18,9 +17,9 @@
 import attrs
 
 from shallotfold._errors import PlatformError
+from shallotfold._runtime.sockets import LINGER_RESET
 from shallotfold._services.http_json import JsonResponse
 
-LINGER_RESET = struct.pack("ii", 1, 0)
 MS_PER_S = 1000
 MIN_TIMEOUT_MS = 1
 MAX_USABLE_STATUS = 499
--- a/src/shallotfold/_standin/http_common.py
+++ b/src/shallotfold/_standin/http_common.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from shallotfold._runtime.sockets import reset_connection
+
 RETRY_AFTER_S = 1
 
 
@@ -72,7 +74,7 @@
 def drop_connection(request: web.Request) -> web.Response:
     """Reset the caller's connection instead of answering."""
     if request.transport is not None:
-        request.transport.abort()
+        reset_connection(request.transport)
     return web.Response()
 
 
--- a/tests/controller/launcher.py
+++ b/tests/controller/launcher.py
@@ -19,6 +19,7 @@
 from shallotfold._cli import controller_main
 from shallotfold._controller import orders
 from shallotfold._controller.lease_fence import LeaseFence
+from shallotfold._runtime import sockets
 from shallotfold._services import fenced_http
 from shallotfold._services.fenced_http import FencedHttpClient
 
@@ -41,7 +42,7 @@
     if "no-user-timeout" in switches:
         patch(fenced_http, "MS_PER_S", 1_000_000)
     if "no-linger" in switches:
-        linger_disabled = bytes(len(fenced_http.LINGER_RESET))
+        linger_disabled = bytes(len(sockets.LINGER_RESET))
         patch(fenced_http, "LINGER_RESET", linger_disabled)
     if "freeze-before-order" in switches:
         pause_before_send(b"POST /v1/orders/")
--- a/tests/gateway/backends.py
+++ b/tests/gateway/backends.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import Callable
 import re
-import socket
-import struct
 
 import attrs
 
+from shallotfold._runtime.sockets import reset_connection
+
 REQUEST_END = b"\r\n\r\n"
 _CONTENT_LENGTH = re.compile(rb"(?i)content-length: (\d+)")
 
@@ -64,10 +64,7 @@
         writer.write(response)
         await writer.drain()
         if self.reset:
-            sock = writer.get_extra_info("socket")
-            linger = struct.pack("ii", 1, 0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
+            reset_connection(writer.transport)
         elif self.close:
             writer.close()
 
