Let the soak's upstreams break off streams and frame them by connection

Now four in ten streams of the soak end with their connection, and one in ten ends inside an event: most like a whole one, three in ten by a reset.

--- a/benchmarks/soak/external_services.py
+++ b/benchmarks/soak/external_services.py
@@ -3,17 +3,24 @@
 import asyncio
 import collections
 import json
+import random
 import re
 import time
 from typing import Any
 
 import attrs
 
+from shallotfold._runtime.sockets import reset_connection
 from tests.platform.store_standin import StoreStandIn
 
 USAGE_WINDOW_S = 2
 STREAM_EVENTS = 8
 EVENT_INTERVAL_S = 0.03
+# Streams with neither a length nor chunks.
+CLOSE_DELIMITED_SHARE = 0.4
+# Streams that end inside an event; the others of them end like whole ones.
+TRUNCATED_SHARE = 0.1
+TRUNCATED_BY_RESET_SHARE = 0.3
 WATCH_POLL_INTERVAL_S = 0.02
 HEADER_END = b"\r\n\r\n"
 _CONTENT_LENGTH = re.compile(rb"(?i)\r\ncontent-length: *(\d+)")
@@ -212,9 +219,16 @@
         self, head: bytes, request_id: str, writer: asyncio.StreamWriter
     ) -> None:
         last_event_id = int(get_header(head, "Last-Event-Id") or 0)
+        # Drawn from the request's id and run, so that a seed repeats them.
+        run_count = self._runs.starts_by_id[request_id]
+        rng = random.Random(f"{request_id}/{run_count}")
+        chunked = rng.random() >= CLOSE_DELIMITED_SHARE
+        truncated_event = 0
+        if rng.random() < TRUNCATED_SHARE:
+            truncated_event = rng.randint(last_event_id + 1, STREAM_EVENTS)
         lines = [
             "HTTP/1.1 200 OK",
-            "Transfer-Encoding: chunked",
+            "Transfer-Encoding: chunked" if chunked else "Connection: close",
             "Content-Type: text/event-stream",
             f"Attempt-Id: {request_id}",
             "Response-Signature: s",
@@ -223,9 +237,22 @@
         for number in range(last_event_id + 1, STREAM_EVENTS + 1):
             await asyncio.sleep(EVENT_INTERVAL_S)
             event = f"id: {number}\ndata: {request_id}\n\n".encode()
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            if number == truncated_event:
+                event = event[: rng.randrange(1, len(event))]
+            writer.write(_encode_chunk(event) if chunked else event)
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
+            if number == truncated_event:
+                break
+        if truncated_event and rng.random() < TRUNCATED_BY_RESET_SHARE:
+            reset_connection(writer.transport)
+        elif chunked:
+            writer.write(b"0\r\n\r\n")
+        else:
+            writer.close()
+
+
+def _encode_chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
 
 
 def make_registration(service: str, address: str, *, draining: bool) -> bytes:
