Frame streams for callers of HTTP/1.0 by the connection

A caller of HTTP/1.0 got the sizes of chunks as a part of its stream, since that version has no chunks.

A class of its own now writes streams, in chunks or until the connection ends; the caller's connection knows when its end ends a response and resets then. For chunked responses nothing changes: their framing shows the break, and a reset could discard parts that weren't read yet.

What remains: when a gateway is killed in the middle, the operating system ends the connection in an orderly way, which a caller of HTTP/1.0 can't tell from the end; HTTP/1.0 has no means against it.

--- a/src/shallotfold/_gateway/http/messages.py
+++ b/src/shallotfold/_gateway/http/messages.py
@@ -83,6 +83,7 @@
         body: Complete body, without chunk framing.
         has_body: Whether Content-Length or Transfer-Encoding was sent.
         keep_alive: Whether the caller wants to reuse the connection.
+        accepts_chunks: Whether the response may be chunked.
         started_s: Arrival of the first byte, in event loop time.
     """
 
@@ -93,6 +94,7 @@
     body: bytes
     has_body: bool
     keep_alive: bool
+    accepts_chunks: bool
     started_s: float
 
     @property
--- a/src/shallotfold/_gateway/serving/caller_connection.py
+++ b/src/shallotfold/_gateway/serving/caller_connection.py
@@ -12,6 +12,7 @@
 from shallotfold._gateway.core.model import RequestLimits
 from shallotfold._gateway.http.messages import IncomingRequest
 from shallotfold._gateway.http.messages import encode_local_response
+from shallotfold._runtime.sockets import reset_connection
 
 # Reading pauses while this many pipelined requests are queued.
 MAX_QUEUED_REQUESTS = 4
@@ -50,7 +51,16 @@
 
 
 class CallerConnection(asyncio.Protocol):
-    """A caller's connection; its requests are served in order."""
+    """A caller's connection; its requests are served in order.
+
+    Attributes:
+        last_active_s: When bytes arrived or a response ended, in event loop
+            time.
+        request_started_s: Arrival of the first byte of a request that is not
+            complete yet; `None`: there is none.
+        head_complete: Whether the head of that request is complete.
+        ends_response: Whether the current response ends with the connection.
+    """
 
     def __init__(
         self, handler: RequestHandler, connections: "set[CallerConnection]"
@@ -72,6 +82,7 @@
         self.last_active_s = self._loop.time()
         self.request_started_s: float | None = None
         self.head_complete = False
+        self.ends_response = False
 
     def _reset_request(self) -> None:
         self._target = bytearray()
@@ -177,6 +188,7 @@
                 body=bytes(self._body),
                 has_body=self._has_body,
                 keep_alive=self._parser.should_keep_alive(),
+                accepts_chunks=self._parser.get_http_version() != "1.0",
                 started_s=self._loop.time() if started_s is None else started_s,
             )
         )
@@ -219,12 +231,13 @@
             logger.info(
                 "Aborted a connection: the caller doesn't read its responses"
             )
-            transport.abort()
+            self._abort_transport()
 
     def finish(self, *, close: bool) -> None:
         """End the current response and serve the next request."""
         self._exchange = None
         self._serving = False
+        self.ends_response = False
         self.last_active_s = self._loop.time()
         if close:
             self.close()
@@ -233,16 +246,17 @@
         self._loop.call_soon(self._serve_next)
 
     def abort(self) -> None:
-        """Reset the connection, so that no partial response looks complete."""
+        """Drop the connection, so that no partial response looks complete."""
         self._exchange = None
-        if self._transport is not None:
-            self._transport.abort()
+        self._abort_transport()
 
     def close(self) -> None:
         """Close once written data is out; drop queued requests."""
         self._input_closed = True
         self._queued_requests.clear()
-        if self._transport is not None:
+        if self.ends_response:
+            self._abort_transport()
+        elif self._transport is not None:
             self._transport.close()
 
     def request_timed_out(self, now_s: float) -> bool:
@@ -258,6 +272,16 @@
         """Reject a request that wasn't received in time."""
         self._reject(HTTPStatus.REQUEST_TIMEOUT)
 
+    def _abort_transport(self) -> None:
+        if self._transport is None:
+            return
+        if self.ends_response:
+            reset_connection(self._transport)
+        else:
+            # Its framing shows that the response isn't complete. A reset could
+            # discard parts that the caller hasn't read.
+            self._transport.abort()
+
     def _head_is_too_large(self) -> bool:
         max_bytes = self._handler.limits().max_header_bytes
         # The parser may be buffering one long, incomplete header.
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -16,10 +16,8 @@
 from shallotfold._gateway.deciding import effects
 from shallotfold._gateway.deciding import events
 from shallotfold._gateway.http.event_stream import StreamEvent
-from shallotfold._gateway.http.messages import LAST_CHUNK
 from shallotfold._gateway.http.messages import Headers
 from shallotfold._gateway.http.messages import IncomingRequest
-from shallotfold._gateway.http.messages import encode_chunk
 from shallotfold._gateway.http.messages import encode_local_response
 from shallotfold._gateway.http.messages import encode_response_head
 from shallotfold._gateway.http.messages import find_header
@@ -30,6 +28,7 @@
 from shallotfold._gateway.serving.forwarding import GatewayHeaders
 from shallotfold._gateway.serving.forwarding import forwarded_request
 from shallotfold._gateway.serving.forwarding import forwarded_response_headers
+from shallotfold._gateway.serving.stream_response import StreamResponse
 from shallotfold._model.events import Event
 
 _MS_PER_S = 1000.0
@@ -98,6 +97,9 @@
         self._last_event_id = int(last_event) if last_event.isdigit() else None
         self._first_event_s: float | None = None
         self._head_written = False
+        self._stream_response = StreamResponse(
+            connection, chunked=request.accepts_chunks
+        )
         self._run_counted = False
         self._attempt: Attempt | None = None
         self._failed_attempt: Attempt | None = None
@@ -266,7 +268,7 @@
             return
         if not self._head_written:
             self._write_stream_head(attempt)
-        self._connection.write(encode_chunk(b"".join(new_events)))
+        self._stream_response.write(b"".join(new_events))
 
     def on_stream_complete(self, attempt: Attempt) -> None:
         """End the response after a proper end of the upstream's stream."""
@@ -274,9 +276,8 @@
         if not self._head_written:
             self._write_stream_head(attempt)
         line_ends = attempt.splitter.incomplete_event
-        self._connection.write(
-            (encode_chunk(line_ends) if line_ends else b"") + LAST_CHUNK
-        )
+        if line_ends:
+            self._stream_response.write(line_ends)
         self._finish_stream(attempt)
 
     def on_response_complete(self, attempt: Attempt) -> None:
@@ -376,12 +377,10 @@
     def _write_stream_head(self, attempt: Attempt) -> None:
         self._head_written = True
         self._first_event_s = boot_s()
-        headers = forwarded_response_headers(attempt.headers)
-        headers.append((b"Transfer-Encoding", b"chunked"))
-        if self._connection.must_close:
-            headers.append((b"Connection", b"close"))
-        self._connection.write(
-            encode_response_head(attempt.status, attempt.reason, headers)
+        self._stream_response.start(
+            attempt.status,
+            attempt.reason,
+            forwarded_response_headers(attempt.headers),
         )
 
     def _write_response(self, attempt: Attempt) -> None:
@@ -402,7 +401,7 @@
             events.AttemptSucceeded(now_s=boot_s(), request=self.request_number)
         )
         self._finish_request(attempt.status, **self._stream_position(attempt))
-        self._connection.finish(close=self._connection.must_close)
+        self._stream_response.finish()
 
     def _stream_position(self, attempt: Attempt) -> dict[str, object]:
         """Return where a response ended, as fields of a log line."""
--- a/tests/gateway/serving/test_broken_off_streams.py
+++ b/tests/gateway/serving/test_broken_off_streams.py
@@ -1,5 +1,6 @@
 """Test streams that an upstream breaks off, by how they are framed."""
 
+import asyncio
 from typing import Any
 
 import pytest
@@ -121,3 +122,60 @@
     received, _ = send_stream_request(Backend(lambda _: stream_response()))
     assert status_of(received) == 200
     assert received.endswith(LAST_CHUNK)
+
+
+def http_1_0_request(path: str) -> bytes:
+    return request(path, method="POST", body=b"x").replace(
+        b"HTTP/1.1", b"HTTP/1.0"
+    )
+
+
+def test_http_1_0_caller_gets_a_stream_without_chunks() -> None:
+    """HTTP/1.0 has no chunks: their sizes became a part of the stream."""
+
+    async def scenario(harness: GatewayHarness) -> None:
+        head, _, body = (
+            await harness.send(http_1_0_request("/chat/1"))
+        ).partition(b"\r\n\r\n")
+        assert b"transfer-encoding" not in head.lower()
+        assert b"Connection: close" in head
+        assert body == sse_event(1) + sse_event(2)
+
+    backend = Backend(lambda _: stream_response(sse_event(1), sse_event(2)))
+    run_scenario([backend], scenario)
+
+
+def test_broken_off_stream_resets_the_connection_of_an_http_1_0_caller() -> (
+    None
+):
+    """Without chunks, an orderly end would make a part look whole."""
+
+    async def scenario(harness: GatewayHarness) -> None:
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", harness.port
+        )
+        writer.write(http_1_0_request("/chat/1"))
+        with pytest.raises(ConnectionResetError):
+            await asyncio.wait_for(reader.read(), 2.0)
+        writer.close()
+
+    broken_stream = stream_response(sse_event(1), ended=False)
+    run_scenario([Backend(lambda _: broken_stream, close=True)], scenario)
+
+
+def test_stopping_gateway_resets_the_stream_of_an_http_1_0_caller() -> None:
+    """A gateway that stopped in the middle of a stream seemed to end it."""
+    unfinished_stream = stream_response(sse_event(1), ended=False)
+
+    async def scenario(harness: GatewayHarness) -> None:
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", harness.port
+        )
+        writer.write(http_1_0_request("/chat/1"))
+        await reader.readuntil(b"piece 1\n\n")
+        await harness.gateway.close()
+        with pytest.raises(ConnectionResetError):
+            await asyncio.wait_for(reader.read(), 2.0)
+        writer.close()
+
+    run_scenario([Backend(lambda _: unfinished_stream)], scenario)
