Stop sending to upstreams that say that they are leaving

An upstream that is about to end may say so only in its responses (Server-Leaving: 1), while its registration says that it is ready, or while the store is away. The gateway read the header nowhere and went on sending requests there until its registration changed.

Now a relay reports it from the head of any response to its request but 421, which comes from another upstream at the address. One log line for each upstream learnt, one for those learnt from a peer, and a counter.

The tests of the header, of the view and of heartbeats had nothing to call before.

--- a/src/shallotfold/_gateway/core/metrics.py
+++ b/src/shallotfold/_gateway/core/metrics.py
@@ -30,6 +30,12 @@
             ["ending"],
             registry=self._registry,
         )
+        self._upstream_signals = Counter(
+            f"{PREFIX}_upstream_signals",
+            "Wishes of upstreams in their responses.",
+            ["signal"],
+            registry=self._registry,
+        )
         self._first_part_latency = Histogram(
             f"{PREFIX}_first_part_seconds",
             "Time from a request to the first part of its answer.",
@@ -47,6 +53,10 @@
         """Count how an attempt ended."""
         self._attempts.labels(ending).inc()
 
+    def count_upstream_signal(self, signal: str) -> None:
+        """Count a wish that an upstream stated in a response."""
+        self._upstream_signals.labels(signal).inc()
+
     def observe_first_part(self, route: str, latency_s: float) -> None:
         """Record the time to the first part of a response."""
         self._first_part_latency.labels(route).observe(latency_s)
--- a/src/shallotfold/_gateway/core/wire_names.py
+++ b/src/shallotfold/_gateway/core/wire_names.py
@@ -22,6 +22,7 @@
         not_run: Set by upstreams on responses to requests that did not run.
         upstream_load: Running and waiting requests and slots of the
             responding upstream.
+        upstream_leaving: `1` on all responses of an upstream that is leaving.
         last_event: Id of the last event that the caller received.
         model: Name of the requested model.
         token_counts: Prompt tokens and maximum number of output tokens.
@@ -37,6 +38,7 @@
     priority: bytes
     not_run: bytes
     upstream_load: bytes
+    upstream_leaving: bytes
     last_event: bytes
     model: bytes
     token_counts: bytes
--- a/src/shallotfold/_gateway/following/fleet_view.py
+++ b/src/shallotfold/_gateway/following/fleet_view.py
@@ -5,7 +5,9 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 
+import attrs
 from loguru import logger
 import msgpack
 
@@ -14,6 +16,7 @@
 from shallotfold._gateway.core.model import Service
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.core.ports import Dialect
+from shallotfold._gateway.following.leaving_upstreams import LeavingUpstreams
 from shallotfold._gateway.following.upstream_registry import UpstreamRegistry
 from shallotfold._gateway.serving.gateway import Gateway
 from shallotfold._gateway.serving.route_table import RouteTable
@@ -30,6 +33,7 @@
 
     Attributes:
         registry: The upstreams' registrations.
+        leaving: Upstreams that said that they are leaving.
     """
 
     def __init__(
@@ -50,6 +54,7 @@
         self._on_configuration = on_configuration
         self._configuration = StoredValue("", b"", 0)
         self.registry = UpstreamRegistry()
+        self.leaving = LeavingUpstreams()
 
     @property
     def configuration_version(self) -> int:
@@ -105,7 +110,40 @@
         if self.registry.remove_expired_suspects(boot_s()):
             self._apply_upstreams("lapse")
 
-    # Updates from and for peers.
+    # Updates from responses and peers.
+
+    def record_leaving(self, upstream: Upstream) -> bool:
+        """Record that an upstream said in a response that it is leaving.
+
+        Returns:
+            Whether that is new.
+        """
+        is_new = self.leaving.add(
+            upstream.upstream_id,
+            upstream.started_ms,
+            boot_s(),
+            from_response=True,
+        )
+        if is_new:
+            self._apply_upstreams("response")
+        return is_new
+
+    def record_leaving_at_peer(
+        self, peer: str, started_ms_by_id: Mapping[str, int]
+    ) -> None:
+        """Record upstreams that said to a peer that they are leaving."""
+        learned = [
+            upstream_id
+            for upstream_id, started_ms in started_ms_by_id.items()
+            if self.leaving.add(
+                upstream_id, started_ms, boot_s(), from_response=False
+            )
+        ]
+        if learned:
+            decision_log.record(
+                "upstreams_leaving", upstreams=sorted(learned), peer=peer
+            )
+            self._apply_upstreams(peer)
 
     def encode_snapshot(self) -> bytes:
         """Encode the whole view for a peer that lacks a part of it."""
@@ -180,15 +218,17 @@
         documents = self.registry.documents_by_id()
         for upstream_id, (document, _) in documents.items():
             try:
-                usable[upstream_id] = self._dialect.read_upstream(
-                    upstream_id, document
-                )
+                upstream = self._dialect.read_upstream(upstream_id, document)
             except ValueError as error:
                 logger.info(
                     "Upstream {} ignored; its registration is invalid: {}",
                     upstream_id,
                     error,
                 )
+                continue
+            if self.leaving.includes(upstream, boot_s()):
+                upstream = attrs.evolve(upstream, draining=True)
+            usable[upstream_id] = upstream
         previous = self._gateway.dispatcher.upstreams_by_id
         if dict(previous) == usable:
             return
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -83,6 +83,8 @@
             and window.
         prefixes_sent: Shared prompt prefixes that it sent since its last
             heartbeat, each with the upstream that got it.
+        leaving_started_ms_by_id: Upstreams that lately said in a response to it
+            that they are leaving, with their starts in Unix milliseconds.
     """
 
     name: str
@@ -100,6 +102,7 @@
     counts_received_s: float
     ended_counts: Mapping[str, Mapping[int, dict[str, int]]]
     prefixes_sent: Sequence[tuple[str, str]]
+    leaving_started_ms_by_id: Mapping[str, int] = attrs.field(factory=dict)
 
     @property
     def origin(self) -> str:
@@ -121,6 +124,7 @@
         factory=dict
     )
     prefixes_sent: Sequence[tuple[str, str]] = ()
+    leaving_started_ms_by_id: Mapping[str, int] = attrs.field(factory=dict)
 
 
 def heartbeat_interval_s(host_count: int) -> float:
@@ -286,6 +290,7 @@
                     else {},
                     [peer.ip for peer in passed_on],
                     local.prefixes_sent,
+                    local.leaving_started_ms_by_id,
                 )
             ),
         )
@@ -321,6 +326,11 @@
             prefixes_sent=[
                 (prefix_id, upstream) for prefix_id, upstream in fields[13]
             ],
+            # Earlier builds, which run beside this one during a release, don't
+            # send it.
+            leaving_started_ms_by_id=(
+                dict(fields[14]) if len(fields) > 14 else {}
+            ),
         )
         return state, fields[12]
 
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -105,6 +105,7 @@
         self._fleet_view = FleetView(
             dialect, self._gateway, self._peer_link.send_now
         )
+        self._gateway.on_upstream_leaving = self._fleet_view.record_leaving
         self._watchers = self._make_watchers(dialect, store)
         self._catch_up = CatchUp(
             self._fleet_view,
@@ -299,6 +300,9 @@
             ),
             may_hold_duties=self._may_hold_duties(),
             loads_by_upstream=placement.loads.local_loads(),
+            leaving_started_ms_by_id=self._fleet_view.leaving.announcements(
+                boot_s()
+            ),
             counts_by_window=self._usage_counts.local_counts(window),
             ended_counts=self._usage_counts.peer_counts(
                 self._peers.ended_origins(), window
@@ -312,6 +316,9 @@
         for origin, counts_by_window in state.ended_counts.items():
             if origin != self._peers.origin:
                 self._usage_counts.merge_peer_counts(origin, counts_by_window)
+        self._fleet_view.record_leaving_at_peer(
+            state.name, state.leaving_started_ms_by_id
+        )
         self._gateway.host_count = self._host_count()
         self._gateway.deliver(
             PeerLoadsReceived(
--- a/src/shallotfold/_gateway/serving/attempt.py
+++ b/src/shallotfold/_gateway/serving/attempt.py
@@ -39,6 +39,10 @@
         """Return the connection of a completed attempt to the pool."""
         ...
 
+    def on_response_head(self, attempt: Attempt) -> None:
+        """Handle the head of a response that belongs to the request."""
+        ...
+
     def on_started(self) -> None:
         """Handle the start of work at the upstream."""
         ...
@@ -97,6 +101,13 @@
         self._is_stream = False
         self._started = False
 
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a response header; `name` in lower case."""
+        for header_name, value in self.headers:
+            if header_name.lower() == name:
+                return value
+        return None
+
     def cancel(self) -> None:
         """Drop the connection."""
         if self.send_handle is not None:
@@ -123,6 +134,7 @@
         self._is_stream = (
             self._handler.expects_stream and status == HTTPStatus.OK
         )
+        self._handler.on_response_head(self)
         return True
 
     def on_data(self, data: bytes) -> None:
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -57,6 +57,11 @@
     reason: str
 
 
+def _ignore_leaving(upstream: Upstream) -> bool:
+    del upstream
+    return False
+
+
 class Gateway:
     """Serves callers with the current configuration and upstreams.
 
@@ -68,6 +73,8 @@
             before.
         shutdown_ends_s: When the process ends after a shutdown began.
         host_count: Number of hosts that share the fleet's retry budget.
+        on_upstream_leaving: Called when an upstream says in a response that it
+            is leaving; returns whether that is new.
     """
 
     def __init__(
@@ -86,6 +93,7 @@
         self.shutdown_started_s: float | None = None
         self.shutdown_ends_s = math.inf
         self.host_count = 1
+        self.on_upstream_leaving: Callable[[Upstream], bool] = _ignore_leaving
         self._usage = usage
         self._agreed_time_s = agreed_time_s
         self._request_numbers = itertools.count(1)
@@ -220,6 +228,13 @@
 
     # The relays call these.
 
+    def report_leaving(self, upstream: Upstream) -> bool:
+        """Report that an upstream is leaving; return whether that is new."""
+        is_new = self.on_upstream_leaving(upstream)
+        if is_new:
+            self.metrics.count_upstream_signal("leaving")
+        return is_new
+
     def remove_relay(self, relay: Relay) -> None:
         """Remove a request that has finished."""
         self._relay_by_request.pop(relay.request_number, None)
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -68,6 +68,9 @@
     def remove_relay(self, relay: "Relay") -> None:
         """Remove a relay that has finished."""
 
+    def report_leaving(self, upstream: Upstream) -> bool:
+        """Report that an upstream is leaving; return whether that is new."""
+
     def count_run(self, relay: "Relay") -> None:
         """Count a request that an upstream started to run."""
 
@@ -203,6 +206,19 @@
         response_id = find_header(lowercase_headers, names.request_id)
         return response_id is None or response_id == self._request_id
 
+    def on_response_head(self, attempt: Attempt) -> None:
+        """Note what the upstream says about itself."""
+        if attempt.status == HTTPStatus.MISDIRECTED_REQUEST:
+            # Another upstream answers at the address.
+            return
+        leaving = attempt.header(self._gateway.names.upstream_leaving)
+        if leaving == b"1" and self._gateway.report_leaving(attempt.upstream):
+            self._log(
+                "upstream_leaving",
+                upstream=attempt.upstream.upstream_id,
+                status=attempt.status,
+            )
+
     def on_progress(self) -> None:
         """Report progress to the dispatcher."""
         self._gateway.deliver(
--- a/src/shallotfold/platform/names.py
+++ b/src/shallotfold/platform/names.py
@@ -11,6 +11,7 @@
     priority=b"request-priority",
     not_run=b"not-executed",
     upstream_load=b"instance-load",
+    upstream_leaving=b"server-leaving",
     last_event=b"last-event-id",
     model=b"model-name",
     token_counts=b"token-counts",
--- a/tests/gateway/following/test_fleet_view.py
+++ b/tests/gateway/following/test_fleet_view.py
@@ -52,8 +52,10 @@
         )
         self.view.apply_configuration(StoreChanges(version, (value,), ()))
 
-    def register(self, *names: str, revision: int = 5) -> None:
-        document = json.dumps(REGISTRATION).encode()
+    def register(
+        self, *names: str, revision: int = 5, started_ms: int = 1000
+    ) -> None:
+        document = json.dumps({**REGISTRATION, "born": started_ms}).encode()
         values = tuple(
             StoredValue(f"{DIALECT.upstreams_prefix}{name}", document, revision)
             for name in names
@@ -62,10 +64,21 @@
             StoreChanges(revision, values, (), revision)
         )
 
+    def unregister(self, name: str, *, revision: int) -> None:
+        key = f"{DIALECT.upstreams_prefix}{name}"
+        self.view.apply_upstream_changes(
+            StoreChanges(revision, (), (key,), revision)
+        )
+
     @property
     def upstreams(self) -> set[str]:
         return set(self.gateway.dispatcher.upstreams_by_id)
 
+    @property
+    def draining(self) -> set[str]:
+        upstreams_by_id = self.gateway.dispatcher.upstreams_by_id
+        return {i for i, u in upstreams_by_id.items() if u.draining}
+
 
 def test_a_configuration_is_never_replaced_by_an_older_one() -> None:
     host = Host()
@@ -113,6 +126,38 @@
     assert receiver.upstreams == {"a", "b"}
 
 
+def test_leaving_upstream_stays_so_whatever_its_registration_says() -> None:
+    """Its registration is written again as ready, or by another store."""
+    host = Host()
+    host.register("a", "b")
+    upstream = host.gateway.dispatcher.upstreams_by_id["a"]
+    assert host.view.record_leaving(upstream)
+    assert not host.view.record_leaving(upstream)
+    assert host.draining == {"a"}
+    host.register("a", revision=6)
+    host.unregister("a", revision=7)
+    host.register("a", revision=8)
+    assert host.upstreams == {"a", "b"}
+    assert host.draining == {"a"}
+
+
+def test_upstream_that_starts_again_under_its_id_is_used_again() -> None:
+    host = Host()
+    host.register("a")
+    host.view.record_leaving(host.gateway.dispatcher.upstreams_by_id["a"])
+    host.register("a", revision=6, started_ms=2000)
+    assert host.draining == set()
+
+
+def test_host_learns_from_a_peer_that_an_upstream_is_leaving() -> None:
+    host = Host()
+    host.register("a", "b")
+    host.view.record_leaving_at_peer("h2", {"a": 1000, "unknown": 5})
+    assert host.draining == {"a"}
+    # Only hosts that got the response announce it.
+    assert host.view.leaving.announcements(boot_s()) == {}
+
+
 class CountingWatcher:
     """A watcher that only counts how often it is restarted."""
 
--- a/tests/gateway/peers/test_peers.py
+++ b/tests/gateway/peers/test_peers.py
@@ -1,5 +1,6 @@
 """Check what hosts know of each other from heartbeats."""
 
+import msgpack
 import pytest
 
 from shallotfold._gateway.core.clocks import boot_s
@@ -31,8 +32,10 @@
         loads_by_upstream={"a": RequestLoad(2, 900)},
         counts_by_window={200: {"north": 4}},
         ended_counts={"h9/1": {200: {"north": 2}}},
+        leaving_started_ms_by_id={"a": 1000},
     )
     received = send_heartbeat(make_peers(1), make_peers(2), local)
+    assert received.leaving_started_ms_by_id == {"a": 1000}
     assert (received.name, received.incarnation, received.ip) == (
         "h1",
         "life-1",
@@ -257,3 +260,12 @@
     now_s = boot_s() + peers_module.PRESUMED_ENDED_AFTER_S + 1.0
     monkeypatch.setattr(peers_module, "boot_s", lambda: now_s)
     assert receiver.counted_share_since(receiver.agreed_time_s() - 1.0) == 1.0
+
+
+def test_heartbeat_of_an_earlier_build_is_decoded() -> None:
+    """During a release, hosts that don't announce leaving upstreams run too."""
+    fields = msgpack.unpackb(
+        make_peers(1).encode(LocalState()), strict_map_key=False
+    )
+    state, _ = make_peers(2).decode(msgpack.packb(fields[:14]), "10.0.0.1")
+    assert state.leaving_started_ms_by_id == {}
