Let the soak's upstreams leave without registering it

A fault of the soak: an upstream says in its responses only that it is leaving, and starts again under its id some seconds later. The check: no request that a caller sends to a host later than the drain timeout after that host has passed on such a response reaches the upstream, unless the host was disturbed.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -1,6 +1,8 @@
 """Check what callers and upstreams saw against the gateway's guarantees."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
+import math
 import re
 
 from benchmarks.soak.callers import Outcome
@@ -11,6 +13,9 @@
 # These statuses guarantee that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 ROUTE_TIMEOUT_S = 2.0
+# A host may send requests to an upstream for this long after it has passed on a
+# response that said that the upstream is leaving.
+DRAIN_TIMEOUT_S = 2.0
 # The final response may be this much later than the route's timeout.
 TIMEOUT_SLACK_S = 0.75
 # A window is reported after its end by the correct time. Late reports come
@@ -35,8 +40,9 @@
             the monotonic clock; time limits are checked only outside of them.
     """
     disturbed_spans = list(disturbances)
-    violations = []
-    for outcome in outcomes:
+    outcome_by_id = {outcome.request_id: outcome for outcome in outcomes}
+    violations = _find_leaving_violations(outcome_by_id, runs, disturbed_spans)
+    for outcome in outcome_by_id.values():
         violations += [
             f"{violation}: {outcome.kind} {outcome.request_id} at host "
             f"{outcome.host}, status {outcome.status}"
@@ -63,6 +69,46 @@
     return violations
 
 
+def _find_leaving_violations(
+    outcome_by_id: Mapping[str, Outcome],
+    runs: Runs,
+    disturbed_spans: list[tuple[int, float, float]],
+) -> list[str]:
+    arrivals = [
+        (arrival, outcome_by_id[arrival.request_id])
+        for arrival in runs.leaving_arrivals
+        if arrival.request_id in outcome_by_id
+    ]
+    known_s: dict[tuple[int, str, int], float] = {}
+    for arrival, outcome in arrivals:
+        # With one run, the response is certainly that of this upstream.
+        if (
+            outcome.status == 200
+            and outcome.complete
+            and runs.starts_by_id[arrival.request_id] == 1
+        ):
+            key = (outcome.host, arrival.upstream_id, arrival.started_ms)
+            ended_s = outcome.began_s + outcome.took_s
+            known_s[key] = min(ended_s, known_s.get(key, ended_s))
+    violations = []
+    for arrival, outcome in arrivals:
+        key = (outcome.host, arrival.upstream_id, arrival.started_ms)
+        since_s = known_s.get(key, math.inf)
+        is_disturbed = any(
+            host == outcome.host
+            and begin_s < outcome.began_s
+            and since_s < end_s
+            for host, begin_s, end_s in disturbed_spans
+        )
+        if outcome.began_s > since_s + DRAIN_TIMEOUT_S and not is_disturbed:
+            violations.append(
+                f"{outcome.request_id} reached {arrival.upstream_id} "
+                f"{outcome.began_s - since_s:.1f} s after host {outcome.host} "
+                "knew that it was leaving"
+            )
+    return violations
+
+
 def _find_request_violations(
     outcome: Outcome,
     runs: Runs,
--- a/benchmarks/soak/external_services.py
+++ b/benchmarks/soak/external_services.py
@@ -163,19 +163,36 @@
         writer.write(make_response(200, b"{}"))
 
 
+@attrs.frozen
+class LeavingArrival:
+    """A request that reached an upstream that was leaving.
+
+    Attributes:
+        request_id: Id of the request.
+        upstream_id: Id of the upstream.
+        started_ms: Start of the upstream in Unix milliseconds.
+    """
+
+    request_id: str
+    upstream_id: str
+    started_ms: int
+
+
 @attrs.define
 class Runs:
-    """Requests that upstreams ran, by request id.
+    """Requests that reached upstreams.
 
     Attributes:
         starts_by_id: Number of times that each request was started.
         workspace_by_id: Workspace that each request ran for.
+        leaving_arrivals: Requests that reached leaving upstreams.
     """
 
     starts_by_id: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
     workspace_by_id: dict[str, str] = attrs.field(factory=dict)
+    leaving_arrivals: list[LeavingArrival] = attrs.field(factory=list)
 
 
 class UpstreamService(Service):
@@ -185,6 +202,8 @@
         super().__init__()
         self.upstream_id = upstream_id
         self.failing = False
+        self.leaving = False
+        self.started_ms = int(time.time() * 1000)
         self._runs = runs
 
     async def handle(
@@ -194,9 +213,15 @@
         del body
         request_id = get_header(head, "Attempt-Id")
         echo_header = f"Attempt-Id: {request_id}"
+        if self.leaving:
+            echo_header += "\r\nServer-Leaving: 1"
         if get_header(head, "Expected-Instance") != self.upstream_id:
             writer.write(make_response(421, b"", echo_header))
             return
+        if self.leaving:
+            self._runs.leaving_arrivals.append(
+                LeavingArrival(request_id, self.upstream_id, self.started_ms)
+            )
         if self.failing:
             writer.write(
                 make_response(503, b"", echo_header, "Not-Executed: 1")
@@ -205,7 +230,7 @@
         self._runs.starts_by_id[request_id] += 1
         self._runs.workspace_by_id[request_id] = get_header(head, "Tenant-Name")
         if b"/stream/" in head.split(b"\r\n")[0]:
-            await self._stream(head, request_id, writer)
+            await self._stream(head, request_id, echo_header, writer)
             return
         await asyncio.sleep(EVENT_INTERVAL_S)
         signature_header = "Response-Signature: s"
@@ -216,7 +241,11 @@
         )
 
     async def _stream(
-        self, head: bytes, request_id: str, writer: asyncio.StreamWriter
+        self,
+        head: bytes,
+        request_id: str,
+        echo_header: str,
+        writer: asyncio.StreamWriter,
     ) -> None:
         last_event_id = int(get_header(head, "Last-Event-Id") or 0)
         # Drawn from the request's id and run, so that a seed repeats them.
@@ -230,7 +259,7 @@
             "HTTP/1.1 200 OK",
             "Transfer-Encoding: chunked" if chunked else "Connection: close",
             "Content-Type: text/event-stream",
-            f"Attempt-Id: {request_id}",
+            echo_header,
             "Response-Signature: s",
         ]
         writer.write("\r\n".join(lines).encode() + HEADER_END)
@@ -255,7 +284,9 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
-def make_registration(service: str, address: str, *, draining: bool) -> bytes:
+def make_registration(
+    service: str, address: str, started_ms: int, *, draining: bool
+) -> bytes:
     """Return an upstream's registration as JSON."""
     fields: dict[str, Any] = {
         "Service": service,
@@ -265,5 +296,6 @@
         "State": "draining" if draining else "ready",
         "ColdRemainingMs": 0,
         "SequenceNumber": 1,
+        "born": started_ms,
     }
     return json.dumps(fields).encode()
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -134,7 +134,7 @@
             proxy = FaultyTcpProxy(("127.0.0.1", upstream.port))
             await proxy.start()
             self._upstream_proxies.append(proxy)
-            self._register(upstream.upstream_id, proxy)
+            self._register(upstream, proxy)
         for number in range(len(self._ips)):
             proxy = FaultyTcpProxy(("127.0.0.1", self._store.port))
             await proxy.start()
@@ -148,13 +148,20 @@
             await self._start_gateway(number)
 
     def _register(
-        self, upstream_id: str, proxy: FaultyTcpProxy, *, draining: bool = False
+        self,
+        upstream: UpstreamService,
+        proxy: FaultyTcpProxy,
+        *,
+        draining: bool = False,
     ) -> None:
         document = make_registration(
-            SERVICE_NAME, f"127.0.0.1:{proxy.port}", draining=draining
+            SERVICE_NAME,
+            f"127.0.0.1:{proxy.port}",
+            upstream.started_ms,
+            draining=draining,
         )
         self._store.standin.put(
-            f"{names.UPSTREAMS_PREFIX}{upstream_id}", document
+            f"{names.UPSTREAMS_PREFIX}{upstream.upstream_id}", document
         )
 
     def _make_settings(self, number: int) -> dict[str, Any]:
@@ -291,6 +298,7 @@
                 Fault.RESET,
                 "full",
                 "leave",
+                "leave unregistered",
             )
         )
         self._fault_counts[f"upstream {_fault_name(fault)}"] += 1
@@ -300,9 +308,11 @@
             await asyncio.sleep(duration_s)
             upstream.failing = False
         elif fault == "leave":
-            self._register(upstream.upstream_id, proxy, draining=True)
+            self._register(upstream, proxy, draining=True)
             await asyncio.sleep(duration_s)
-            self._register(upstream.upstream_id, proxy)
+            self._register(upstream, proxy)
+        elif fault == "leave unregistered":
+            await self._restart_upstream(upstream, proxy, duration_s)
         elif isinstance(fault, Fault):
             proxy.set_fault(fault)
             if fault in (Fault.SILENCE, Fault.ONE_WAY):
@@ -313,6 +323,22 @@
             # Connections that lost data stay unusable.
             proxy.reset()
 
+    async def _restart_upstream(
+        self,
+        upstream: UpstreamService,
+        proxy: FaultyTcpProxy,
+        duration_s: float,
+    ) -> None:
+        """Let an upstream leave that says so only in its responses."""
+        if upstream.leaving:
+            return
+        upstream.leaving = True
+        await asyncio.sleep(checks.DRAIN_TIMEOUT_S + duration_s)
+        # It starts again under its id.
+        upstream.leaving = False
+        upstream.started_ms = int(time.time() * 1000)
+        self._register(upstream, proxy)
+
     async def _inject_store_fault(self, rng: random.Random) -> None:
         duration_s = rng.uniform(0.5, 4.0)
         fault = rng.choice(
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -10,6 +10,7 @@
 from benchmarks.soak import stepped_clock
 from benchmarks.soak.callers import Outcome
 from benchmarks.soak.external_services import DutyService
+from benchmarks.soak.external_services import LeavingArrival
 from benchmarks.soak.external_services import Runs
 
 SECONDS = "6"
@@ -57,6 +58,26 @@
         ), expected
 
 
+def test_request_to_an_upstream_known_to_be_leaving_is_found() -> None:
+    outcomes = [
+        make_outcome(request_id="r1", began_s=10.0, body=b"r1"),
+        make_outcome(request_id="r2", began_s=12.0, body=b"r2"),
+        make_outcome(request_id="r3", began_s=12.2, body=b"r3"),
+        make_outcome(request_id="r4", began_s=12.2, body=b"r4", host=1),
+    ]
+    ids = [outcome.request_id for outcome in outcomes]
+    runs = Runs(
+        starts_by_id=collections.Counter(ids),
+        leaving_arrivals=[LeavingArrival(name, "u0", 1) for name in ids],
+    )
+    (violation,) = checks.find_violations(outcomes, runs, DutyService(), [])
+    assert violation.startswith("r3 reached u0")
+    disturbances = [(0, 11.0, 12.0)]
+    assert not checks.find_violations(
+        outcomes, runs, DutyService(), disturbances
+    )
+
+
 def test_usage_report_at_a_wrong_time_is_found() -> None:
     duties = DutyService()
     duties.report_delays_s_by_window = {7: [2.5], 8: [-1.0], 9: [4000.0]}
