Give upstreams the pause that their Retry-After asks for

An upstream that turns a request away with 503 and Retry-After wants nothing from that host for so long. The gateway didn't read the header: it marked the upstream as failing and sent it further requests, which it had to reject again.

Now the head of such a response is an event of its own; until the pause ends, placement never chooses the upstream, not even when no other is left. A pause is no failure: it neither ejects the upstream nor counts in its failure ratio, and it outlives a registration that lapses. When all upstreams of a service asked for a pause, callers are told to return after the shortest one, spread over half of it.

--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -25,6 +25,9 @@
 # left, and not all at once: the minimum delay gets a uniform jitter on top.
 MIN_RETRY_AFTER_S = 0.25
 RETRY_AFTER_JITTER_S = 0.75
+# When all upstreams asked for a pause, callers return after the shortest one,
+# spread over this share of it.
+PAUSE_JITTER_SHARE = 0.5
 # Upstreams get this much less than the remaining time, so that a response which
 # they send at their deadline can still be forwarded.
 RESPONSE_TRANSIT_S = 0.03
@@ -93,6 +96,7 @@
             events.AttemptSucceeded: self._on_succeeded,
             events.CallerDisconnected: self._on_caller_disconnected,
             events.LoadReported: self._on_load_reported,
+            events.PauseRequested: self._on_pause_requested,
             events.UpstreamsChanged: self._on_upstreams_changed,
             events.PeerLoadsReceived: self._on_peer_loads,
             events.TimePassed: self._on_time_passed,
@@ -125,7 +129,7 @@
         self._open_requests[event.request] = request
         self.budget.count_request(event.service, event.now_s)
         return self._send(request, event.now_s) or self._refuse(
-            request, "no upstream has room"
+            request, "no upstream has room", event.now_s
         )
 
     def _on_unsent(self, event: events.AttemptUnsent) -> Effects:
@@ -136,7 +140,7 @@
         self._end_attempt(request)
         request.attempts -= 1
         return self._send(request, event.now_s) or self._give_up(
-            request, "upstreams can't be reached"
+            request, "upstreams can't be reached", event.now_s
         )
 
     def _on_rejected(self, event: events.AttemptRejected) -> Effects:
@@ -146,10 +150,10 @@
         if event.wrong_upstream:
             self.placement.health.record_replaced(request.upstream)
         else:
-            self.placement.health.record_failure(request.upstream, event.now_s)
+            self._record_failure(request, event.now_s)
         self._end_attempt(request)
         return self._retry(request, event.now_s) or self._give_up(
-            request, "upstream rejected the request unrun"
+            request, "upstream rejected the request unrun", event.now_s
         )
 
     def _on_progressed(self, event: events.AttemptProgressed) -> Effects:
@@ -181,7 +185,7 @@
             return []
         request.may_have_run = True
         request.failure_held = True
-        self.placement.health.record_failure(request.upstream, event.now_s)
+        self._record_failure(request, event.now_s)
         self._end_attempt(request)
         if request.route.repeatable:
             retry_effects = self._retry(request, event.now_s)
@@ -213,6 +217,12 @@
         )
         return []
 
+    def _on_pause_requested(self, event: events.PauseRequested) -> Effects:
+        self.placement.health.record_pause(
+            event.upstream, event.now_s + event.pause_s, event.now_s
+        )
+        return []
+
     def _on_upstreams_changed(self, event: events.UpstreamsChanged) -> Effects:
         self.upstreams_by_id = event.upstreams_by_id
         serving: dict[str, list[Upstream]] = {}
@@ -354,22 +364,31 @@
             return cancel + self._deliver_failure(request)
         return cancel + self._fail(request, "time ran out", timed_out=True)
 
-    def _give_up(self, request: _OpenRequest, reason: str) -> Effects:
+    def _give_up(
+        self, request: _OpenRequest, reason: str, now_s: float
+    ) -> Effects:
         """End a request whose last attempt is known not to have run."""
         if request.failure_held and not request.response_started:
             return self._deliver_failure(request)
         if request.may_have_run or request.response_started:
             return self._fail(request, reason)
-        return self._refuse(request, reason)
+        return self._refuse(request, reason, now_s)
 
-    def _refuse(self, request: _OpenRequest, reason: str) -> Effects:
+    def _refuse(
+        self, request: _OpenRequest, reason: str, now_s: float
+    ) -> Effects:
         self._open_requests.pop(request.request, None)
+        engines = self._engines_by_service.get(request.service)
+        pause_s = (
+            self.placement.pause_remaining_s(engines, now_s) if engines else 0.0
+        )
+        delay_s = max(MIN_RETRY_AFTER_S, pause_s)
+        jitter_s = max(RETRY_AFTER_JITTER_S, PAUSE_JITTER_SHARE * pause_s)
         return [
             effects.Refuse(
                 request=request.request,
-                retry_after_s=MIN_RETRY_AFTER_S
-                + RETRY_AFTER_JITTER_S * request.draw,
-                reason=reason,
+                retry_after_s=delay_s + jitter_s * request.draw,
+                reason="all upstreams asked for a pause" if pause_s else reason,
             )
         ]
 
@@ -387,6 +406,12 @@
         self._open_requests.pop(request.request, None)
         return [effects.DeliverFailure(request=request.request)]
 
+    def _record_failure(self, request: _OpenRequest, now_s: float) -> None:
+        """Record a failed attempt; a request for a pause is no failure."""
+        health = self.placement.health
+        if not health.pause_remaining_s(request.upstream, now_s):
+            health.record_failure(request.upstream, now_s)
+
     def _end_attempt(self, request: _OpenRequest) -> None:
         if request.upstream:
             self.placement.loads.end_request(request.upstream, request.request)
--- a/src/shallotfold/_gateway/deciding/events.py
+++ b/src/shallotfold/_gateway/deciding/events.py
@@ -106,6 +106,19 @@
     waiting: int
 
 
+@attrs.frozen(kw_only=True)
+class PauseRequested(Event):
+    """An upstream asked this host to send it nothing for a while.
+
+    Attributes:
+        upstream: Id of the upstream.
+        pause_s: For how long.
+    """
+
+    upstream: str
+    pause_s: float
+
+
 @attrs.frozen(kw_only=True)
 class UpstreamsChanged(Event):
     """The set of upstreams that may get requests changed."""
--- a/src/shallotfold/_gateway/deciding/placement.py
+++ b/src/shallotfold/_gateway/deciding/placement.py
@@ -136,7 +136,8 @@
     ) -> Upstream | None:
         """Return the upstream with the lowest cost that has capacity, if any.
 
-        Ejected upstreams are used only when no other is left.
+        Ejected upstreams are used only when no other is left, those that asked
+        for a pause never.
 
         Args:
             engines: Upstreams of the service.
@@ -151,11 +152,11 @@
             MIN_SAMPLED_ENGINES, FLEET_SAMPLED_ENGINES // self.host_count
         )
         sampled_ids = engines.sample(prompt, count, draw) | cached_tokens.keys()
-        candidates = self._with_capacity(engines, sampled_ids - tried)
+        candidates = self._with_capacity(engines, sampled_ids - tried, now_s)
         candidates = self._available(candidates, now_s)
         if not candidates:
             candidates = self._with_capacity(
-                engines, engines.by_id.keys() - tried
+                engines, engines.by_id.keys() - tried, now_s
             )
             candidates = self._available(candidates, now_s) or candidates
         if not candidates:
@@ -173,6 +174,20 @@
 
         return min(candidates, key=cost)
 
+    def pause_remaining_s(self, engines: EngineSet, now_s: float) -> float:
+        """Return when the first upstream may get requests again, from now.
+
+        It is 0 unless all upstreams that are still there asked for a pause.
+        """
+        return min(
+            (
+                self.health.pause_remaining_s(upstream_id, now_s)
+                for upstream_id in engines.by_id
+                if not self.health.is_replaced(upstream_id)
+            ),
+            default=0.0,
+        )
+
     def expected_cached_tokens(
         self, engines: EngineSet, prompt: Prompt, now_s: float
     ) -> dict[str, int]:
@@ -206,12 +221,13 @@
         return cached_tokens
 
     def _with_capacity(
-        self, engines: EngineSet, upstream_ids: Set[str]
+        self, engines: EngineSet, upstream_ids: Set[str], now_s: float
     ) -> list[Upstream]:
         return [
             upstream
             for upstream in map(engines.by_id.__getitem__, upstream_ids)
             if not self.health.is_replaced(upstream.upstream_id)
+            and not self.health.pause_remaining_s(upstream.upstream_id, now_s)
             and self._has_capacity(upstream)
         ]
 
--- a/src/shallotfold/_gateway/deciding/upstream_health.py
+++ b/src/shallotfold/_gateway/deciding/upstream_health.py
@@ -1,4 +1,4 @@
-"""Track the health of upstreams by how their last attempts ended."""
+"""Track the health of upstreams, and the pauses that they ask for."""
 
 import attrs
 
@@ -22,9 +22,10 @@
 
 @attrs.define
 class UpstreamHealth:
-    """Failure ratios and ejections by upstream id."""
+    """Failure ratios, ejections and pauses by upstream id."""
 
     _record_by_upstream: dict[str, _Record] = attrs.field(factory=dict)
+    _paused_until_s_by_upstream: dict[str, float] = attrs.field(factory=dict)
 
     def record_success(self, upstream: str, now_s: float) -> None:
         """Record a complete response and end an ejection."""
@@ -49,6 +50,26 @@
         record.ejected_until_s = now_s + min(MAX_EJECTION_S, ejection_s)
         record.connect_failures = min(record.connect_failures + 1, 8)
 
+    def record_pause(self, upstream: str, until_s: float, now_s: float) -> None:
+        """Record that an upstream wants no requests until a time.
+
+        A pause is no failure, and it also holds while the upstream isn't
+        registered.
+        """
+        for name, paused_until_s in list(
+            self._paused_until_s_by_upstream.items()
+        ):
+            if paused_until_s <= now_s:
+                del self._paused_until_s_by_upstream[name]
+        self._paused_until_s_by_upstream[upstream] = max(
+            until_s, self._paused_until_s_by_upstream.get(upstream, until_s)
+        )
+
+    def pause_remaining_s(self, upstream: str, now_s: float) -> float:
+        """Return how long the upstream still wants no requests."""
+        until_s = self._paused_until_s_by_upstream.get(upstream, now_s)
+        return max(0.0, until_s - now_s)
+
     def record_replaced(self, upstream: str) -> None:
         """Record that another upstream answers at its address: it is gone."""
         self._get_or_create(upstream).replaced = True
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -93,6 +93,7 @@
         self.shutdown_started_s: float | None = None
         self.shutdown_ends_s = math.inf
         self.host_count = 1
+        self._invalid_pause_ids: set[str] = set()
         self.on_upstream_leaving: Callable[[Upstream], bool] = _ignore_leaving
         self._usage = usage
         self._agreed_time_s = agreed_time_s
@@ -165,6 +166,7 @@
             )
         )
         self.pool.retain_only(list(upstreams_by_id.values()))
+        self._invalid_pause_ids &= upstreams_by_id.keys()
 
     # The connections call these.
 
@@ -228,6 +230,12 @@
 
     # The relays call these.
 
+    def report_invalid_pause(self, upstream: Upstream) -> bool:
+        """Report an unusable Retry-After; return whether it is the first."""
+        is_first = upstream.upstream_id not in self._invalid_pause_ids
+        self._invalid_pause_ids.add(upstream.upstream_id)
+        return is_first
+
     def report_leaving(self, upstream: Upstream) -> bool:
         """Report that an upstream is leaving; return whether that is new."""
         is_new = self.on_upstream_leaving(upstream)
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -28,6 +28,7 @@
 from shallotfold._gateway.serving.forwarding import GatewayHeaders
 from shallotfold._gateway.serving.forwarding import forwarded_request
 from shallotfold._gateway.serving.forwarding import forwarded_response_headers
+from shallotfold._gateway.serving.response_parsing import parse_retry_after_s
 from shallotfold._gateway.serving.stream_response import StreamResponse
 from shallotfold._model.events import Event
 
@@ -71,6 +72,9 @@
     def report_leaving(self, upstream: Upstream) -> bool:
         """Report that an upstream is leaving; return whether that is new."""
 
+    def report_invalid_pause(self, upstream: Upstream) -> bool:
+        """Report an unusable Retry-After; return whether it is the first."""
+
     def count_run(self, relay: "Relay") -> None:
         """Count a request that an upstream started to run."""
 
@@ -218,6 +222,8 @@
                 upstream=attempt.upstream.upstream_id,
                 status=attempt.status,
             )
+        if attempt.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            self._handle_retry_after(attempt)
 
     def on_progress(self) -> None:
         """Report progress to the dispatcher."""
@@ -349,6 +355,37 @@
 
     # Helpers.
 
+    def _handle_retry_after(self, attempt: Attempt) -> None:
+        value = attempt.header(b"retry-after")
+        if value is None:
+            return
+        try:
+            pause_s = parse_retry_after_s(value)
+        except ValueError as error:
+            if self._gateway.report_invalid_pause(attempt.upstream):
+                self._log(
+                    "pause_ignored",
+                    upstream=attempt.upstream.upstream_id,
+                    reason=str(error),
+                )
+            return
+        if not pause_s:
+            return
+        self._gateway.metrics.count_upstream_signal("pause")
+        self._log(
+            "upstream_paused",
+            upstream=attempt.upstream.upstream_id,
+            asked=value.decode("latin-1"),
+            pause_s=pause_s,
+        )
+        self._gateway.deliver(
+            events.PauseRequested(
+                now_s=boot_s(),
+                upstream=attempt.upstream.upstream_id,
+                pause_s=pause_s,
+            )
+        )
+
     def _report_load(
         self, attempt: Attempt, lowercase_headers: Headers
     ) -> None:
--- a/tests/gateway/deciding/test_dispatcher.py
+++ b/tests/gateway/deciding/test_dispatcher.py
@@ -278,3 +278,48 @@
         "disconnected": events.CallerDisconnected,
     }
     return kinds[step](now_s=now_s, request=1)
+
+
+def request_pause(
+    harness: DispatcherHarness, upstream: str, pause_s: float
+) -> None:
+    harness.feed(
+        events.PauseRequested(
+            now_s=harness.now_s, upstream=upstream, pause_s=pause_s
+        )
+    )
+
+
+def test_pause_holds_while_the_upstream_is_not_registered() -> None:
+    """A registration that lapsed and came back ended the pause."""
+    harness = DispatcherHarness(A)
+    request_pause(harness, "a", 3.0)
+    harness.change_upstreams(B)
+    harness.change_upstreams(A)
+    (refusal,) = harness.arrive()
+    assert isinstance(refusal, effects.Refuse)
+    assert 3.0 <= refusal.retry_after_s <= 4.5
+    harness.advance(3.1)
+    harness.arrive(2)
+    assert harness.sent_upstream_id() == "a"
+
+
+def test_shorter_pause_does_not_end_a_longer_one() -> None:
+    harness = DispatcherHarness(A)
+    request_pause(harness, "a", 3.0)
+    request_pause(harness, "a", 0.5)
+    harness.advance(1.0)
+    (refusal,) = harness.arrive()
+    assert isinstance(refusal, effects.Refuse)
+
+
+def test_pause_is_no_failure() -> None:
+    """An upstream that asked for a pause was avoided long after it."""
+    harness = DispatcherHarness(A, B)
+    harness.arrive()
+    paused = harness.sent_upstream_id()
+    request_pause(harness, paused, 0.5)
+    harness.feed(events.AttemptRejected(now_s=harness.now_s, request=1))
+    assert harness.sent_upstream_id() != paused
+    health = harness.dispatcher.placement.health
+    assert health.failure_ratio(paused, harness.now_s) == 0.0
