Follow a store that is restored from a backup

In a drill the store comes back from a copy some seconds old, with a higher Store-Era in all responses. Revisions are given out again then: a watch from one of before missed changes, tombstones hid upstreams that had registered again, a fencing token from a low revision would be refused for ever, and a conditional write of before could succeed.

A revision now holds the era in its upper bits, put there by the adapter, so that every comparison, tombstone, heartbeat and fencing token is ordered by era first without knowing of it; without the header nothing changes. The client refuses watches and conditional writes of an earlier era by itself; a watch whose response has another era has lost its history. When a host notices a new era, from any call or from a peer: - the registrations that the backup lacks are suspect as after an outage, draining upstreams stay so, removed ones that the backup brings back are left out until they register again; - the holder of the duties ends its term, and no host acquires them for the length of a lease, since a holder that hasn't noticed may act; - hosts that know frozen counts store them again if they are absent.

--- a/src/shallotfold/_gateway/core/ports.py
+++ b/src/shallotfold/_gateway/core/ports.py
@@ -16,9 +16,14 @@
     """A store that can read a prefix as a snapshot at a revision.
 
     `watch` raises `HistoryLostError` if the store no longer keeps the changes
-    since the revision.
+    since the revision, or if the store was restored since then.
     """
 
+    @property
+    def era(self) -> int:
+        """Newest known era of the store; see `_services.revisions`."""
+        ...
+
     async def snapshot(self, prefix: str) -> StoreChanges:
         """Read all values under a prefix.
 
--- a/src/shallotfold/_gateway/duties/duty_lease.py
+++ b/src/shallotfold/_gateway/duties/duty_lease.py
@@ -70,6 +70,17 @@
             except PlatformError as error:
                 decision_log.record("lease_not_returned", error=str(error))
 
+    def record_store_restored(self) -> None:
+        """End the term, since a restored store may have lost its lease.
+
+        Another host may still act on a lease of before that was renewed just
+        before the restore, so none is acquired until that one has ended.
+        """
+        self._end_term("the store was restored")
+        self._cooldown_until_s = max(
+            self._cooldown_until_s, boot_s() + self._lease_s
+        )
+
     def resign(self, reason: str) -> None:
         """End the term because another host holds the duties."""
         self._end_term(reason)
--- a/src/shallotfold/_gateway/duties/usage_reporting.py
+++ b/src/shallotfold/_gateway/duties/usage_reporting.py
@@ -77,6 +77,7 @@
         self._frozen: dict[int, Counts] = {}
         self._reported: set[int] = set()
         self._revision_by_key: dict[str, int] = {}
+        self._windows_to_restore: set[int] = set()
         self._periodic_task = PeriodicTask(
             "Usage reporting", self._report_due, lambda: CHECK_INTERVAL_S
         )
@@ -89,7 +90,36 @@
         """Stop reporting."""
         await self._periodic_task.close()
 
+    def record_store_restored(self) -> None:
+        """Store the frozen counts again, since the backup may lack them."""
+        newest = sorted(self._frozen)[-RETAINED_FROZEN_WINDOWS:]
+        self._windows_to_restore.update(newest)
+
+    async def _restore_frozen(self) -> None:
+        for window in sorted(self._windows_to_restore):
+            key = f"{FROZEN_PREFIX}{window}"
+            document = _encode_counts(self._frozen[window])
+            try:
+                self._revision_by_key[key] = await self._store.compare_and_swap(
+                    key, 0, document
+                )
+            except StoreConflictError:
+                # The backup has it, or a holder has stored it since.
+                outcome = "present"
+            except PlatformError as error:
+                decision_log.record(
+                    "usage_not_restored", window=window, error=str(error)
+                )
+                return
+            else:
+                outcome = "written"
+            decision_log.record(
+                "usage_restored", window=window, outcome=outcome
+            )
+            self._windows_to_restore.discard(window)
+
     async def _report_due(self) -> None:
+        await self._restore_frozen()
         if not self._lease.is_held:
             return
         for window in self._due_windows():
@@ -159,7 +189,7 @@
         try is read back like one with another holder.
         """
         key = f"{FROZEN_PREFIX}{window}"
-        document = json.dumps(counts, sort_keys=True).encode()
+        document = _encode_counts(counts)
         try:
             revision = await self._store.compare_and_swap(key, 0, document)
         except StoreConflictError:
@@ -178,3 +208,7 @@
         key, revision = next(iter(self._revision_by_key.items()))
         del self._revision_by_key[key]
         await self._store.delete(key, revision)
+
+
+def _encode_counts(counts: Counts) -> bytes:
+    return json.dumps(counts, sort_keys=True).encode()
--- a/src/shallotfold/_gateway/following/fleet_view.py
+++ b/src/shallotfold/_gateway/following/fleet_view.py
@@ -22,6 +22,8 @@
 from shallotfold._gateway.serving.route_table import RouteTable
 from shallotfold._services.ports import StoreChanges
 from shallotfold._services.ports import StoredValue
+from shallotfold._services.revisions import era_of
+from shallotfold._services.revisions import number_of
 
 FROM_STORE = "store"
 
@@ -34,6 +36,7 @@
     Attributes:
         registry: The upstreams' registrations.
         leaving: Upstreams that said that they are leaving.
+        era: Era of the store that the view follows; see `_services.revisions`.
     """
 
     def __init__(
@@ -41,6 +44,7 @@
         dialect: Dialect,
         gateway: Gateway,
         on_configuration: Callable[[], None],
+        on_store_restored: Callable[[], None],
     ) -> None:
         """Make an empty view.
 
@@ -48,13 +52,16 @@
             dialect: Decodes the documents.
             gateway: Serves callers according to the view.
             on_configuration: Called when a configuration took effect.
+            on_store_restored: Called when the store came back from a backup.
         """
         self._dialect = dialect
         self._gateway = gateway
         self._on_configuration = on_configuration
+        self._on_store_restored = on_store_restored
         self._configuration = StoredValue("", b"", 0)
         self.registry = UpstreamRegistry()
         self.leaving = LeavingUpstreams()
+        self.era: int | None = None
 
     @property
     def configuration_version(self) -> int:
@@ -73,6 +80,7 @@
 
     def apply_configuration(self, changes: StoreChanges) -> None:
         """Apply the configuration if it is among the changes."""
+        self._follow_era(changes.revision)
         for value in changes.changed:
             if value.key == self._dialect.configuration_key:
                 self._adopt(value, FROM_STORE)
@@ -87,6 +95,7 @@
     def apply_upstream_snapshot(self, changes: StoreChanges) -> None:
         """Apply the whole list of upstreams."""
         self.record_store_call(None)
+        self._follow_era(changes.revision)
         self.registry.apply_snapshot(
             self._values_by_upstream_id(changes), changes.revision, boot_s()
         )
@@ -172,6 +181,7 @@
             self._adopt(StoredValue(key, value, revision), peer)
         if upstreams_revision <= self.registry.revision:
             return
+        self._follow_era(upstreams_revision)
         self.registry.apply_snapshot(
             {
                 upstream_id: StoredValue(upstream_id, document, changed_at)
@@ -184,6 +194,37 @@
 
     # Helpers.
 
+    def _follow_era(self, revision: int) -> None:
+        """Prepare for data of a restored store, which may be older."""
+        era, previous = era_of(revision), self.era
+        if previous is None:
+            self.era = era
+        if previous is None or era <= previous:
+            return
+        self.era = era
+        now_s = boot_s()
+        self.registry.record_restore(now_s)
+        upstreams = self._gateway.dispatcher.upstreams_by_id.values()
+        draining = [u for u in upstreams if u.draining]
+        # The backup may say that they are still ready.
+        for upstream in draining:
+            self.leaving.add(
+                upstream.upstream_id,
+                upstream.started_ms,
+                now_s,
+                from_response=False,
+            )
+        decision_log.record(
+            "store_restored",
+            era=era,
+            before=previous,
+            revision=number_of(revision),
+            revision_before=number_of(self.registry.revision),
+            upstreams=len(upstreams),
+            draining=len(draining),
+        )
+        self._on_store_restored()
+
     def _adopt(self, value: StoredValue, source: str) -> None:
         try:
             configuration = self._dialect.read_configuration(value.value)
--- a/src/shallotfold/_gateway/following/upstream_registry.py
+++ b/src/shallotfold/_gateway/following/upstream_registry.py
@@ -10,6 +10,7 @@
 import attrs
 
 from shallotfold._services.ports import StoredValue
+from shallotfold._services.revisions import era_of
 
 # Live upstreams have registered again this long after the store is back.
 REREGISTRATION_GRACE_S = 2.2
@@ -57,6 +58,14 @@
         if self.last_failure_s is not None and self.recovered_s is None:
             self.recovered_s = now_s
 
+    def record_restore(self, now_s: float) -> None:
+        """Record that the store came back from a backup.
+
+        Registrations that the backup lacks are suspect, as after an outage.
+        """
+        self.last_failure_s = now_s
+        self.recovered_s = now_s
+
     def apply_snapshot(
         self, values_by_id: dict[str, StoredValue], revision: int, now_s: float
     ) -> None:
@@ -64,7 +73,8 @@
         lapsed = self._registration_by_id.keys() - values_by_id.keys()
         self._remove_all(lapsed, revision, now_s)
         for upstream_id, value in values_by_id.items():
-            self._put(upstream_id, value)
+            if not self._is_revived(upstream_id, value):
+                self._put(upstream_id, value)
         self.revision = max(self.revision, revision)
 
     def apply_changes(
@@ -127,6 +137,18 @@
             return now_s + REREGISTRATION_GRACE_S
         return registration.suspect_until_s or now_s
 
+    def _is_revived(self, upstream_id: str, value: StoredValue) -> bool:
+        """Whether a backup brought back an upstream that had been removed.
+
+        A live one registers again, which a watch shows as a change.
+        """
+        removed_at = self._tombstone_revision_by_id.get(upstream_id)
+        return (
+            removed_at is not None
+            and upstream_id not in self._registration_by_id
+            and era_of(removed_at) < era_of(value.revision)
+        )
+
     def _put(self, upstream_id: str, value: StoredValue) -> None:
         registration = self._registration_by_id.get(upstream_id)
         if registration is not None and registration.revision > value.revision:
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -103,8 +103,12 @@
         # A new configuration is announced at once, for peers that get no
         # updates from the store.
         self._fleet_view = FleetView(
-            dialect, self._gateway, self._peer_link.send_now
+            dialect,
+            self._gateway,
+            self._peer_link.send_now,
+            self._on_store_restored,
         )
+        self._store = store
         self._gateway.on_upstream_leaving = self._fleet_view.record_leaving
         self._watchers = self._make_watchers(dialect, store)
         self._catch_up = CatchUp(
@@ -254,7 +258,21 @@
         self._gateway.close_idle_connections()
         self._shutdown_done.set()
 
+    def _on_store_restored(self) -> None:
+        for watcher in self._watchers:
+            watcher.restart_watch()
+        self._duty_lease.record_store_restored()
+        self._usage_reporter.record_store_restored()
+
+    def _notice_restore(self) -> None:
+        """Read the store again if a call has shown that it was restored."""
+        era = self._fleet_view.era
+        if era is not None and self._store.era > era:
+            for watcher in self._watchers:
+                watcher.restart_watch()
+
     async def _run_housekeeping(self) -> None:
+        self._notice_restore()
         self._fleet_view.drop_lapsed_upstreams()
         self._catch_up.check()
         decision_log.flush()
@@ -358,5 +376,6 @@
             "peers_alive": len(self._peers.alive()),
             "configuration_version": self._fleet_view.configuration_version,
             "upstream_connections_made": self._gateway.pool.connections_made,
+            "store_era": self._store.era,
             "holds_duties": float(self._duty_lease.is_held),
         }
--- a/src/shallotfold/_services/ports.py
+++ b/src/shallotfold/_services/ports.py
@@ -20,7 +20,8 @@
     Attributes:
         key: Key of the value.
         value: Content, at most one megabyte.
-        revision: Store-wide revision of the last change, starting at 1.
+        revision: Store-wide revision of the last change; see
+            `_services.revisions`.
     """
 
     key: str
--- a/src/shallotfold/platform/names.py
+++ b/src/shallotfold/platform/names.py
@@ -42,6 +42,8 @@
 STORE_RENEW_LEASE_PATH = "/shallotfold/kv-keep"
 STORE_REVOKE_LEASE_PATH = "/shallotfold/kv-lease-end"
 
+STORE_ERA_HEADER = b"store-era"
+
 DUTY_HOLDER_HEADER = b"Duty-Holder"
 FENCING_TOKEN_HEADER = b"Fencing-Token"
 USAGE_PATH = "/usage"
--- a/src/shallotfold/platform/store.py
+++ b/src/shallotfold/platform/store.py
@@ -17,6 +17,9 @@
 from shallotfold._services.ports import Lease
 from shallotfold._services.ports import StoreChanges
 from shallotfold._services.ports import StoredValue
+from shallotfold._services.revisions import era_of
+from shallotfold._services.revisions import make_revision
+from shallotfold._services.revisions import number_of
 from shallotfold._settings.addresses import Address
 from shallotfold.platform import names
 
@@ -29,9 +32,15 @@
 
 
 class PlatformStore:
-    """The platform's store as a `WatchedStore`; never retries a call."""
+    """The platform's store as a `WatchedStore`; never retries a call.
+
+    Attributes:
+        era: Newest era in a response; 0 before the first one, and for stores
+            that don't tell it.
+    """
 
     def __init__(self, address: Address) -> None:
+        self.era = 0
         self._client = HttpClient(address.ip, address.port)
 
     @property
@@ -48,7 +57,7 @@
         response = await self._call("GET", names.STORE_GET_PATH, {"Key": key})
         if response.status == HTTPStatus.NOT_FOUND:
             return None
-        return _decode_value(_decode_json(response))
+        return _decode_value(_decode_json(response), self._era_of(response))
 
     async def list(self, prefix: str) -> Sequence[StoredValue]:
         """Read all keys under a prefix; see `Store`."""
@@ -58,14 +67,19 @@
         """Read a prefix page by page; see `WatchedStore`."""
         values: list[StoredValue] = []
         revision = None
+        era = 0
         query = {"PathPrefix": prefix}
         while True:
             response = await self._call("GET", names.STORE_RANGE_PATH, query)
             page = _decode_json(response)
             # Later pages may be newer, so a watch starts at the first one's
             # revision.
-            revision = page["At"] if revision is None else revision
-            values += [_decode_value(entry) for entry in page["Entries"]]
+            if revision is None:
+                era = self._era_of(response)
+                revision = make_revision(era, page["At"])
+            elif self._era_of(response) != era:
+                raise HistoryLostError(f"{prefix}: restored between two pages")
+            values += [_decode_value(entry, era) for entry in page["Entries"]]
             if not page["HasMore"] or not page["Entries"]:
                 return StoreChanges(revision, tuple(values), ())
             query = {"PathPrefix": prefix, "After": page["Entries"][-1]["Key"]}
@@ -74,9 +88,12 @@
         self, prefix: str, after_revision: int, timeout_s: float
     ) -> StoreChanges:
         """Wait for changes; see `WatchedStore`."""
+        era = era_of(after_revision)
+        if era < self.era:
+            raise HistoryLostError(f"{prefix} after era {era}")
         query = {
             "PathPrefix": prefix,
-            "After": str(after_revision),
+            "After": str(number_of(after_revision)),
             "WaitTimeoutMs": str(int(timeout_s * _MS_PER_S)),
         }
         response = await self._call(
@@ -85,14 +102,14 @@
             query,
             timeout_s=timeout_s + WATCH_MARGIN_S,
         )
-        if response.status == HTTPStatus.GONE:
+        if response.status == HTTPStatus.GONE or self._era_of(response) != era:
             raise HistoryLostError(f"{prefix} after revision {after_revision}")
         content = _decode_json(response)
         newest_by_key = {event["Key"]: event for event in content["events"]}
         return StoreChanges(
-            content["At"],
+            make_revision(era, content["At"]),
             tuple(
-                _decode_value(event)
+                _decode_value(event, era)
                 for event in newest_by_key.values()
                 if not event.get("Deleted")
             ),
@@ -101,7 +118,13 @@
                 for key, event in newest_by_key.items()
                 if event.get("Deleted")
             ),
-            max((event["Revision"] for event in content["events"]), default=0),
+            max(
+                (
+                    make_revision(era, event["Revision"])
+                    for event in content["events"]
+                ),
+                default=0,
+            ),
         )
 
     async def compare_and_swap(
@@ -117,8 +140,7 @@
             "ValueData": base64.b64encode(value).decode(),
             "LeaseId": int(lease_id or 0),
         }
-        content = await self._transact(key, expected_revision, [write], [])
-        return int(content["Revision"])
+        return await self._transact(key, expected_revision, [write], [])
 
     async def delete(self, key: str, expected_revision: int) -> None:
         """Delete a key at an expected revision; see `Store`."""
@@ -152,9 +174,14 @@
         expected_revision: int,
         write: "Sequence[Any]",
         removals: "Sequence[str]",
-    ) -> Any:
+    ) -> int:
+        if expected_revision and era_of(expected_revision) < self.era:
+            # The store may have given the number out again.
+            raise StoreConflictError(key, 0)
         body = {
-            "Expected": [{"Key": key, "Revision": expected_revision}],
+            "Expected": [
+                {"Key": key, "Revision": number_of(expected_revision)}
+            ],
             "Write": write,
             "Removals": removals,
         }
@@ -162,10 +189,17 @@
             "POST", names.STORE_TRANSACTION_PATH, {}, body
         )
         if response.status == HTTPStatus.PRECONDITION_FAILED:
-            raise StoreConflictError(key, _actual_revision(response, key))
+            raise StoreConflictError(
+                key, _actual_revision(response, key, self._era_of(response))
+            )
         if response.status == HTTPStatus.NOT_FOUND:
             raise LeaseLostError(key)
-        return _decode_json(response)
+        number = int(_decode_json(response)["Revision"])
+        return make_revision(self._era_of(response), number)
+
+    def _era_of(self, response: HttpResponse) -> int:
+        value = response.header(names.STORE_ERA_HEADER) or b""
+        return int(value) if value.isdigit() else self.era
 
     async def _call(
         self,
@@ -177,7 +211,7 @@
     ) -> HttpResponse:
         target = f"{path}?{urlencode(query)}" if query else path
         try:
-            return await self._client.call(
+            response = await self._client.call(
                 method,
                 target,
                 body=b"" if body is None else json.dumps(body).encode(),
@@ -186,6 +220,8 @@
             )
         except CallFailedError as error:
             raise StoreUnavailableError(str(error)) from error
+        self.era = max(self.era, self._era_of(response))
+        return response
 
 
 def _decode_json(response: HttpResponse) -> Any:
@@ -201,12 +237,14 @@
         ) from error
 
 
-def _decode_value(entry: Any) -> StoredValue:
+def _decode_value(entry: Any, era: int) -> StoredValue:
     data = base64.b64decode(entry["ValueData"])
-    return StoredValue(entry["Key"], data, entry["Revision"])
+    revision = make_revision(era, entry["Revision"])
+    return StoredValue(entry["Key"], data, revision)
 
 
-def _actual_revision(response: HttpResponse, key: str) -> int:
+def _actual_revision(response: HttpResponse, key: str, era: int) -> int:
     entries = json.loads(response.body).get("Entries", ())
     revisions = [e.get("Revision", 0) for e in entries if e.get("Key") == key]
-    return int(revisions[0]) if revisions else 0
+    number = int(revisions[0]) if revisions else 0
+    return make_revision(era, number) if number else 0
--- a/tests/gateway/duties/test_duties.py
+++ b/tests/gateway/duties/test_duties.py
@@ -269,3 +269,68 @@
         await lease.close()
 
     run_with_store(scenario)
+
+
+def test_holder_ends_its_term_when_the_store_is_restored(
+    run_with_store: RunWithStore,
+) -> None:
+    """Its lease may be gone, and another host may hold a newer one."""
+
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        first, second = make_lease(store, "h1"), make_lease(store, "h2")
+        await first.start()
+        await asyncio.sleep(0.2)
+        old_token = first.fencing_token
+        assert first.is_held
+        backup = StoreStandIn()
+        standin.restore(backup)
+        first.record_store_restored()
+        second.record_store_restored()
+        await second.start()
+        assert not first.is_held
+        # A holder that has not noticed may act until its lease ends.
+        await asyncio.sleep(LEASE_S * 0.8)
+        assert not second.is_held
+        await asyncio.sleep(LEASE_S * 0.6)
+        assert second.is_held
+        assert second.fencing_token > old_token
+        await first.close()
+        await second.close()
+
+    run_with_store(scenario)
+
+
+def test_counts_frozen_since_the_backup_are_stored_again(
+    run_with_store: RunWithStore,
+) -> None:
+    """A later holder would freeze and report other counts for the window."""
+
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        lease, calls = make_lease(store, "h1"), FakeDutyCalls()
+        counts = UsageCounts(window_s=5.0)
+        counts.add("north", 1001.0)
+        await lease.start()
+        reporter = make_reporter(store, calls, lease, counts)
+        await reporter.start()
+        await asyncio.sleep(0.3)
+        assert len(calls.reports) == 1
+        key = f"{usage_reporting.FROZEN_PREFIX}200"
+        frozen = standin.entries[key]["ValueData"]
+        standin.restore(StoreStandIn())
+        lease.record_store_restored()
+        reporter.record_store_restored()
+        await asyncio.sleep(0.1)
+        assert standin.entries[key]["ValueData"] == frozen
+        # Another host, which has counted more since, takes over.
+        successor, more = make_lease(store, "h2"), UsageCounts(window_s=5.0)
+        more.add("north", 1001.0)
+        more.add("north", 1002.0)
+        other = make_reporter(store, calls, successor, more)
+        await successor.start()
+        await other.start()
+        await asyncio.sleep(0.4)
+        assert [c for _, c, _ in calls.reports] == [{"north": 1}, {"north": 1}]
+        for part in (other, successor, reporter, lease):
+            await part.close()
+
+    run_with_store(scenario)
--- a/tests/gateway/following/test_fleet_view.py
+++ b/tests/gateway/following/test_fleet_view.py
@@ -21,6 +21,7 @@
 from shallotfold._gateway.serving.gateway import Gateway
 from shallotfold._services.ports import StoreChanges
 from shallotfold._services.ports import StoredValue
+from shallotfold._services.revisions import make_revision
 from shallotfold.platform.documents import PlatformDialect
 from tests.platform.test_documents import CONFIGURATION
 from tests.platform.test_documents import REGISTRATION
@@ -33,6 +34,7 @@
 
     def __init__(self) -> None:
         self.adopted = 0
+        self.restores = 0
         self.gateway = Gateway(
             DIALECT.headers,
             Dispatcher(Placement(data_centre="a"), FleetRetryBudget()),
@@ -40,11 +42,16 @@
             Metrics(),
             lambda: 0.0,
         )
-        self.view = FleetView(DIALECT, self.gateway, self._count_adoption)
+        self.view = FleetView(
+            DIALECT, self.gateway, self._count_adoption, self._count_restore
+        )
 
     def _count_adoption(self) -> None:
         self.adopted += 1
 
+    def _count_restore(self) -> None:
+        self.restores += 1
+
     def configure(self, version: int, **changes: Any) -> None:
         document = {**CONFIGURATION, "Version": version, **changes}
         value = StoredValue(
@@ -158,6 +165,81 @@
     assert host.view.leaving.announcements(boot_s()) == {}
 
 
+def restore_store(host: Host, *names: str) -> None:
+    """Let the host read a restored store with these upstreams."""
+    document = json.dumps({**REGISTRATION, "born": 1000}).encode()
+    values = tuple(
+        StoredValue(
+            f"{DIALECT.upstreams_prefix}{name}", document, make_revision(1, 2)
+        )
+        for name in names
+    )
+    host.view.apply_upstream_snapshot(
+        StoreChanges(make_revision(1, 3), values, ())
+    )
+
+
+def make_host_before_restore(*names: str) -> Host:
+    host = Host()
+    host.configure(7)
+    host.view.apply_upstream_snapshot(StoreChanges(1, (), ()))
+    host.register(*names)
+    return host
+
+
+def test_configuration_stays_in_force_when_the_store_goes_back() -> None:
+    """The backup holds an older version until it is written again."""
+    host = make_host_before_restore("a")
+    restore_store(host, "a")
+    host.configure(5)
+    assert host.view.configuration_version == 7
+    assert host.restores == 1
+    restore_store(host, "a")
+    assert host.restores == 1
+
+
+def test_upstream_that_the_backup_lacks_may_register_again() -> None:
+    """All upstreams that registered since the backup would be dropped."""
+    host = make_host_before_restore("a", "b")
+    restore_store(host, "a")
+    assert host.upstreams == {"a", "b"}
+    now_s = boot_s()
+    assert not host.view.registry.remove_expired_suspects(now_s + 1.9)
+    assert host.view.registry.remove_expired_suspects(now_s + 2.5) == ["b"]
+
+
+def test_draining_upstream_stays_so_when_the_store_goes_back() -> None:
+    """In the backup it is ready."""
+    host = make_host_before_restore("a", "b")
+    document = {**REGISTRATION, "born": 1000, "State": "draining"}
+    value = StoredValue(
+        f"{DIALECT.upstreams_prefix}a", json.dumps(document).encode(), 6
+    )
+    host.view.apply_upstream_changes(StoreChanges(6, (value,), (), 6))
+    restore_store(host, "a", "b")
+    assert host.upstreams == {"a", "b"}
+    assert host.draining == {"a"}
+
+
+def test_upstream_that_the_backup_brings_back_is_not_used() -> None:
+    """It was removed before the restore; a live one registers again."""
+    host = make_host_before_restore("a", "b")
+    host.unregister("a", revision=7)
+    restore_store(host, "a", "b")
+    assert host.upstreams == {"b"}
+    host.register("a", revision=make_revision(1, 9))
+    assert host.upstreams == {"a", "b"}
+
+
+def test_peer_that_follows_the_restored_store_is_newer() -> None:
+    source = make_host_before_restore("a")
+    receiver = make_host_before_restore("a", "b", "c")
+    restore_store(source, "a")
+    receiver.view.apply_peer_snapshot("h1", source.view.encode_snapshot())
+    assert receiver.restores == 1
+    assert receiver.view.registry.revision == make_revision(1, 3)
+
+
 class CountingWatcher:
     """A watcher that only counts how often it is restarted."""
 
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -1,6 +1,7 @@
 """A fake of the platform's store with its calls, revisions and leases."""
 
 import base64
+import copy
 import json
 from typing import Any
 from urllib.parse import parse_qs
@@ -22,12 +23,14 @@
         oldest_kept_revision: Watches from an older revision get a 410.
         unanswered_calls: Names of calls that run but get no response.
         error_status: Status of all responses, unless 0.
+        era: Number of restores, in a header of all responses.
         calls: Names of the calls so far.
     """
 
     revision: int = 1
     oldest_kept_revision: int = 0
     error_status: int = 0
+    era: int = 0
     unanswered_calls: set[str] = attrs.field(factory=set)
     calls: list[str] = attrs.field(factory=list)
     entries: dict[str, dict[str, Any]] = attrs.field(factory=dict)
@@ -42,14 +45,33 @@
         verb = url.path.removeprefix("/shallotfold/").split("/")[0]
         self.calls.append(verb)
         if self.error_status:
-            return complete_response(b"", status=b"%d No" % self.error_status)
+            return self._respond(self.error_status, b"")
         content = json.loads(body) if body else {}
         handler = getattr(self, verb.replace("-", "_"))
         status, result = handler(query, content, url.path.rsplit("/", 1)[-1])
         if verb in self.unanswered_calls:
             return b""
         data = json.dumps(result).encode()
-        return complete_response(data, status=b"%d Status" % status)
+        return self._respond(status, data)
+
+    def _respond(self, status: int, data: bytes) -> bytes:
+        return complete_response(
+            data, b"Store-Era: %d" % self.era, status=b"%d Status" % status
+        )
+
+    def back_up(self) -> "StoreStandIn":
+        """Return a copy for `restore`."""
+        return copy.deepcopy(self)
+
+    def restore(self, backup: "StoreStandIn") -> None:
+        """Go back to a copy; all that was written since is gone."""
+        source = copy.deepcopy(backup)
+        self.revision = source.revision
+        self.entries = source.entries
+        self.leases = source.leases
+        self.history = []
+        self.oldest_kept_revision = source.revision
+        self.era += 1
 
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
         self.revision += 1
