Let the soak's store come back from a backup

A fault of the soak: the store is backed up, goes on for some seconds, refuses calls for a moment and comes back as it was, with a higher era; the operator and the upstreams write again what they had written. Leases of the soak's store end when they aren't renewed (before, a killed holder's lease lasted for ever, and so did the duties with it). A fencing token that is first used after a higher one is a violation.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import itertools
 import math
 import re
 
@@ -66,6 +67,13 @@
             violations.append(
                 f"fencing token {fencing_token} was sent by several hosts"
             )
+    # Tokens in the order of their first use.
+    tokens = [int(token) for token in duties.hosts_by_fencing_token]
+    violations += [
+        f"fencing token {token} was first used after {earlier}"
+        for earlier, token in itertools.pairwise(tokens)
+        if token < earlier
+    ]
     return violations
 
 
--- a/benchmarks/soak/external_services.py
+++ b/benchmarks/soak/external_services.py
@@ -22,6 +22,7 @@
 TRUNCATED_SHARE = 0.1
 TRUNCATED_BY_RESET_SHARE = 0.3
 WATCH_POLL_INTERVAL_S = 0.02
+LEASE_S = 1.5
 HEADER_END = b"\r\n\r\n"
 _CONTENT_LENGTH = re.compile(rb"(?i)\r\ncontent-length: *(\d+)")
 
@@ -96,12 +97,14 @@
     def __init__(self) -> None:
         super().__init__()
         self.standin = StoreStandIn()
+        self._renewed_s_by_lease: dict[int, float] = {}
 
     async def handle(
         self, head: bytes, body: bytes, writer: asyncio.StreamWriter
     ) -> None:
         """Answer a call; a watch waits for events until its timeout."""
         target = head.split(b" ", 2)[1].decode()
+        self._end_leases(target)
         wait_match = re.search(r"WaitTimeoutMs=(\d+)", target)
         remaining_s = int(wait_match[1]) / 1000 if wait_match else 0.0
         while remaining_s > 0 and not self._has_events(target):
@@ -109,6 +112,17 @@
             remaining_s -= WATCH_POLL_INTERVAL_S
         writer.write(self.standin.respond(head + body))
 
+    def _end_leases(self, target: str) -> None:
+        """End the leases that were not renewed in time."""
+        now_s = time.monotonic()
+        renewed = re.match(r"/shallotfold/kv-keep/(\d+)", target)
+        if renewed:
+            self._renewed_s_by_lease[int(renewed[1])] = now_s
+        for lease in list(self.standin.leases):
+            renewed_s = self._renewed_s_by_lease.setdefault(lease, now_s)
+            if now_s - renewed_s > LEASE_S:
+                self.standin.end_lease(lease)
+
     def _has_events(self, target: str) -> bool:
         query = dict(
             part.split("=", 1) for part in target.split("?")[1].split("&")
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -1,6 +1,7 @@
 """Start real gateways, inject random faults and collect the results."""
 
 import asyncio
+import base64
 import collections
 import json
 import os
@@ -17,6 +18,7 @@
 from benchmarks.soak.callers import CLIENT_DEADLINE_S
 from benchmarks.soak.callers import Caller
 from benchmarks.soak.callers import Outcome
+from benchmarks.soak.external_services import LEASE_S
 from benchmarks.soak.external_services import USAGE_WINDOW_S
 from benchmarks.soak.external_services import DutyService
 from benchmarks.soak.external_services import Runs
@@ -183,7 +185,7 @@
                 "RetryBudgetExtra": 50,
                 "BudgetWindowS": 10,
                 "GracePeriodS": 4,
-                "LeaseDurationMs": 1500,
+                "LeaseDurationMs": int(LEASE_S * 1000),
                 "UsageWindowS": USAGE_WINDOW_S,
                 "UsageLatenessS": 8,
             },
@@ -346,6 +348,7 @@
                 *(kind for kind in Fault if kind is not Fault.NONE),
                 "busy",
                 "forget",
+                "restore",
             )
         )
         self._fault_counts[f"store {_fault_name(fault)}"] += 1
@@ -354,6 +357,9 @@
             await asyncio.sleep(duration_s)
             self._store.standin.error_status = 0
             return
+        if fault == "restore":
+            await self._restore_store(duration_s, rng.uniform(0.0, 1.0))
+            return
         if not isinstance(fault, Fault):
             self._store.standin.oldest_kept_revision = (
                 self._store.standin.revision
@@ -367,6 +373,21 @@
             proxy.set_fault(Fault.NONE)
             proxy.reset()
 
+    async def _restore_store(self, age_s: float, away_s: float) -> None:
+        """Let the store come back from a copy of `age_s` ago."""
+        standin = self._store.standin
+        backup = standin.back_up()
+        await asyncio.sleep(age_s)
+        standin.error_status = 503
+        await asyncio.sleep(away_s)
+        current = list(standin.entries.items())
+        standin.restore(backup)
+        standin.error_status = 0
+        # The operator and the upstreams write again what they wrote.
+        for key, entry in current:
+            if key.startswith(("op/", names.UPSTREAMS_PREFIX)):
+                standin.put(key, base64.b64decode(entry["ValueData"]))
+
     async def _step_clock(self, rng: random.Random) -> None:
         if self._is_clock_stepped:
             return
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -78,6 +78,14 @@
     )
 
 
+def test_fencing_token_that_is_too_low_is_found() -> None:
+    duties = DutyService()
+    for token in ("7", "19", "8"):
+        duties.hosts_by_fencing_token[token].add(f"host{token}")
+    violations = checks.find_violations([], Runs(), duties, [])
+    assert violations == ["fencing token 8 was first used after 19"]
+
+
 def test_usage_report_at_a_wrong_time_is_found() -> None:
     duties = DutyService()
     duties.report_delays_s_by_window = {7: [2.5], 8: [-1.0], 9: [4000.0]}
