--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -39,6 +39,7 @@
 # Offsets of a host's wall clock. Only one host is stepped at a time, so that
 # the majority of clocks stays right.
 CLOCK_STEPS_S = (-4000.0, -3.0, 3.0, 4000.0)
+OTHER_WRITES_INTERVAL_S = 0.05
 
 
 def make_configuration(version: int) -> bytes:
@@ -377,7 +378,11 @@
         """Let the store come back from a copy of `age_s` ago."""
         standin = self._store.standin
         backup = standin.back_up()
-        await asyncio.sleep(age_s)
+        ends_s = time.monotonic() + age_s
+        while time.monotonic() < ends_s:
+            # Other users of the store, which use up revisions.
+            standin.put("elsewhere", b"")
+            await asyncio.sleep(OTHER_WRITES_INTERVAL_S)
         standin.error_status = 503
         await asyncio.sleep(away_s)
         current = list(standin.entries.items())
