Check in the soak that upstreams get their pauses

A full upstream of the soak now asks for a pause of 0, 1.5 or 3 s. The check: no host sends it more than two requests from half a second after the response to the end of the pause, unless the host was disturbed or the upstream's connections were.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -5,6 +5,7 @@
 import itertools
 import math
 import re
+from typing import Any
 
 from benchmarks.soak.callers import Outcome
 from benchmarks.soak.external_services import STREAM_EVENTS
@@ -17,6 +18,10 @@
 # A host may send requests to an upstream for this long after it has passed on a
 # response that said that the upstream is leaving.
 DRAIN_TIMEOUT_S = 2.0
+# From this long after an upstream's request for a pause, a host may send it
+# only a few requests until the pause ends.
+PAUSE_SLACK_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
 # The final response may be this much later than the route's timeout.
 TIMEOUT_SLACK_S = 0.75
 # A window is reported after its end by the correct time. Late reports come
@@ -77,6 +82,61 @@
     return violations
 
 
+def find_pause_violations(
+    outcomes: Iterable[Outcome],
+    runs: Runs,
+    disturbances: Iterable[tuple[int, float, float]],
+    cuts: Iterable[tuple[str, float, float]],
+) -> list[str]:
+    """Return a line for each pause of an upstream that a host ignored.
+
+    Args:
+        outcomes: Outcomes of all requests.
+        runs: Requests that reached upstreams.
+        disturbances: Spans (host, from, to) in which a host was disturbed.
+        cuts: Spans (upstream, from, to) in which connections to an upstream
+            were disturbed, so that a host may not have got its response.
+    """
+    host_by_request = {o.request_id: o.host for o in outcomes}
+    disturbed_spans, cut_spans = list(disturbances), list(cuts)
+    violations = []
+    for pause in runs.arrivals:
+        if not pause.pause_s:
+            continue
+        host = host_by_request.get(pause.request_id)
+        upstream = pause.upstream_id
+        from_s = pause.arrived_s + PAUSE_SLACK_S
+        to_s = pause.arrived_s + pause.pause_s
+        if _overlaps(disturbed_spans, host, pause.arrived_s, to_s) or _overlaps(
+            cut_spans, upstream, pause.arrived_s, to_s
+        ):
+            continue
+        count = sum(
+            arrival.upstream_id == upstream
+            and from_s < arrival.arrived_s < to_s
+            and host_by_request.get(arrival.request_id) == host
+            for arrival in runs.arrivals
+        )
+        if count > MAX_REQUESTS_IN_PAUSE:
+            violations.append(
+                f"{count} requests of host {host} reached {upstream} in a "
+                f"pause of {pause.pause_s:.1f} s"
+            )
+    return violations
+
+
+def _overlaps(
+    spans: Iterable[tuple[Any, float, float]],
+    subject: int | str | None,
+    from_s: float,
+    to_s: float,
+) -> bool:
+    return any(
+        name == subject and begin_s < to_s and from_s < end_s
+        for name, begin_s, end_s in spans
+    )
+
+
 def _find_leaving_violations(
     outcome_by_id: Mapping[str, Outcome],
     runs: Runs,
--- a/benchmarks/soak/external_services.py
+++ b/benchmarks/soak/external_services.py
@@ -192,6 +192,23 @@
     started_ms: int
 
 
+@attrs.frozen
+class Arrival:
+    """A request that reached an upstream.
+
+    Attributes:
+        request_id: Id of the request.
+        upstream_id: Id of the upstream.
+        arrived_s: When it arrived, on the monotonic clock.
+        pause_s: Pause that the upstream asked for in its response; 0: none.
+    """
+
+    request_id: str
+    upstream_id: str
+    arrived_s: float
+    pause_s: float
+
+
 @attrs.define
 class Runs:
     """Requests that reached upstreams.
@@ -200,6 +217,7 @@
         starts_by_id: Number of times that each request was started.
         workspace_by_id: Workspace that each request ran for.
         leaving_arrivals: Requests that reached leaving upstreams.
+        arrivals: All requests that reached the upstream they were meant for.
     """
 
     starts_by_id: collections.Counter[str] = attrs.field(
@@ -207,6 +225,7 @@
     )
     workspace_by_id: dict[str, str] = attrs.field(factory=dict)
     leaving_arrivals: list[LeavingArrival] = attrs.field(factory=list)
+    arrivals: list[Arrival] = attrs.field(factory=list)
 
 
 class UpstreamService(Service):
@@ -216,6 +235,7 @@
         super().__init__()
         self.upstream_id = upstream_id
         self.failing = False
+        self.pause_s = 0.0
         self.leaving = False
         self.started_ms = int(time.time() * 1000)
         self._runs = runs
@@ -236,10 +256,15 @@
             self._runs.leaving_arrivals.append(
                 LeavingArrival(request_id, self.upstream_id, self.started_ms)
             )
+        pause_s = self.pause_s if self.failing else 0.0
+        self._runs.arrivals.append(
+            Arrival(request_id, self.upstream_id, time.monotonic(), pause_s)
+        )
         if self.failing:
-            writer.write(
-                make_response(503, b"", echo_header, "Not-Executed: 1")
-            )
+            headers = [echo_header, "Not-Executed: 1"]
+            if pause_s:
+                headers.append(f"Retry-After: {pause_s:.2f}")
+            writer.write(make_response(503, b"", *headers))
             return
         self._runs.starts_by_id[request_id] += 1
         self._runs.workspace_by_id[request_id] = get_header(head, "Tenant-Name")
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -101,6 +101,7 @@
         self._processes: list[asyncio.subprocess.Process | None] = []
         self._outcomes: list[Outcome] = []
         self._disturbed_spans: list[tuple[int, float, float]] = []
+        self._cut_spans: list[tuple[str, float, float]] = []
         self._fault_counts: collections.Counter[str] = collections.Counter()
         self._version = 1
         self._is_clock_stepped = False
@@ -118,6 +119,9 @@
         violations = checks.find_violations(
             self._outcomes, self._runs, self._duties, self._disturbed_spans
         )
+        violations += checks.find_pause_violations(
+            self._outcomes, self._runs, self._disturbed_spans, self._cut_spans
+        )
         violations += self._unexpected_exits
         statuses = collections.Counter(o.status for o in self._outcomes)
         return {
@@ -307,6 +311,7 @@
         self._fault_counts[f"upstream {_fault_name(fault)}"] += 1
         duration_s = rng.uniform(0.3, 3.0)
         if fault == "full":
+            upstream.pause_s = rng.choice((0.0, 1.5, 3.0))
             upstream.failing = True
             await asyncio.sleep(duration_s)
             upstream.failing = False
@@ -317,6 +322,7 @@
         elif fault == "leave unregistered":
             await self._restart_upstream(upstream, proxy, duration_s)
         elif isinstance(fault, Fault):
+            cut_from_s = time.monotonic()
             proxy.set_fault(fault)
             if fault in (Fault.SILENCE, Fault.ONE_WAY):
                 # Longer than any caller waits: a timeout must end the wait.
@@ -325,6 +331,9 @@
             proxy.set_fault(Fault.NONE)
             # Connections that lost data stay unusable.
             proxy.reset()
+            self._cut_spans.append(
+                (upstream.upstream_id, cut_from_s, time.monotonic())
+            )
 
     async def _restart_upstream(
         self,
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -9,6 +9,7 @@
 from benchmarks.soak import checks
 from benchmarks.soak import stepped_clock
 from benchmarks.soak.callers import Outcome
+from benchmarks.soak.external_services import Arrival
 from benchmarks.soak.external_services import DutyService
 from benchmarks.soak.external_services import LeavingArrival
 from benchmarks.soak.external_services import Runs
@@ -78,6 +79,21 @@
     )
 
 
+def test_requests_to_an_upstream_in_its_pause_are_found() -> None:
+    arrivals = [Arrival("r0", "u0", 10.0, 2.0)]
+    arrivals += [Arrival(f"r{n}", "u0", 10.6 + n / 10, 0.0) for n in (1, 2, 3)]
+    outcomes = [make_outcome(request_id=a.request_id) for a in arrivals]
+
+    def find(arrival_count: int, cut: str = "u1") -> list[str]:
+        runs = Runs(arrivals=arrivals[:arrival_count])
+        cuts = [(cut, 10.0, 10.1)]
+        return checks.find_pause_violations(outcomes, runs, [], cuts)
+
+    assert find(3) == []
+    assert find(4) == ["3 requests of host 0 reached u0 in a pause of 2.0 s"]
+    assert find(4, cut="u0") == []
+
+
 def test_fencing_token_that_is_too_low_is_found() -> None:
     duties = DutyService()
     for token in ("7", "19", "8"):
