--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -40,6 +40,7 @@
 # the majority of clocks stays right.
 CLOCK_STEPS_S = (-4000.0, -3.0, 3.0, 4000.0)
 OTHER_WRITES_INTERVAL_S = 0.05
+ALL_FULL_SHARE = 0.5
 
 
 def make_configuration(version: int) -> bytes:
@@ -311,10 +312,15 @@
         self._fault_counts[f"upstream {_fault_name(fault)}"] += 1
         duration_s = rng.uniform(0.3, 3.0)
         if fault == "full":
-            upstream.pause_s = rng.choice((0.0, 1.5, 3.0))
-            upstream.failing = True
+            # Unless all are full, hosts avoid one that fails anyway.
+            every = rng.random() < ALL_FULL_SHARE
+            full_upstreams = self._upstreams if every else [upstream]
+            pause_s = rng.choice((0.0, 1.5, 3.0))
+            for full in full_upstreams:
+                full.pause_s, full.failing = pause_s, True
             await asyncio.sleep(duration_s)
-            upstream.failing = False
+            for full in full_upstreams:
+                full.failing = False
         elif fault == "leave":
             self._register(upstream, proxy, draining=True)
             await asyncio.sleep(duration_s)
