Hold back SIGHUP until the gateway can handle it

Change: the signal is blocked first of all and unblocked once the handler is installed; a pending one then reloads. It is blocked again while the process ends, when the loop has removed the handler. Left: the interpreter's own start.

--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -38,6 +38,7 @@
 from shallotfold._gateway.serving.gateway import Gateway
 from shallotfold._gateway.serving.pages import Page
 from shallotfold._gateway.serving.pages import PageServer
+from shallotfold._runtime import reload_signal
 from shallotfold._settings.addresses import Address
 
 METRICS_PATH = b"/metrics"
@@ -185,6 +186,7 @@
         )
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        reload_signal.release()
         await self._page_server.start(
             (
                 settings.ready_address,
@@ -205,6 +207,8 @@
 
     async def close(self) -> None:
         """Stop and close all components."""
+        # The event loop removes the handler before the process has ended.
+        reload_signal.hold()
         await self._upstream_ordering.close()
         await self._usage_reporter.close()
         await self._duty_lease.close()
