Let the holder of the duties fence itself

Cause: a duty call could leave up to 0.8 s (connecting) after the lease was checked, was written in a later iteration of the event loop, and its bytes could be delivered by a healed link long after the lease. Only the platform's check of tokens kept that harmless. Also found by reading: a host in its cooldown was still announced as candidate, so that all hosts with higher names waited for it (up to 2.5 leases without a holder); a restart between two terms could bring the duties back within one lease (A, B, A); a lease that was acquired while the store was restored was used; a lease without a term wasn't revoked at the end. Change: duty calls use a connection of their own, with lingering off and TCP_USER_TIMEOUT at the end of the permission; the clock is checked in the step that hands the bytes to the kernel; at the end the connection is reset. The margin is 0.6 s (0.2 of the present lease, kept; half of a shorter one). The soak's platform accepts everything, judges tokens and holders in the order of arrival, and a host is cut off from platform and store with its bytes held.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -2,13 +2,16 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import itertools
 import math
 import re
 from typing import Any
 
 from benchmarks.soak.callers import Outcome
+from benchmarks.soak.external_services import LEASE_S
 from benchmarks.soak.external_services import STREAM_EVENTS
+from benchmarks.soak.external_services import DutyArrival
 from benchmarks.soak.external_services import DutyService
 from benchmarks.soak.external_services import Runs
 
@@ -67,18 +70,39 @@
             for delay_s in delays_s
             if not MIN_REPORT_DELAY_S <= delay_s <= MAX_REPORT_DELAY_S
         ]
-    for fencing_token, hosts in duties.hosts_by_fencing_token.items():
-        if len(hosts) > 1:
+    return violations + find_duty_violations(duties.arrivals)
+
+
+def find_duty_violations(arrivals: Sequence[DutyArrival]) -> list[str]:
+    """Return a line for each call that a host sent outside of its term.
+
+    Args:
+        arrivals: Duty calls in the order of their arrival.
+    """
+    violations = []
+    holder_by_token: dict[int, str] = {}
+    highest = 0
+    for arrival in arrivals:
+        token = arrival.fencing_token
+        if token < highest:
+            violations.append(
+                f"{arrival.holder} used fencing token {token} after {highest}"
+            )
+        highest = max(highest, token)
+        if holder_by_token.setdefault(token, arrival.holder) != arrival.holder:
             violations.append(
-                f"fencing token {fencing_token} was sent by several hosts"
+                f"fencing token {token} was sent by several hosts"
             )
-    # Tokens in the order of their first use.
-    tokens = [int(token) for token in duties.hosts_by_fencing_token]
-    violations += [
-        f"fencing token {token} was first used after {earlier}"
-        for earlier, token in itertools.pairwise(tokens)
-        if token < earlier
+    terms = [
+        list(calls)
+        for _, calls in itertools.groupby(arrivals, lambda a: a.holder)
     ]
+    for before, _, after in zip(terms, terms[1:], terms[2:], strict=False):
+        away_s = after[0].arrived_s - before[-1].arrived_s
+        if before[0].holder == after[0].holder and away_s < LEASE_S:
+            violations.append(
+                f"{before[0].holder} held the duties again after {away_s:.1f} s"
+            )
     return violations
 
 
--- a/benchmarks/soak/external_services.py
+++ b/benchmarks/soak/external_services.py
@@ -135,14 +135,29 @@
         )
 
 
+@attrs.frozen(kw_only=True)
+class DutyArrival:
+    """A duty call that reached the platform.
+
+    Attributes:
+        holder: Host that made the call.
+        fencing_token: Token that it carried.
+        arrived_s: When it arrived, on the monotonic clock.
+    """
+
+    holder: str
+    fencing_token: int
+    arrived_s: float
+
+
 class DutyService(Service):
-    """Accepts duty calls and records the usage reports of each window.
+    """Accepts duty calls without checking tokens, and records them.
 
     Attributes:
         counts_by_window: Different counts that were reported for a window.
         report_delays_s_by_window: Times from the end of a window to each of
             its reports.
-        hosts_by_fencing_token: Hosts that used a fencing token.
+        arrivals: All calls, in the order of their arrival.
     """
 
     def __init__(self) -> None:
@@ -153,18 +168,19 @@
         self.report_delays_s_by_window: dict[int, list[float]] = (
             collections.defaultdict(list)
         )
-        self.hosts_by_fencing_token: dict[str, set[str]] = (
-            collections.defaultdict(set)
-        )
+        self.arrivals: list[DutyArrival] = []
 
     async def handle(
         self, head: bytes, body: bytes, writer: asyncio.StreamWriter
     ) -> None:
         """Record a call and accept it."""
         call = json.loads(body)
-        fencing_token = get_header(head, "Fencing-Token")
-        self.hosts_by_fencing_token[fencing_token].add(
-            get_header(head, "Duty-Holder")
+        self.arrivals.append(
+            DutyArrival(
+                holder=get_header(head, "Duty-Holder"),
+                fencing_token=int(get_header(head, "Fencing-Token")),
+                arrived_s=time.monotonic(),
+            )
         )
         if "WindowNumber" in call:
             counts = json.dumps(call["Counts"], sort_keys=True)
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -99,6 +99,7 @@
         ]
         self._upstream_proxies: list[FaultyTcpProxy] = []
         self._store_proxies: list[FaultyTcpProxy] = []
+        self._duty_proxies: list[FaultyTcpProxy] = []
         self._processes: list[asyncio.subprocess.Process | None] = []
         self._outcomes: list[Outcome] = []
         self._disturbed_spans: list[tuple[int, float, float]] = []
@@ -147,6 +148,9 @@
             proxy = FaultyTcpProxy(("127.0.0.1", self._store.port))
             await proxy.start()
             self._store_proxies.append(proxy)
+            proxy = FaultyTcpProxy(("127.0.0.1", self._duties.port))
+            await proxy.start()
+            self._duty_proxies.append(proxy)
             path = folder / f"host{number}.json"
             path.write_text(json.dumps(self._make_settings(number)))
             stepped_clock.write_offset(folder / f"clock{number}", 0.0)
@@ -198,7 +202,9 @@
             "Platform": {
                 "Address": f"127.0.0.1:{self._store_proxies[number].port}"
             },
-            "CloudApi": {"Address": f"127.0.0.1:{self._duties.port}"},
+            "CloudApi": {
+                "Address": f"127.0.0.1:{self._duty_proxies[number].port}"
+            },
         }
 
     async def _start_gateway(self, number: int) -> None:
@@ -259,6 +265,7 @@
             self._inject_host_fault,
             self._inject_upstream_fault,
             self._inject_store_fault,
+            self._cut_off_from_platform,
             self._step_clock,
             self._change_configuration,
         )
@@ -389,6 +396,17 @@
             proxy.set_fault(Fault.NONE)
             proxy.reset()
 
+    async def _cut_off_from_platform(self, rng: random.Random) -> None:
+        """Cut a host off from the store and the duties' API, then heal both."""
+        number = rng.randrange(len(self._ips))
+        self._fault_counts["platform cut"] += 1
+        self._duty_proxies[number].set_fault(Fault.HOLD)
+        self._store_proxies[number].set_fault(Fault.SILENCE)
+        await asyncio.sleep(rng.uniform(0.5, 4.0))
+        self._duty_proxies[number].set_fault(Fault.NONE)
+        self._store_proxies[number].set_fault(Fault.NONE)
+        self._store_proxies[number].reset()
+
     async def _restore_store(self, age_s: float, away_s: float) -> None:
         """Let the store come back from a copy of `age_s` ago."""
         standin = self._store.standin
@@ -443,7 +461,11 @@
                 await process.wait()
         for service in (self._store, self._duties, *self._upstreams):
             await service.close()
-        for proxy in (*self._upstream_proxies, *self._store_proxies):
+        for proxy in (
+            *self._upstream_proxies,
+            *self._store_proxies,
+            *self._duty_proxies,
+        ):
             await proxy.close()
 
 
--- a/benchmarks/soak/proxy.py
+++ b/benchmarks/soak/proxy.py
@@ -20,6 +20,9 @@
     """Blocks of both directions are dropped."""
     ONE_WAY = "one_way"
     """Blocks to the caller are dropped."""
+    HOLD = "hold"
+    """Blocks to the target are delivered after the fault, like those that a
+    healed link sends again, unless the caller has reset its connection."""
     RESET = "reset"
     """Open and new connections are reset."""
 
@@ -43,9 +46,11 @@
     port: int = 0
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
     _server: asyncio.Server | None = None
+    _flowing: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     async def start(self) -> None:
         """Listen on a free port."""
+        self._flowing.set()
         self._server = await asyncio.start_server(self._forward, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -63,6 +68,10 @@
     def set_fault(self, fault: Fault) -> None:
         """Inject a fault into all connections from now on."""
         self.fault = fault
+        if fault is Fault.HOLD:
+            self._flowing.clear()
+        else:
+            self._flowing.set()
         if fault is Fault.RESET:
             self.reset()
 
@@ -105,6 +114,10 @@
                 continue
             if self.fault is Fault.ONE_WAY and to_caller:
                 continue
+            if not to_caller:
+                await self._flowing.wait()
+                if (error := reader.exception()) is not None:
+                    raise error
             if self.fault is Fault.DELAY:
                 await asyncio.sleep(BLOCK_DELAY_S)
             writer.write(block)
--- a/src/shallotfold/_gateway/core/ports.py
+++ b/src/shallotfold/_gateway/core/ports.py
@@ -66,17 +66,36 @@
     count: int
 
 
+@attrs.frozen(kw_only=True)
+class DutyTerm:
+    """Permission of a host to perform the duties for a while.
+
+    Attributes:
+        holder: Name of the host.
+        fencing_token: Token of the term; higher than those of all earlier ones.
+        expires_s: No call may be sent from this time of the boot clock on.
+    """
+
+    holder: str
+    fencing_token: int
+    expires_s: float
+
+
 class DutyCalls(Protocol):
-    """Calls that only the duty holder makes, with its fencing token."""
+    """Calls that only the duty holder makes, with its fencing token.
+
+    Where the platform doesn't check the token, only the holder itself can keep
+    a call of an earlier term from being carried out after those of a later one.
+    """
 
     async def report_usage(
-        self, window: int, counts: dict[str, int], *, holder: str, fencing: int
+        self, window: int, counts: dict[str, int], term: DutyTerm
     ) -> DutyOutcome:
         """Report the number of runs of each workspace in a window."""
         ...
 
     async def order_upstreams(
-        self, order: CapacityOrder, *, holder: str, fencing: int
+        self, order: CapacityOrder, term: DutyTerm
     ) -> DutyOutcome:
         """Order the desired number of upstreams."""
         ...
--- a/src/shallotfold/_gateway/duties/duty_lease.py
+++ b/src/shallotfold/_gateway/duties/duty_lease.py
@@ -10,12 +10,23 @@
 from shallotfold._gateway.core import decision_log
 from shallotfold._gateway.core.clocks import boot_s
 from shallotfold._gateway.core.periodic_task import PeriodicTask
+from shallotfold._gateway.core.ports import DutyTerm
 from shallotfold._gateway.core.ports import WatchedStore
 
 DUTY_KEY = "shallotfold/duties"
 CHECK_INTERVAL_S = 0.3
 # The holder renews when a third of its lease has passed.
 RENEWALS_PER_LEASE = 3.0
+# The holder sends nothing in the last part of its lease: what it has sent just
+# before must arrive earlier than the calls of the next holder, also from a host
+# that is busy or whose link is.
+SEND_MARGIN_S = 0.6
+MIN_SEND_MARGIN_LEASES = 0.2
+# Of a lease that is short compared to the margin, half remains.
+MAX_SEND_MARGIN_LEASES = 0.5
+# A process that starts doesn't know whether its host has held the duties within
+# the last lease duration, and two hosts mustn't hold them by turns in it.
+START_COOLDOWN_LEASES = 1.0
 # A host that lost the duties doesn't try to acquire them for this many lease
 # durations, so that another host does and the duties don't flap between hosts.
 ACQUIRE_COOLDOWN_LEASES = 2.5
@@ -42,7 +53,11 @@
         self._is_candidate = is_candidate
         self._lease_id = ""
         self._renewed_s = 0.0
-        self._cooldown_until_s = 0.0
+        self._send_margin_s = min(
+            max(SEND_MARGIN_S, lease_s * MIN_SEND_MARGIN_LEASES),
+            lease_s * MAX_SEND_MARGIN_LEASES,
+        )
+        self._cooldown_until_s = boot_s() + lease_s * START_COOLDOWN_LEASES
         self._periodic_task = PeriodicTask(
             "Renewing or acquiring the duty lease",
             self._renew_or_acquire,
@@ -54,7 +69,27 @@
     @property
     def is_held(self) -> bool:
         """Whether this host may perform the duties now."""
-        return self.fencing_token > 0 and self._is_valid()
+        return self.fencing_token > 0 and boot_s() < self._expires_s
+
+    @property
+    def is_cooling_down(self) -> bool:
+        """Whether this host leaves the duties to others for now."""
+        return boot_s() < self._cooldown_until_s
+
+    @property
+    def term(self) -> DutyTerm | None:
+        """The term in which this host may perform the duties now."""
+        if not self.is_held:
+            return None
+        return DutyTerm(
+            holder=self._host,
+            fencing_token=self.fencing_token,
+            expires_s=self._expires_s,
+        )
+
+    @property
+    def _expires_s(self) -> float:
+        return self._renewed_s + self._lease_s - self._send_margin_s
 
     async def start(self) -> None:
         """Start to acquire and renew the lease."""
@@ -63,8 +98,8 @@
     async def close(self) -> None:
         """Revoke the lease, so that another host needn't wait until it ends."""
         await self._periodic_task.close()
-        if self.fencing_token:
-            self._end_term("stopping")
+        self._end_term("stopping")
+        if self._lease_id:
             try:
                 await self._store.revoke_lease(self._lease_id)
             except PlatformError as error:
@@ -81,13 +116,15 @@
             self._cooldown_until_s, boot_s() + self._lease_s
         )
 
+    def record_peer_token(self, token: int) -> None:
+        """End the term if a peer holds the duties in a later one."""
+        if token > self.fencing_token:
+            self._end_term("a peer has a higher fencing token")
+
     def resign(self, reason: str) -> None:
         """End the term because another host holds the duties."""
         self._end_term(reason)
 
-    def _is_valid(self) -> bool:
-        return boot_s() - self._renewed_s < self._lease_s * 0.8
-
     def _end_term(self, reason: str) -> None:
         if not self.fencing_token:
             return
@@ -103,12 +140,13 @@
         try:
             if self.fencing_token:
                 await self._renew()
-            elif boot_s() >= self._cooldown_until_s and self._is_candidate():
+            elif not self.is_cooling_down and self._is_candidate():
                 await self._acquire()
         except LeaseLostError:
             self._lease_id = ""
             self._end_term("lease has ended")
         except StoreConflictError as error:
+            self._lease_id = ""
             decision_log.record(
                 "duties_held_elsewhere", revision=error.actual_revision
             )
@@ -138,6 +176,12 @@
         revision = await self._store.compare_and_swap(
             DUTY_KEY, 0, self._host.encode(), lease.lease_id
         )
+        if self.is_cooling_down:
+            # The store was restored meanwhile.
+            decision_log.record("duties_declined", fencing=revision)
+            await self._store.revoke_lease(lease.lease_id)
+            self._lease_id = ""
+            return
         self._renewed_s = started_s
         self.held_since_s = started_s
         # Store revisions rise with each change, so they are unique and
--- a/src/shallotfold/_gateway/duties/upstream_ordering.py
+++ b/src/shallotfold/_gateway/duties/upstream_ordering.py
@@ -23,7 +23,6 @@
         self,
         calls: DutyCalls,
         lease: DutyLease,
-        host: str,
         services: Callable[[], Iterable[Service]],
         upstreams: Callable[[], Iterable[Upstream]],
     ) -> None:
@@ -32,13 +31,11 @@
         Args:
             calls: The platform's interface for duties.
             lease: The lease of the duties.
-            host: Name of this host.
             services: Returns the configured services.
             upstreams: Returns the registered upstreams.
         """
         self._calls = calls
         self._lease = lease
-        self._host = host
         self._services = services
         self._upstreams = upstreams
         self._planner = ScalingPlanner()
@@ -67,11 +64,10 @@
         for service in self._services():
             orders = self._planner.plan(service, self._upstreams(), boot_s())
             for order in orders:
-                if not self._lease.is_held:
+                term = self._lease.term
+                if term is None or term.fencing_token != fencing:
                     return
-                outcome = await self._calls.order_upstreams(
-                    order, holder=self._host, fencing=fencing
-                )
+                outcome = await self._calls.order_upstreams(order, term)
                 self._planner.record_outcome(order, outcome, boot_s())
                 decision_log.record(
                     "upstreams_ordered",
--- a/src/shallotfold/_gateway/duties/usage_reporting.py
+++ b/src/shallotfold/_gateway/duties/usage_reporting.py
@@ -48,7 +48,6 @@
         calls: DutyCalls,
         lease: DutyLease,
         counts: UsageCounts,
-        host: str,
         lateness_s: float,
         agreed_time_s: Callable[[], float],
         counted_share_since: Callable[[float], float],
@@ -60,7 +59,6 @@
             calls: The platform's interface for duties.
             lease: The lease of the duties.
             counts: Counts of this host and of its peers.
-            host: Name of this host.
             lateness_s: A window is due this long after its end.
             agreed_time_s: Returns the time that most hosts' clocks agree on.
             counted_share_since: Returns the share of hosts that have sent
@@ -70,7 +68,6 @@
         self._calls = calls
         self._lease = lease
         self._counts = counts
-        self._host = host
         self._lateness_s = lateness_s
         self._agreed_time_s = agreed_time_s
         self._counted_share_since = counted_share_since
@@ -162,17 +159,17 @@
                 self._reported.add(window)
                 return
             self._frozen[window] = await self._freeze(window, counts)
-        fencing = self._lease.fencing_token
-        if not self._lease.is_held:
+        term = self._lease.term
+        if term is None:
             return
         outcome = await self._calls.report_usage(
-            window, self._frozen[window], holder=self._host, fencing=fencing
+            window, self._frozen[window], term
         )
         decision_log.record(
             "usage_reported",
             window=window,
             outcome=outcome.value,
-            fencing=fencing,
+            fencing=term.fencing_token,
             runs=sum(self._frozen[window].values()),
         )
         if outcome is DutyOutcome.DONE:
--- a/src/shallotfold/_gateway/http/http_client.py
+++ b/src/shallotfold/_gateway/http/http_client.py
@@ -46,7 +46,7 @@
         return find_header(self.headers, name)
 
 
-class _ResponseCollector:
+class ResponseCollector:
     """Collects one response into a future."""
 
     def __init__(self, response_future: "asyncio.Future[HttpResponse]") -> None:
@@ -120,7 +120,7 @@
             encode_request(
                 method.encode(), target.encode(), request_headers, body
             ),
-            _ResponseCollector(response_future),
+            ResponseCollector(response_future),
         )
         try:
             async with asyncio.timeout(timeout_s):
--- a/src/shallotfold/_gateway/http/upstream_connection.py
+++ b/src/shallotfold/_gateway/http/upstream_connection.py
@@ -74,14 +74,18 @@
 
     def send(self, data: bytes, listener: ResponseListener) -> None:
         """Send a request; its response goes to `listener`."""
-        self._listener = listener
-        self._completed = False
-        self.reusable = False
+        self.expect_response(listener)
         if self._transport is None:
             self._fail("connection lost before the request was sent")
             return
         self._transport.write(data)
 
+    def expect_response(self, listener: ResponseListener) -> None:
+        """Pass the response to a request sent elsewhere to `listener`."""
+        self._listener = listener
+        self._completed = False
+        self.reusable = False
+
     def abort(self) -> None:
         """Reset the connection without further calls of the listener."""
         self._listener = None
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -252,7 +252,9 @@
         alive = sorted(self.alive(), key=lambda state: state.name)
         holders = [state for state in alive if state.fencing_token]
         eligible = [state for state in alive if state.may_hold_duties]
-        return {state.ip for state in (*holders, *eligible[:STANDBY_HOSTS])}
+        # Just after all hosts have started none is eligible yet.
+        standby = (eligible or alive)[:STANDBY_HOSTS]
+        return {state.ip for state in (*holders, *standby)}
 
     def replicates_usage(self, local: LocalState) -> bool:
         """Whether this host is one of those that replicate all usage counts."""
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -126,7 +126,6 @@
             duty_calls,
             self._duty_lease,
             self._usage_counts,
-            settings.host,
             settings.usage_lateness_s,
             self._peers.agreed_time_s,
             self._peers.counted_share_since,
@@ -134,7 +133,6 @@
         self._upstream_ordering = UpstreamOrdering(
             duty_calls,
             self._duty_lease,
-            settings.host,
             self._fleet_view.services,
             self._upstreams,
         )
@@ -290,8 +288,15 @@
         return len(self._peers.alive()) + 1
 
     def _may_hold_duties(self) -> bool:
-        """Whether this host is ready and can reach the store."""
-        return self._is_ready() and all(w.reachable for w in self._watchers)
+        """Whether this host is ready, reaches the store and had no term lately.
+
+        Hosts with higher names wait for this one as long as it may.
+        """
+        return (
+            self._is_ready()
+            and not self._duty_lease.is_cooling_down
+            and all(w.reachable for w in self._watchers)
+        )
 
     def _is_duty_candidate(self) -> bool:
         """Whether this host should try to acquire the duty lease.
@@ -341,6 +346,7 @@
         self._fleet_view.record_leaving_at_peer(
             state.name, state.leaving_started_ms_by_id
         )
+        self._duty_lease.record_peer_token(state.fencing_token)
         self._gateway.host_count = self._host_count()
         self._gateway.deliver(
             PeerLoadsReceived(
--- a/src/shallotfold/platform/duty_calls.py
+++ b/src/shallotfold/platform/duty_calls.py
@@ -7,8 +7,9 @@
 from shallotfold._gateway.core import decision_log
 from shallotfold._gateway.core.ports import CapacityOrder
 from shallotfold._gateway.core.ports import DutyOutcome
+from shallotfold._gateway.core.ports import DutyTerm
+from shallotfold._gateway.http.expiring_call import call_before
 from shallotfold._gateway.http.http_client import CallFailedError
-from shallotfold._gateway.http.http_client import HttpClient
 from shallotfold._settings.addresses import Address
 from shallotfold.platform import names
 
@@ -19,23 +20,19 @@
     """The platform's interface for duties, as the gateway's `DutyCalls`."""
 
     def __init__(self, address: Address) -> None:
-        self._client = HttpClient(address.ip, address.port)
-
-    async def close(self) -> None:
-        """Close the connections."""
-        await self._client.close()
+        self._address = address
 
     async def report_usage(
-        self, window: int, counts: dict[str, int], *, holder: str, fencing: int
+        self, window: int, counts: dict[str, int], term: DutyTerm
     ) -> DutyOutcome:
         """Report usage; see `DutyCalls`."""
         body = {"WindowNumber": window, "Counts": counts}
         return await self._post(
-            names.USAGE_PATH, body, holder, fencing, DutyOutcome.FENCED
+            names.USAGE_PATH, body, term, DutyOutcome.FENCED
         )
 
     async def order_upstreams(
-        self, order: CapacityOrder, *, holder: str, fencing: int
+        self, order: CapacityOrder, term: DutyTerm
     ) -> DutyOutcome:
         """Order upstreams; see `DutyCalls`."""
         body: dict[str, Any] = {
@@ -51,27 +48,28 @@
             DutyOutcome.UNAVAILABLE if order.spot else DutyOutcome.FENCED
         )
         return await self._post(
-            names.SCALING_PATH, body, holder, fencing, conflict_outcome
+            names.SCALING_PATH, body, term, conflict_outcome
         )
 
     async def _post(
         self,
         path: str,
         body: Any,
-        holder: str,
-        fencing: int,
+        term: DutyTerm,
         conflict_outcome: DutyOutcome,
     ) -> DutyOutcome:
         try:
-            response = await self._client.call(
-                "POST",
-                path,
+            response = await call_before(
+                term.expires_s,
+                self._address,
+                b"POST",
+                path.encode(),
                 body=json.dumps(body).encode(),
-                headers=(
+                headers=[
                     (b"Content-Type", b"application/json"),
-                    (names.DUTY_HOLDER_HEADER, holder.encode()),
-                    (names.FENCING_TOKEN_HEADER, b"%d" % fencing),
-                ),
+                    (names.DUTY_HOLDER_HEADER, term.holder.encode()),
+                    (names.FENCING_TOKEN_HEADER, b"%d" % term.fencing_token),
+                ],
                 timeout_s=CALL_TIMEOUT_S,
             )
         except CallFailedError as error:
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -10,6 +10,7 @@
 from benchmarks.soak import stepped_clock
 from benchmarks.soak.callers import Outcome
 from benchmarks.soak.external_services import Arrival
+from benchmarks.soak.external_services import DutyArrival
 from benchmarks.soak.external_services import DutyService
 from benchmarks.soak.external_services import LeavingArrival
 from benchmarks.soak.external_services import Runs
@@ -94,12 +95,39 @@
     assert find(4, cut="u0") == []
 
 
-def test_fencing_token_that_is_too_low_is_found() -> None:
+def find_duty_violations(*calls: tuple[str, int, float]) -> list[str]:
     duties = DutyService()
-    for token in ("7", "19", "8"):
-        duties.hosts_by_fencing_token[token].add(f"host{token}")
-    violations = checks.find_violations([], Runs(), duties, [])
-    assert violations == ["fencing token 8 was first used after 19"]
+    duties.arrivals = [
+        DutyArrival(holder=holder, fencing_token=token, arrived_s=arrived_s)
+        for holder, token, arrived_s in calls
+    ]
+    return checks.find_violations([], Runs(), duties, [])
+
+
+def test_duties_that_change_hands_once_violate_nothing() -> None:
+    assert not find_duty_violations(
+        ("host0", 7, 1.0), ("host1", 19, 1.1), ("host0", 23, 9.0)
+    )
+
+
+def test_call_with_an_earlier_token_is_found() -> None:
+    """Also if the token has been used before."""
+    violations = find_duty_violations(
+        ("host7", 7, 1.0), ("host19", 19, 2.0), ("host7", 7, 9.0)
+    )
+    assert violations == ["host7 used fencing token 7 after 19"]
+
+
+def test_token_of_two_hosts_is_found() -> None:
+    violations = find_duty_violations(("host0", 7, 1.0), ("host1", 7, 2.0))
+    assert violations == ["fencing token 7 was sent by several hosts"]
+
+
+def test_duties_that_return_within_a_lease_are_found() -> None:
+    violations = find_duty_violations(
+        ("host0", 7, 1.0), ("host1", 9, 1.5), ("host0", 12, 2.0)
+    )
+    assert violations == ["host0 held the duties again after 1.0 s"]
 
 
 def test_usage_report_at_a_wrong_time_is_found() -> None:
--- a/tests/benchmarks/test_soak_proxy.py
+++ b/tests/benchmarks/test_soak_proxy.py
@@ -6,6 +6,7 @@
 
 from benchmarks.soak.proxy import Fault
 from benchmarks.soak.proxy import FaultyTcpProxy
+from shallotfold._runtime.sockets import reset_connection
 from tests.gateway.backends import Backend
 
 
@@ -46,3 +47,31 @@
     backend = Backend(lambda _: b"HTTP/1.1 200 OK\r\n\r\nhalf", close=True)
     with pytest.raises(TimeoutError):
         asyncio.run(call_through_proxy(backend, Fault.ONE_WAY))
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_proxy_that_holds_data_delivers_it_unless_reset(
+    *, is_reset: bool
+) -> None:
+    """A cut link delivers late what its sender has not withdrawn."""
+
+    async def scenario(backend: Backend) -> None:
+        await backend.start()
+        proxy = FaultyTcpProxy(("127.0.0.1", backend.port))
+        await proxy.start()
+        _, writer = await asyncio.open_connection("127.0.0.1", proxy.port)
+        proxy.set_fault(Fault.HOLD)
+        writer.write(b"GET /x HTTP/1.1\r\n\r\n")
+        await asyncio.sleep(0.1)
+        assert not backend.requests
+        if is_reset:
+            reset_connection(writer.transport)
+            await asyncio.sleep(0.05)
+        proxy.set_fault(Fault.NONE)
+        await asyncio.sleep(0.1)
+        assert len(backend.requests) == (0 if is_reset else 1)
+        writer.close()
+        await proxy.close()
+        await backend.stop()
+
+    asyncio.run(scenario(Backend(lambda _: b"")))
--- a/tests/gateway/backends.py
+++ b/tests/gateway/backends.py
@@ -21,7 +21,8 @@
         reset: Whether to reset the connection after the response.
         close: Whether to close the connection cleanly after the response.
         requests: Requests received, in order.
-        disconnects: Connections that the client closed.
+        disconnects: Connections that the client closed or reset.
+        resets: Connections that the client reset.
     """
 
     respond: Callable[[bytes], bytes]
@@ -29,6 +30,7 @@
     close: bool = False
     requests: list[bytes] = attrs.field(factory=list)
     disconnects: int = 0
+    resets: int = 0
     port: int = 0
     _server: asyncio.Server | None = None
 
@@ -48,8 +50,9 @@
         try:
             while not writer.is_closing():
                 await self._serve_one(reader, writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError) as error:
             self.disconnects += 1
+            self.resets += isinstance(error, ConnectionResetError)
         finally:
             writer.close()
 
--- a/tests/gateway/duties/test_duties.py
+++ b/tests/gateway/duties/test_duties.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from shallotfold._gateway.core.clocks import boot_s
 from shallotfold._gateway.core.ports import CapacityOrder
 from shallotfold._gateway.core.ports import DutyOutcome
+from shallotfold._gateway.core.ports import DutyTerm
 from shallotfold._gateway.duties import duty_lease
 from shallotfold._gateway.duties import usage_reporting
 from shallotfold._gateway.duties.duty_lease import DutyLease
@@ -25,17 +27,18 @@
 
     def __init__(self) -> None:
         self.reports: list[tuple[int, dict[str, int], int]] = []
+        self.terms: list[DutyTerm] = []
         self.outcome = DutyOutcome.DONE
 
     async def report_usage(
-        self, window: int, counts: dict[str, int], *, holder: str, fencing: int
+        self, window: int, counts: dict[str, int], term: DutyTerm
     ) -> DutyOutcome:
-        del holder
-        self.reports.append((window, counts, fencing))
+        self.terms.append(term)
+        self.reports.append((window, counts, term.fencing_token))
         return self.outcome
 
     async def order_upstreams(
-        self, order: CapacityOrder, *, holder: str, fencing: int
+        self, order: CapacityOrder, term: DutyTerm
     ) -> DutyOutcome:
         raise NotImplementedError
 
@@ -43,6 +46,7 @@
 @pytest.fixture(autouse=True)
 def _shorten_intervals(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(duty_lease, "CHECK_INTERVAL_S", 0.02)
+    monkeypatch.setattr(duty_lease, "START_COOLDOWN_LEASES", 0.0)
     monkeypatch.setattr(usage_reporting, "CHECK_INTERVAL_S", 0.02)
     monkeypatch.setattr(usage_reporting, "RETRY_DELAY_S", 0.02)
     monkeypatch.setattr(usage_reporting, "HOLDER_WARMUP_S", 0.05)
@@ -66,7 +70,6 @@
         calls,
         lease,
         counts,
-        "h1",
         10.0,
         lambda: agreed_time_s,
         lambda since_s: counted,
@@ -334,3 +337,114 @@
             await part.close()
 
     run_with_store(scenario)
+
+
+@pytest.mark.parametrize(
+    ("lease_s", "may_act_for_s"), [(10.0, 8.0), (3.0, 2.4), (1.0, 0.5)]
+)
+def test_permission_ends_a_margin_before_the_lease(
+    run_with_store: RunWithStore, lease_s: float, may_act_for_s: float
+) -> None:
+    """A call that is sent at the end of a lease arrives after it."""
+
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        del standin
+        lease = DutyLease(store, "h1", lease_s, lambda: True)
+        before_s = boot_s()
+        await lease.start()
+        await asyncio.sleep(0.1)
+        assert lease.term is not None
+        # Counted from before the lease was asked for.
+        held_since_s = lease.held_since_s
+        assert before_s <= held_since_s
+        assert lease.term.expires_s == pytest.approx(
+            held_since_s + may_act_for_s
+        )
+        await lease.close()
+        assert lease.term is None
+
+    run_with_store(scenario)
+
+
+def test_call_carries_the_end_of_the_permission(
+    run_with_store: RunWithStore,
+) -> None:
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        del standin
+        lease, calls = make_lease(store, "h1"), FakeDutyCalls()
+        counts = UsageCounts(window_s=5.0)
+        counts.add("north", 1001.0)
+        await lease.start()
+        reporter = make_reporter(store, calls, lease, counts)
+        await reporter.start()
+        await asyncio.sleep(0.3)
+        assert len(calls.terms) == 1
+        assert calls.terms[0].expires_s <= boot_s() + LEASE_S
+        assert calls.terms[0].holder == "h1"
+        await reporter.close()
+        await lease.close()
+
+    run_with_store(scenario)
+
+
+def test_holder_stops_once_a_peer_has_a_higher_token(
+    run_with_store: RunWithStore,
+) -> None:
+    """A platform that checks no tokens never tells it."""
+
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        del standin
+        lease = make_lease(store, "h1")
+        await lease.start()
+        await asyncio.sleep(0.2)
+        token = lease.fencing_token
+        lease.record_peer_token(0)
+        lease.record_peer_token(token - 1)
+        assert lease.is_held
+        lease.record_peer_token(token + 1)
+        assert not lease.is_held
+        assert lease.is_cooling_down
+        await lease.close()
+
+    run_with_store(scenario)
+
+
+def test_process_that_starts_leaves_the_duties_to_others_at_first(
+    run_with_store: RunWithStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """In a rolling restart a host got the duties back within one lease."""
+    monkeypatch.setattr(duty_lease, "START_COOLDOWN_LEASES", 1.0)
+
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        lease = make_lease(store, "h1")
+        await lease.start()
+        assert lease.is_cooling_down
+        await asyncio.sleep(LEASE_S * 0.8)
+        assert not lease.is_held
+        assert "kv-lease" not in standin.calls
+        await asyncio.sleep(LEASE_S * 0.5)
+        assert lease.is_held
+        await lease.close()
+
+    run_with_store(scenario)
+
+
+def test_lease_acquired_while_the_store_was_restored_is_returned(
+    run_with_store: RunWithStore,
+) -> None:
+    """A holder from before the restore may still act."""
+
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        def is_candidate() -> bool:
+            # The restore is noticed while the store is called.
+            asyncio.get_running_loop().call_soon(lease.record_store_restored)
+            return True
+
+        lease = DutyLease(store, "h1", LEASE_S, is_candidate)
+        await lease.start()
+        await asyncio.sleep(0.2)
+        assert not lease.is_held
+        assert duty_lease.DUTY_KEY not in standin.entries
+        await lease.close()
+
+    run_with_store(scenario)
