Cut the duty holder off in the soak while it orders upstreams

Cause: the soak's holder made no orders, and reports only right after a write to the store, so that hardly any call was on its way when its host was cut off. Change: a service that is ordered in six data centres all the time; the cut strikes the holder and lasts longer than a lease.

--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -67,7 +67,20 @@
     document = {
         "Version": version,
         "Routes": routes,
-        "Services": [{"Name": SERVICE_NAME, "ConnectionLimit": 100}],
+        "Services": [
+            {"Name": SERVICE_NAME, "ConnectionLimit": 100},
+            # Its upstreams never start, so the holder orders them repeatedly.
+            {
+                "Name": "ordered",
+                "ConnectionLimit": 100,
+                "Scaling": {
+                    "Minimum": 1,
+                    "Maximum": 2,
+                    "BootTimeS": 0,
+                    "ZonePrices": {f"z{n}": 1.0 for n in range(6)},
+                },
+            },
+        ],
         "Limits": {},
         "Tenants": [{"Name": "north", "ApiKeys": ["right"]}],
     }
@@ -397,12 +410,15 @@
             proxy.reset()
 
     async def _cut_off_from_platform(self, rng: random.Random) -> None:
-        """Cut a host off from the store and the duties' API, then heal both."""
-        number = rng.randrange(len(self._ips))
+        """Cut the duty holder off from the store and the duties' API."""
+        if not self._duties.arrivals:
+            return
+        number = int(self._duties.arrivals[-1].holder.removeprefix("host"))
         self._fault_counts["platform cut"] += 1
         self._duty_proxies[number].set_fault(Fault.HOLD)
         self._store_proxies[number].set_fault(Fault.SILENCE)
-        await asyncio.sleep(rng.uniform(0.5, 4.0))
+        # Longer than a lease, so that another host takes the duties over.
+        await asyncio.sleep(rng.uniform(LEASE_S, 4.0 * LEASE_S))
         self._duty_proxies[number].set_fault(Fault.NONE)
         self._store_proxies[number].set_fault(Fault.NONE)
         self._store_proxies[number].reset()
