Place and admit long prompts by the time until engines begin

Change: prefill rates are estimated per service from first bytes. An attempt counts as stalled only after twice its expected time; a late start costs 20,000 tokens; the other partition costs a long prompt 35,000 while a slot is free in its own; with more than twice the target of backlog even at the chosen engine the request is refused with Retry-After.

--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -17,6 +17,7 @@
 from shallotfold._gateway.deciding import effects
 from shallotfold._gateway.deciding import events
 from shallotfold._gateway.deciding.engine_set import EngineSet
+from shallotfold._gateway.deciding.engine_set import is_long
 from shallotfold._gateway.deciding.placement import Placement
 from shallotfold._gateway.deciding.retry_budget import FleetRetryBudget
 from shallotfold._model.events import Event
@@ -40,6 +41,13 @@
 # target is abandoned while another upstream may still respond in time.
 FIRST_BYTE_TIMEOUT_PER_TARGET = 2.0
 MIN_FIRST_BYTE_TIMEOUT_S = 0.25
+# An engine that is busy with the prompts before it hasn't stalled, and another
+# one would read the prompt again.
+FIRST_BYTE_TIMEOUT_PER_EXPECTED = 2.0
+# A long prompt is admitted while some engine can begin to read it within this
+# multiple of its latency target. In an overload, further ones would delay each
+# other and the streams of other requests.
+ADMITTED_WAIT_PER_TARGET = 2.0
 # A resumable stream that stalls for this multiple of the route's gap target,
 # and at least for the minimum, is resumed at another upstream.
 STALL_TIMEOUT_PER_GAP_TARGET = 3.0
@@ -61,6 +69,8 @@
     attempts: int = 0
     upstream: str = ""
     sent_s: float = 0.0
+    expected_s: float = 0.0
+    pending_tokens: int = 0
     last_progress_s: float | None = None
     tried_upstreams: set[str] = attrs.field(factory=set)
     may_have_run: bool = False
@@ -159,6 +169,12 @@
     def _on_progressed(self, event: events.AttemptProgressed) -> Effects:
         request = self._open_requests.get(event.request)
         if request is not None:
+            if request.last_progress_s is None:
+                self.placement.rates.record(
+                    request.service,
+                    request.pending_tokens,
+                    event.now_s - request.sent_s,
+                )
             request.last_progress_s = event.now_s
             self.placement.loads.record_first_byte(
                 request.upstream, request.request
@@ -279,6 +295,8 @@
         )
         if upstream is None:
             return []
+        if self._is_too_busy(request, upstream):
+            return self._refuse(request, "engines can't begin in time", now_s)
         request.attempts += 1
         request.upstream = upstream.upstream_id
         request.tried_upstreams.add(upstream.upstream_id)
@@ -294,6 +312,10 @@
         )
         placement.prefixes.record_send(prompt, upstream.upstream_id, now_s)
         load = placement.loads.total_load(upstream.upstream_id)
+        request.pending_tokens = load.pending_tokens
+        request.expected_s = placement.rates.prefill_s(
+            request.service, load.pending_tokens
+        )
         return [
             effects.SendAttempt(
                 request=request.request,
@@ -303,11 +325,22 @@
                 reason=(
                     f"rank={request.rank} unread={uncached_tokens} "
                     f"pending={load.pending_tokens} "
-                    f"requests={load.requests} candidates={len(engines.by_id)}"
+                    f"requests={load.requests} candidates={len(engines.by_id)} "
+                    f"expected_ms={request.expected_s * 1000:.0f}"
                 ),
             )
         ]
 
+    def _is_too_busy(self, request: _OpenRequest, upstream: Upstream) -> bool:
+        """Whether even the best engine can't begin a new request in time."""
+        if request.attempts or not is_long(request.prompt):
+            return False
+        load = self.placement.loads.total_load(upstream.upstream_id)
+        wait_s = self.placement.rates.prefill_s(
+            request.service, load.pending_tokens
+        )
+        return wait_s > ADMITTED_WAIT_PER_TARGET * request.route.target_s
+
     def _retry(self, request: _OpenRequest, now_s: float) -> Effects:
         if request.attempts >= request.route.max_attempts:
             return []
@@ -325,6 +358,7 @@
             timeout_s = max(
                 MIN_FIRST_BYTE_TIMEOUT_S,
                 FIRST_BYTE_TIMEOUT_PER_TARGET * request.route.target_s,
+                FIRST_BYTE_TIMEOUT_PER_EXPECTED * request.expected_s,
             )
             return now_s - request.sent_s > timeout_s
         timeout_s = max(
--- a/src/shallotfold/_gateway/deciding/engine_set.py
+++ b/src/shallotfold/_gateway/deciding/engine_set.py
@@ -81,7 +81,7 @@
         Returns:
             At most two ids of preferred engines, highest weight first.
         """
-        key = (prompt.shared_prefix_id, _is_long(prompt))
+        key = (prompt.shared_prefix_id, is_long(prompt))
         homes = self._homes_by_prefix.get(key)
         if homes is None:
             homes = tuple(
@@ -118,10 +118,11 @@
     def _partition_for(self, prompt: Prompt) -> _Partition:
         if not prompt.prompt_tokens:
             return self._all
-        return self._long if _is_long(prompt) else self._short
+        return self._long if is_long(prompt) else self._short
 
 
-def _is_long(prompt: Prompt) -> bool:
+def is_long(prompt: Prompt) -> bool:
+    """Whether the prefill of a prompt slows other streams noticeably."""
     return prompt.prompt_tokens > LONG_PROMPT_TOKENS
 
 
--- a/src/shallotfold/_gateway/deciding/placement.py
+++ b/src/shallotfold/_gateway/deciding/placement.py
@@ -13,6 +13,8 @@
 from shallotfold._gateway.core.model import Prompt
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.deciding.engine_set import EngineSet
+from shallotfold._gateway.deciding.engine_set import is_long
+from shallotfold._gateway.deciding.prefill_rates import PrefillRates
 from shallotfold._gateway.deciding.upstream_health import UpstreamHealth
 from shallotfold._gateway.deciding.upstream_loads import UpstreamLoads
 
@@ -39,6 +41,12 @@
 # Backlog in the preferred partition beyond which an engine of the other one is
 # worth using.
 TOKENS_PER_WRONG_PARTITION = 5_000.0
+# The same for a long prompt while an engine for long prompts has a free slot:
+# it would delay the tokens of all streams of the other engine.
+TOKENS_PER_LONG_AMONG_SHORT = 35_000.0
+# Cost of an engine that is expected to begin the response after the target.
+# Some backlog is still better than reading a long prefix at one more engine.
+TOKENS_PER_LATE_START = 20_000.0
 # Crossing data centres costs bytes and a little time.
 TOKENS_PER_DATA_CENTRE_CROSSING = 150.0
 # An upstream gets no more requests while this many per slot are queued there.
@@ -117,6 +125,7 @@
         loads: Estimated loads.
         health: Failure ratios and ejections.
         prefixes: Upstreams that cache shared prefixes.
+        rates: Prefill rates of the engines.
     """
 
     data_centre: str
@@ -124,6 +133,7 @@
     loads: UpstreamLoads = attrs.field(factory=UpstreamLoads)
     health: UpstreamHealth = attrs.field(factory=UpstreamHealth)
     prefixes: PrefixLocations = attrs.field(factory=PrefixLocations)
+    rates: PrefillRates = attrs.field(factory=PrefillRates)
 
     def choose_upstream(
         self,
@@ -162,6 +172,13 @@
         if not candidates:
             return None
         preferred_ids = engines.preferred_ids(prompt)
+        wrong_partition_tokens = TOKENS_PER_WRONG_PARTITION
+        if is_long(prompt) and any(
+            self._has_free_slot(upstream)
+            for upstream in candidates
+            if upstream.upstream_id in preferred_ids
+        ):
+            wrong_partition_tokens = TOKENS_PER_LONG_AMONG_SHORT
         wait_weight = min(1.0, INTERACTIVE_TARGET_S / max(target_s, 1e-3))
 
         def cost(upstream: Upstream) -> tuple[float, str]:
@@ -169,7 +186,14 @@
             cached = cached_tokens.get(upstream_id, 0)
             tokens = self._cost(upstream, prompt, cached, wait_weight, now_s)
             if upstream_id not in preferred_ids:
-                tokens += TOKENS_PER_WRONG_PARTITION
+                tokens += wrong_partition_tokens
+            load = self.loads.total_load(upstream_id)
+            start_s = self.rates.prefill_s(
+                upstream.service,
+                load.pending_tokens + prompt.prompt_tokens - cached,
+            )
+            if start_s > target_s:
+                tokens += TOKENS_PER_LATE_START
             return tokens, upstream_id
 
         return min(candidates, key=cost)
@@ -240,6 +264,10 @@
             if self.health.is_available(u.upstream_id, now_s)
         ]
 
+    def _has_free_slot(self, upstream: Upstream) -> bool:
+        load = self.loads.total_load(upstream.upstream_id)
+        return load.requests < upstream.slots
+
     def _has_capacity(self, upstream: Upstream) -> bool:
         if upstream.slots <= 0:
             return True
