Let a few hosts of a large fleet watch the store for all

Change: in fleets of more than 12 hosts, the first seven by a hash of the name watch (nine until they stop; at most twelve while the store fails for all). Outages and lapses are told with the changes. Hosts that don't watch can't hold the duties. Changes are batched for 0.1 s everywhere.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -13,6 +13,7 @@
 import attrs
 
 from shallotfold._gateway.following import prefix_watcher
+from shallotfold._gateway.following import store_followers
 from shallotfold._gateway.peers import peers
 
 MEGABYTE = 1_000_000
@@ -315,27 +316,32 @@
         f"{1e6 * HEARTBEAT_READ_S:.0f} us to read, "
         "both measured, and from the intervals in the code. A store call is a "
         "watch that timed out; each change of the upstreams or of the "
-        "configuration adds one call per host, where changes within the batch "
-        "delay count once.",
+        "configuration adds one call per watching host, where changes within "
+        f"{prefix_watcher.BATCH_DELAY_S:.1f} s count once.",
         "",
         "| hosts | heartbeats per second, each way | % of a core "
         "| Mbit/s, each way | store calls per second, all hosts "
-        "| batch delay |",
+        "| watching hosts |",
         "| --- | --- | --- | --- | --- | --- |",
     ]
     for host_count in GATEWAY_FLEET_SIZES:
         heartbeats_per_s = (host_count - 1) / peers.heartbeat_interval_s(
             host_count
         )
+        follower_count = (
+            host_count
+            if host_count <= store_followers.SMALL_FLEET
+            else store_followers.FOLLOWERS
+        )
         store_calls_per_s = (
-            2 * host_count / prefix_watcher.watch_timeout_s(host_count)
+            2 * follower_count / prefix_watcher.watch_timeout_s(host_count)
         )
         lines.append(
             f"| {host_count} | {heartbeats_per_s:.0f} "
             f"| {100 * heartbeats_per_s * HEARTBEAT_READ_S:.1f} "
             f"| {8 * heartbeats_per_s * HEARTBEAT_BYTES / MEGABYTE:.2f} "
             f"| {store_calls_per_s:.1f} "
-            f"| {prefix_watcher.batch_delay_s(host_count):.2f} s |"
+            f"| {follower_count} |"
         )
     return lines
 
--- a/src/shallotfold/_gateway/following/catch_up.py
+++ b/src/shallotfold/_gateway/following/catch_up.py
@@ -1,6 +1,7 @@
 """Catch up with peers that have newer state than this host."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import random
 
@@ -20,6 +21,9 @@
 # be reached.
 RESTART_WATCHES_AFTER_S = 0.4
 PEER_FETCH_AFTER_S = 1.0
+# Hosts that don't watch the store fetch at different times, so that the later
+# ones find more peers to fetch from.
+MAX_FETCH_DELAY_S = 0.4
 PEER_FETCH_TIMEOUT_S = 1.0
 
 
@@ -32,6 +36,7 @@
         peers: Peers,
         watchers: Sequence[PrefixWatcher],
         peer_port: int,
+        is_follower: Callable[[], bool],
     ) -> None:
         """Set up the catch-up of this host.
 
@@ -40,11 +45,14 @@
             peers: The peers and their latest states.
             watchers: Watches of the store; restarted first.
             peer_port: TCP port on which peers serve their snapshot.
+            is_follower: Returns whether this host watches the store.
         """
         self._view = view
         self._peers = peers
         self._watchers = watchers
         self._peer_port = peer_port
+        self._is_follower = is_follower
+        self._fetch_delay_s = 0.0
         self._behind_since_s: float | None = None
         self._watches_restarted = False
         self._fetch_task: asyncio.Task[None] | None = None
@@ -65,8 +73,11 @@
             return
         if self._behind_since_s is None:
             self._behind_since_s = now_s
+            self._fetch_delay_s = random.uniform(0.0, MAX_FETCH_DELAY_S)
         behind_s = now_s - self._behind_since_s
-        if behind_s < RESTART_WATCHES_AFTER_S:
+        if behind_s < self._fetch_delay_s:
+            return
+        if self._is_follower() and behind_s < RESTART_WATCHES_AFTER_S:
             return
         if not self._watches_restarted:
             # The response of an open watch may have been lost.
--- a/src/shallotfold/_gateway/following/fleet_view.py
+++ b/src/shallotfold/_gateway/following/fleet_view.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import zlib
 
 import attrs
 from loguru import logger
@@ -18,6 +19,7 @@
 from shallotfold._gateway.core.ports import Dialect
 from shallotfold._gateway.following.leaving_upstreams import LeavingUpstreams
 from shallotfold._gateway.following.upstream_registry import UpstreamRegistry
+from shallotfold._gateway.peers.change_messages import UpstreamChanges
 from shallotfold._gateway.serving.gateway import Gateway
 from shallotfold._gateway.serving.route_table import RouteTable
 from shallotfold._services.ports import StoreChanges
@@ -26,6 +28,9 @@
 from shallotfold._services.revisions import number_of
 
 FROM_STORE = "store"
+# Larger snapshots are refused; the largest configurations have a few hundred
+# kilobytes.
+MAX_SNAPSHOT_BYTES = 16_777_216
 
 
 class FleetView:
@@ -44,6 +49,7 @@
         dialect: Dialect,
         gateway: Gateway,
         on_configuration: Callable[[], None],
+        on_changes: Callable[[UpstreamChanges], None],
         on_store_restored: Callable[[], None],
     ) -> None:
         """Make an empty view.
@@ -51,13 +57,20 @@
         Args:
             dialect: Decodes the documents.
             gateway: Serves callers according to the view.
-            on_configuration: Called when a configuration took effect.
+            on_configuration: Called when a configuration from the store took
+                effect.
+            on_changes: Called with changes of the upstreams from the store, to
+                be passed on to peers.
             on_store_restored: Called when the store came back from a backup.
         """
         self._dialect = dialect
         self._gateway = gateway
         self._on_configuration = on_configuration
+        self._on_changes = on_changes
         self._on_store_restored = on_store_restored
+        # Up to here peers have got the changes, or can fetch a snapshot.
+        self._announced_revision = 0
+        self._encoded_snapshot: tuple[tuple[int, int, int], bytes] | None = None
         self._configuration = StoredValue("", b"", 0)
         self.registry = UpstreamRegistry()
         self.leaving = LeavingUpstreams()
@@ -99,24 +112,36 @@
         self.registry.apply_snapshot(
             self._values_by_upstream_id(changes), changes.revision, boot_s()
         )
+        self._announced_revision = self.registry.revision
         self._apply_upstreams(FROM_STORE)
 
     def apply_upstream_changes(self, changes: StoreChanges) -> None:
         """Apply the changes in the list of upstreams."""
         prefix_length = len(self._dialect.upstreams_prefix)
+        values_by_id = self._values_by_upstream_id(changes)
+        deleted = [key[prefix_length:] for key in changes.deleted]
         self.registry.apply_changes(
-            self._values_by_upstream_id(changes),
-            [key[prefix_length:] for key in changes.deleted],
+            values_by_id,
+            deleted,
             changes.revision,
             boot_s(),
             changes.newest_change,
         )
-        if changes.changed or changes.deleted:
+        if values_by_id or deleted:
+            self._announce(values_by_id, deleted)
             self._apply_upstreams(FROM_STORE)
 
-    def drop_lapsed_upstreams(self) -> None:
-        """Remove upstreams that didn't register again after an outage."""
-        if self.registry.remove_expired_suspects(boot_s()):
+    def drop_lapsed_upstreams(self, *, is_follower: bool) -> None:
+        """Remove upstreams that didn't register again after an outage.
+
+        Args:
+            is_follower: Whether this host watches the store, and thus knows
+                best; it tells its peers.
+        """
+        expired = self.registry.remove_expired_suspects(boot_s())
+        if expired:
+            if is_follower:
+                self._announce({}, expired)
             self._apply_upstreams("lapse")
 
     # Updates from responses and peers.
@@ -154,8 +179,42 @@
             )
             self._apply_upstreams(peer)
 
+    def apply_peer_changes(self, changes: UpstreamChanges) -> None:
+        """Apply changes that a peer got from the store.
+
+        If changes before them are missing, the heartbeats of peers show it and
+        a snapshot is fetched.
+        """
+        if self.registry.revision < changes.after_revision:
+            return
+        # Several peers send the same changes; the later copies bring no
+        # registration back that is suspect since.
+        is_known = self.registry.revision >= changes.revision
+        values_by_id = {} if is_known else dict(changes.values_by_id)
+        if not values_by_id and not changes.deleted:
+            return
+        self._follow_era(changes.revision)
+        now_s = boot_s()
+        if changes.in_outage and not self.registry.in_outage(now_s):
+            self.registry.record_failure(now_s)
+            self.registry.record_response(now_s)
+        self.registry.apply_changes(
+            values_by_id, changes.deleted, changes.revision, now_s
+        )
+        self._apply_upstreams("peer")
+
     def encode_snapshot(self) -> bytes:
         """Encode the whole view for a peer that lacks a part of it."""
+        state = (
+            self._configuration.revision,
+            self.registry.revision,
+            len(self.registry.documents_by_id()),
+        )
+        if self._encoded_snapshot is None or self._encoded_snapshot[0] != state:
+            self._encoded_snapshot = (state, self._encode_snapshot())
+        return self._encoded_snapshot[1]
+
+    def _encode_snapshot(self) -> bytes:
         configuration = self._configuration
         packed: bytes = msgpack.packb(
             (
@@ -166,7 +225,7 @@
                 self.registry.documents_by_id(),
             )
         )
-        return packed
+        return zlib.compress(packed, 1)
 
     def apply_peer_snapshot(self, peer: str, data: bytes) -> None:
         """Apply the parts of a peer's view that are newer.
@@ -174,6 +233,7 @@
         Raises:
             ValueError, TypeError or LookupError: The data can't be decoded.
         """
+        data = _decompress(data)
         key, value, revision, upstreams_revision, documents = msgpack.unpackb(
             data
         )
@@ -194,6 +254,19 @@
 
     # Helpers.
 
+    def _announce(
+        self, values_by_id: dict[str, StoredValue], deleted: list[str]
+    ) -> None:
+        changes = UpstreamChanges(
+            after_revision=self._announced_revision,
+            revision=self.registry.revision,
+            in_outage=self.registry.in_outage(boot_s()),
+            values_by_id=values_by_id,
+            deleted=deleted,
+        )
+        self._announced_revision = self.registry.revision
+        self._on_changes(changes)
+
     def _follow_era(self, revision: int) -> None:
         """Prepare for data of a restored store, which may be older."""
         era, previous = era_of(revision), self.era
@@ -244,7 +317,8 @@
             routes=len(configuration.routes),
             keys=len(configuration.workspaces_by_key),
         )
-        self._on_configuration()
+        if source == FROM_STORE:
+            self._on_configuration()
 
     def _values_by_upstream_id(
         self, changes: StoreChanges
@@ -282,3 +356,21 @@
             draining=sorted(i for i, u in usable.items() if u.draining),
         )
         self._gateway.set_upstreams(usable)
+
+
+def _decompress(data: bytes) -> bytes:
+    """Return a peer's snapshot, also of earlier builds that don't compress it.
+
+    Raises:
+        ValueError: The data is damaged or too large.
+    """
+    if data[:1] != b"x":
+        return data
+    decompressor = zlib.decompressobj()
+    try:
+        snapshot = decompressor.decompress(data, MAX_SNAPSHOT_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"the snapshot is damaged: {error}") from error
+    if not decompressor.eof:
+        raise ValueError("the snapshot is cut off or too large")
+    return snapshot
--- a/src/shallotfold/_gateway/following/prefix_watcher.py
+++ b/src/shallotfold/_gateway/following/prefix_watcher.py
@@ -19,11 +19,11 @@
 WATCH_TIMEOUT_S_PER_HOST = 0.5
 # After a failure, a watch this short shows whether the store is back.
 PROBE_TIMEOUT_S = 0.05
-# Changes that follow each other quickly are read as one batch. The delay grows
-# with the number of hosts that read them.
-MIN_BATCH_DELAY_S = 0.1
-MAX_BATCH_DELAY_S = 0.6
-BATCH_DELAY_S_PER_HOST = 0.01
+# Changes that follow each other quickly are read as one batch.
+BATCH_DELAY_S = 0.1
+# After its first read a host waits until it knows whether others watch.
+SETTLE_S = 0.8
+ENABLED_CHECK_INTERVAL_S = 0.1
 INITIAL_BACKOFF_S = 0.15
 MAX_BACKOFF_S = 0.8
 
@@ -34,12 +34,6 @@
     return min(MAX_WATCH_TIMEOUT_S, max(MIN_WATCH_TIMEOUT_S, scaled_s))
 
 
-def batch_delay_s(host_count: int) -> float:
-    """Return how long to batch changes when `host_count` hosts read them."""
-    scaled_s = host_count * BATCH_DELAY_S_PER_HOST
-    return min(MAX_BATCH_DELAY_S, max(MIN_BATCH_DELAY_S, scaled_s))
-
-
 class PrefixWatcher:
     """Keeps the values under one prefix up to date."""
 
@@ -51,6 +45,7 @@
         on_changes: Callable[[StoreChanges], None],
         on_call: Callable[[Exception | None], None],
         host_count: Callable[[], int],
+        is_enabled: Callable[[], bool],
     ) -> None:
         """Make a watcher.
 
@@ -61,6 +56,8 @@
             on_changes: Called with the changes of each watch, even if empty.
             on_call: Called after each call with its error, or `None`.
             host_count: Returns how many hosts watch the prefix.
+            is_enabled: Returns whether this host watches the prefix. It reads
+                the prefix once in any case.
         """
         self._store = store
         self._prefix = prefix
@@ -68,17 +65,29 @@
         self._on_changes = on_changes
         self._on_call = on_call
         self._host_count = host_count
+        self._is_enabled = is_enabled
         self._revision: int | None = None
         self._reachable: bool | None = None
         self._task: asyncio.Task[None] | None = None
         self._watch_task: asyncio.Task[StoreChanges] | None = None
         self._restart_requested = False
+        self._has_settled = False
 
     @property
     def reachable(self) -> bool:
         """Whether the last call succeeded."""
         return bool(self._reachable)
 
+    @property
+    def failing(self) -> bool:
+        """Whether the last call failed."""
+        return self._reachable is False
+
+    def check_enabled(self) -> None:
+        """End the open watch if this host no longer watches the prefix."""
+        if not self._is_enabled():
+            self.restart_watch()
+
     def restart_watch(self) -> None:
         """Restart the open watch, because a peer has newer data."""
         if self._watch_task is not None and not self._watch_task.done():
@@ -98,6 +107,10 @@
     async def _run(self) -> None:
         backoff_s = INITIAL_BACKOFF_S
         while True:
+            if self._revision is not None and not self._is_enabled():
+                self._reachable = None
+                await asyncio.sleep(ENABLED_CHECK_INTERVAL_S)
+                continue
             try:
                 changed = await self._poll()
             except HistoryLostError as error:
@@ -121,7 +134,7 @@
             else:
                 self._record_call(None)
                 if changed:
-                    await asyncio.sleep(batch_delay_s(self._host_count()))
+                    await asyncio.sleep(BATCH_DELAY_S)
             backoff_s = INITIAL_BACKOFF_S
 
     async def _poll(self) -> bool:
@@ -129,6 +142,10 @@
             snapshot = await self._store.snapshot(self._prefix)
             self._revision = snapshot.revision
             self._on_snapshot(snapshot)
+            if not self._has_settled:
+                self._has_settled = True
+                self._record_call(None)
+                await asyncio.sleep(SETTLE_S)
             return False
         wait_s = (
             watch_timeout_s(self._host_count())
--- /dev/null
+++ b/src/shallotfold/_gateway/following/store_followers.py
@@ -0,0 +1,63 @@
+"""Decide which hosts watch the store for the fleet.
+
+Each change costs one call for each host that watches. In a large fleet a few
+hosts watch and pass changes on to the others. Every host decides for itself by
+the peers that it knows to be alive, so that no agreement is needed: while views
+differ, a few hosts more or less watch.
+"""
+
+from collections.abc import Sequence
+import hashlib
+
+from shallotfold._gateway.peers.peers import PeerState
+from shallotfold._gateway.peers.peers import StoreAccess
+
+# In a fleet of up to this size all hosts watch: that costs little, and a change
+# must be in force sooner there than a peer's silence shows.
+SMALL_FLEET = 12
+# Enough that some remain when many hosts end at the same moment.
+FOLLOWERS = 7
+# A host goes on watching until this many others do, lest it opens a watch for
+# each peer that restarts.
+MAX_FOLLOWERS = 9
+# While the store fails for all, no more hosts than this try to reach it.
+MAX_TRYING = 12
+
+
+class StoreFollowers:
+    """Decides whether this host watches the store."""
+
+    def __init__(self, host: str) -> None:
+        self._order_key = _order_key(host)
+        self._is_follower = True
+
+    @property
+    def is_follower(self) -> bool:
+        """Whether this host watches the store."""
+        return self._is_follower
+
+    def update(self, alive: Sequence[PeerState]) -> bool:
+        """Decide anew; return whether this host watches the store.
+
+        Hosts are ordered by a hash of their names, which spreads those that
+        watch over the data centres. A host whose calls to the store fail
+        doesn't count, so that a host that still reaches the store takes over.
+
+        Args:
+            alive: Peers that are alive.
+        """
+        ahead = [
+            peer.store_access
+            for peer in alive
+            if _order_key(peer.name) < self._order_key
+        ]
+        working = sum(access is not StoreAccess.FAILING for access in ahead)
+        limit = MAX_FOLLOWERS if self._is_follower else FOLLOWERS
+        self._is_follower = len(alive) < SMALL_FLEET or (
+            working < limit and len(ahead) < MAX_TRYING
+        )
+        return self._is_follower
+
+
+def _order_key(host: str) -> bytes:
+    return hashlib.blake2b(host.encode(), digest_size=8).digest()
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import enum
 import math
 import random
 import statistics
@@ -24,6 +25,9 @@
 from shallotfold._gateway.core.clocks import boot_s
 from shallotfold._gateway.core.periodic_task import PeriodicTask
 from shallotfold._gateway.deciding.events import RequestLoad
+from shallotfold._gateway.peers.change_messages import MAX_MESSAGE_BYTES
+from shallotfold._gateway.peers.change_messages import UpstreamChanges
+from shallotfold._gateway.peers.change_messages import decode_changes
 
 PROTOCOL_VERSION = 5
 MIN_HEARTBEAT_INTERVAL_S = 0.4
@@ -59,6 +63,15 @@
 ADDRESSES_PER_DATAGRAM = 6
 
 
+class StoreAccess(enum.IntEnum):
+    """Whether a host can reach the store."""
+
+    UNKNOWN = 0
+    """It doesn't watch the store."""
+    WORKING = 1
+    FAILING = 2
+
+
 @attrs.define(kw_only=True)
 class PeerState:
     """State of a peer as of its latest heartbeat.
@@ -85,6 +98,7 @@
             heartbeat, each with the upstream that got it.
         leaving_started_ms_by_id: Upstreams that lately said in a response to it
             that they are leaving, with their starts in Unix milliseconds.
+        store_access: Whether it reaches the store.
     """
 
     name: str
@@ -103,6 +117,7 @@
     ended_counts: Mapping[str, Mapping[int, dict[str, int]]]
     prefixes_sent: Sequence[tuple[str, str]]
     leaving_started_ms_by_id: Mapping[str, int] = attrs.field(factory=dict)
+    store_access: StoreAccess = StoreAccess.UNKNOWN
 
     @property
     def origin(self) -> str:
@@ -125,6 +140,7 @@
     )
     prefixes_sent: Sequence[tuple[str, str]] = ()
     leaving_started_ms_by_id: Mapping[str, int] = attrs.field(factory=dict)
+    store_access: StoreAccess = StoreAccess.UNKNOWN
 
 
 def heartbeat_interval_s(host_count: int) -> float:
@@ -293,6 +309,7 @@
                     [peer.ip for peer in passed_on],
                     local.prefixes_sent,
                     local.leaving_started_ms_by_id,
+                    int(local.store_access),
                 )
             ),
         )
@@ -333,6 +350,11 @@
             leaving_started_ms_by_id=(
                 dict(fields[14]) if len(fields) > 14 else {}
             ),
+            store_access=(
+                StoreAccess(fields[15])
+                if len(fields) > 15
+                else StoreAccess.UNKNOWN
+            ),
         )
         return state, fields[12]
 
@@ -384,12 +406,14 @@
         make_state: Callable[[], LocalState],
         pop_prefixes: Callable[[], Sequence[tuple[str, str]]],
         on_state: Callable[[PeerState], None],
+        on_changes: Callable[[UpstreamChanges], None],
     ) -> None:
         self._peers = peers
         self._port = port
         self._make_state = make_state
         self._pop_prefixes = pop_prefixes
         self._on_state = on_state
+        self._on_changes = on_changes
         self._transport: asyncio.DatagramTransport | None = None
         self._seeds_contacted_s = 0.0
         self._sender = PeriodicTask(
@@ -428,9 +452,22 @@
         for ip in self._peers.recipients(with_seeds=with_seeds):
             self._send(with_counts if ip in replicas else without_counts, ip)
 
+    def send_changes(self, changes: UpstreamChanges) -> None:
+        """Send changes of the upstream list to all known peers."""
+        data = changes.encode()
+        if len(data) > MAX_MESSAGE_BYTES:
+            decision_log.record("changes_too_large", size=len(data))
+            return
+        for ip in self._peers.recipients(with_seeds=False):
+            self._send(data, ip)
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Record a peer's heartbeat and send one to new hosts that it names."""
+        """Handle a peer's datagram; send a heartbeat to new hosts it names."""
         try:
+            changes = decode_changes(data)
+            if changes is not None:
+                self._on_changes(changes)
+                return
             state, passed_on_ips = self._peers.decode(data, addr[0])
         except (ValueError, TypeError, LookupError) as error:
             logger.info("Datagram from {} can't be decoded: {}", addr[0], error)
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -31,10 +31,13 @@
 from shallotfold._gateway.following.catch_up import CatchUp
 from shallotfold._gateway.following.fleet_view import FleetView
 from shallotfold._gateway.following.prefix_watcher import PrefixWatcher
+from shallotfold._gateway.following.store_followers import StoreFollowers
+from shallotfold._gateway.peers.change_messages import UpstreamChanges
 from shallotfold._gateway.peers.peers import LocalState
 from shallotfold._gateway.peers.peers import PeerLink
 from shallotfold._gateway.peers.peers import Peers
 from shallotfold._gateway.peers.peers import PeerState
+from shallotfold._gateway.peers.peers import StoreAccess
 from shallotfold._gateway.serving.gateway import Gateway
 from shallotfold._gateway.serving.pages import Page
 from shallotfold._gateway.serving.pages import PageServer
@@ -100,13 +103,16 @@
             self._make_local_state,
             dispatcher.placement.prefixes.take_unannounced,
             self._on_peer_state,
+            self._on_peer_changes,
         )
+        self._followers = StoreFollowers(settings.host)
         # A new configuration is announced at once, for peers that get no
         # updates from the store.
         self._fleet_view = FleetView(
             dialect,
             self._gateway,
             self._peer_link.send_now,
+            self._peer_link.send_changes,
             self._on_store_restored,
         )
         self._store = store
@@ -117,6 +123,7 @@
             self._peers,
             self._watchers,
             settings.peer_address.port,
+            self._is_follower,
         )
         self._duty_lease = DutyLease(
             store, settings.host, settings.lease_s, self._is_duty_candidate
@@ -163,6 +170,7 @@
                 fleet_view.apply_configuration,
                 lambda error: None,
                 self._host_count,
+                self._is_follower,
             ),
             PrefixWatcher(
                 store,
@@ -171,6 +179,7 @@
                 fleet_view.apply_upstream_changes,
                 fleet_view.record_store_call,
                 self._host_count,
+                self._is_follower,
             ),
         ]
 
@@ -275,7 +284,10 @@
 
     async def _run_housekeeping(self) -> None:
         self._notice_restore()
-        self._fleet_view.drop_lapsed_upstreams()
+        self._followers.update(self._peers.alive())
+        for watcher in self._watchers:
+            watcher.check_enabled()
+        self._fleet_view.drop_lapsed_upstreams(is_follower=self._is_follower())
         self._catch_up.check()
         decision_log.flush()
 
@@ -287,6 +299,16 @@
     def _host_count(self) -> int:
         return len(self._peers.alive()) + 1
 
+    def _is_follower(self) -> bool:
+        return self._followers.is_follower
+
+    def _store_access(self) -> StoreAccess:
+        if any(watcher.failing for watcher in self._watchers):
+            return StoreAccess.FAILING
+        if all(watcher.reachable for watcher in self._watchers):
+            return StoreAccess.WORKING
+        return StoreAccess.UNKNOWN
+
     def _may_hold_duties(self) -> bool:
         """Whether this host is ready, reaches the store and had no term lately.
 
@@ -295,7 +317,7 @@
         return (
             self._is_ready()
             and not self._duty_lease.is_cooling_down
-            and all(w.reachable for w in self._watchers)
+            and self._store_access() is StoreAccess.WORKING
         )
 
     def _is_duty_candidate(self) -> bool:
@@ -334,6 +356,7 @@
             ended_counts=self._usage_counts.peer_counts(
                 self._peers.ended_origins(), window
             ),
+            store_access=self._store_access(),
         )
 
     def _on_peer_state(self, state: PeerState) -> None:
@@ -357,6 +380,10 @@
             )
         )
 
+    def _on_peer_changes(self, changes: UpstreamChanges) -> None:
+        if self._store_access() is not StoreAccess.WORKING:
+            self._fleet_view.apply_peer_changes(changes)
+
     # Pages.
 
     def _is_ready(self) -> bool:
--- a/tests/gateway/following/test_catch_up.py
+++ b/tests/gateway/following/test_catch_up.py
@@ -28,7 +28,7 @@
         view = SimpleNamespace(
             configuration_version=0, registry=SimpleNamespace(revision=0)
         )
-        catch_up = CatchUp(cast(FleetView, view), peers, (), 0)
+        catch_up = CatchUp(cast(FleetView, view), peers, (), 0, lambda: True)
         chosen = catch_up._choose_fresher_peer()
         assert chosen is not None
         chosen_names.add(chosen.name)
--- a/tests/gateway/following/test_fleet_view.py
+++ b/tests/gateway/following/test_fleet_view.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from typing import Any
+import zlib
 
 import pytest
 
@@ -14,8 +15,10 @@
 from shallotfold._gateway.deciding.retry_budget import FleetRetryBudget
 from shallotfold._gateway.duties.usage_counts import UsageCounts
 from shallotfold._gateway.following import catch_up
+from shallotfold._gateway.following import fleet_view
 from shallotfold._gateway.following.catch_up import CatchUp
 from shallotfold._gateway.following.fleet_view import FleetView
+from shallotfold._gateway.peers.change_messages import UpstreamChanges
 from shallotfold._gateway.peers.peers import Peers
 from shallotfold._gateway.peers.peers import PeerState
 from shallotfold._gateway.serving.gateway import Gateway
@@ -35,6 +38,7 @@
     def __init__(self) -> None:
         self.adopted = 0
         self.restores = 0
+        self.sent_changes: list[UpstreamChanges] = []
         self.gateway = Gateway(
             DIALECT.headers,
             Dispatcher(Placement(data_centre="a"), FleetRetryBudget()),
@@ -43,7 +47,11 @@
             lambda: 0.0,
         )
         self.view = FleetView(
-            DIALECT, self.gateway, self._count_adoption, self._count_restore
+            DIALECT,
+            self.gateway,
+            self._count_adoption,
+            self.sent_changes.append,
+            self._count_restore,
         )
 
     def _count_adoption(self) -> None:
@@ -284,6 +292,7 @@
             peers,
             [watcher],  # type: ignore[list-item]
             1,
+            lambda: True,
         )
 
         async def record_fetch(peer: PeerState) -> None:
@@ -302,6 +311,7 @@
 
 @pytest.fixture(autouse=True)
 def _shorten_delays(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(catch_up, "MAX_FETCH_DELAY_S", 0.0)
     monkeypatch.setattr(catch_up, "RESTART_WATCHES_AFTER_S", 0.05)
     monkeypatch.setattr(catch_up, "PEER_FETCH_AFTER_S", 0.2)
 
@@ -337,3 +347,126 @@
 
     asyncio.run(run())
     assert len(runs) > 2
+
+
+class TestChangesOfPeers:
+    """Most hosts of a large fleet get changes from the few that watch."""
+
+    def make_hosts(self) -> tuple[Host, Host]:
+        """Return a host that watches the store and one that doesn't."""
+        watching, other = Host(), Host()
+        for host in (watching, other):
+            host.configure(7)
+            host.view.apply_upstream_snapshot(StoreChanges(1, (), ()))
+        return watching, other
+
+    def pass_on(self, watching: Host, *others: Host) -> None:
+        for changes in watching.sent_changes:
+            for other in others:
+                other.view.apply_peer_changes(changes)
+        watching.sent_changes.clear()
+
+    def test_changes_take_effect_at_hosts_that_do_not_watch(self) -> None:
+        watching, other = self.make_hosts()
+        watching.register("a", "b", "c", "d", revision=5)
+        watching.unregister("b", revision=6)
+        self.pass_on(watching, other)
+        assert other.upstreams == {"a", "c", "d"}
+
+    def test_copies_from_several_hosts_change_nothing(self) -> None:
+        """A late copy of a registration revived an upstream that was gone."""
+        watching, other = self.make_hosts()
+        watching.register("a", "b", "c", "d", revision=5)
+        copy = watching.sent_changes[0]
+        watching.unregister("b", revision=6)
+        self.pass_on(watching, other)
+        other.view.apply_peer_changes(copy)
+        assert other.upstreams == {"a", "c", "d"}
+
+    def test_changes_after_missed_ones_wait_for_a_snapshot(self) -> None:
+        """A host that applied them would never learn of the missed ones."""
+        watching, other = self.make_hosts()
+        watching.register("a", revision=5)
+        watching.sent_changes.clear()
+        watching.register("b", revision=8)
+        self.pass_on(watching, other)
+        assert not other.upstreams
+        # A heartbeat shows that the host is behind; it fetches a snapshot.
+        newest = watching.view.registry.newest_change_revision
+        assert newest > other.view.registry.revision
+        other.view.apply_peer_snapshot("h1", watching.view.encode_snapshot())
+        assert other.upstreams == {"a", "b"}
+        watching.register("c", revision=9)
+        self.pass_on(watching, other)
+        assert other.upstreams == {"a", "b", "c"}
+
+    def test_lapse_in_an_outage_is_a_suspicion_at_all_hosts(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Live upstreams register again soon after the store is back."""
+        now_s = [100.0]
+        monkeypatch.setattr(fleet_view, "boot_s", lambda: now_s[0])
+        watching, other = self.make_hosts()
+        watching.register("a", "b", "c", "d", revision=5)
+        watching.view.record_store_call(OSError("down"))
+        watching.view.record_store_call(None)
+        watching.unregister("a", revision=6)
+        watching.unregister("b", revision=7)
+        self.pass_on(watching, other)
+        assert other.upstreams == {"a", "b", "c", "d"}
+        now_s[0] += 1.0
+        watching.register("a", revision=8)
+        now_s[0] += 1.5
+        watching.view.drop_lapsed_upstreams(is_follower=True)
+        self.pass_on(watching, other)
+        other.view.drop_lapsed_upstreams(is_follower=False)
+        assert watching.upstreams == other.upstreams == {"a", "c", "d"}
+        assert not other.sent_changes
+
+    def test_host_with_a_suspect_from_a_snapshot_drops_it_too(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A snapshot doesn't tell which registrations are suspect."""
+        now_s = [100.0]
+        monkeypatch.setattr(fleet_view, "boot_s", lambda: now_s[0])
+        watching, other = self.make_hosts()
+        watching.register("a", "b", "c", "d", revision=5)
+        watching.view.record_store_call(OSError("down"))
+        watching.view.record_store_call(None)
+        watching.unregister("a", revision=6)
+        watching.sent_changes.clear()
+        other.view.apply_peer_snapshot("h1", watching.view.encode_snapshot())
+        assert "a" in other.upstreams
+        now_s[0] += 2.5
+        watching.view.drop_lapsed_upstreams(is_follower=True)
+        self.pass_on(watching, other)
+        assert watching.upstreams == other.upstreams == {"b", "c", "d"}
+
+    def test_only_a_configuration_of_the_store_is_announced(self) -> None:
+        """195 hosts that each sent 194 datagrams took seconds of a link."""
+        watching, other = Host(), Host()
+        watching.configure(7)
+        assert watching.adopted == 1
+        other.view.apply_peer_snapshot("h1", watching.view.encode_snapshot())
+        assert other.view.configuration_version == 7
+        assert other.adopted == 0
+
+    def test_snapshot_of_an_earlier_build_is_read(self) -> None:
+        source, receiver = Host(), Host()
+        source.configure(7)
+        plain = zlib.decompress(source.view.encode_snapshot())
+        receiver.view.apply_peer_snapshot("h1", plain)
+        assert receiver.view.configuration_version == 7
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            zlib.compress(b"a" * 1000)[:-5],
+            b"x" * 40,
+            zlib.compress(bytes(fleet_view.MAX_SNAPSHOT_BYTES + 1)),
+        ],
+        ids=["cut off", "damaged", "too large"],
+    )
+    def test_bad_snapshot_is_refused(self, data: bytes) -> None:
+        with pytest.raises(ValueError, match="snapshot"):
+            Host().view.apply_peer_snapshot("h1", data)
--- a/tests/gateway/following/test_prefix_watcher.py
+++ b/tests/gateway/following/test_prefix_watcher.py
@@ -66,6 +66,7 @@
         [ScriptedStore, CallbackRecorder, PrefixWatcher], Awaitable[None]
     ],
     host_count: int = 1,
+    is_enabled: Callable[[], bool] = lambda: True,
 ) -> None:
     async def run() -> None:
         store, callbacks = ScriptedStore(), CallbackRecorder()
@@ -76,6 +77,7 @@
             callbacks.changes.append,
             callbacks.record_call,
             lambda: host_count,
+            is_enabled,
         )
         await watcher.start()
         await asyncio.sleep(0.01)
@@ -89,8 +91,10 @@
 
 @pytest.fixture(autouse=True)
 def _shorten_delays(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(prefix_watcher, "SETTLE_S", 0.0)
+    monkeypatch.setattr(prefix_watcher, "ENABLED_CHECK_INTERVAL_S", 0.01)
     monkeypatch.setattr(prefix_watcher, "INITIAL_BACKOFF_S", 0.02)
-    monkeypatch.setattr(prefix_watcher, "MIN_BATCH_DELAY_S", 0.01)
+    monkeypatch.setattr(prefix_watcher, "BATCH_DELAY_S", 0.01)
 
 
 def changes(revision: int) -> StoreChanges:
@@ -186,6 +190,39 @@
     run_watcher(scenario)
 
 
+def test_host_that_does_not_watch_reads_the_prefix_once() -> None:
+    """It makes no further calls until it has to watch for the others."""
+    enabled = [False]
+
+    async def scenario(
+        store: ScriptedStore,
+        callbacks: CallbackRecorder,
+        watcher: PrefixWatcher,
+    ) -> None:
+        await asyncio.sleep(0.1)
+        assert store.snapshots == 1
+        assert len(callbacks.snapshots) == 1
+        assert not store.after_revisions
+        assert not watcher.reachable
+        assert not watcher.failing
+        enabled[0] = True
+        await asyncio.sleep(0.05)
+        assert store.after_revisions == [5]
+        # Another host has taken over: the open watch ends.
+        enabled[0] = False
+        watcher.check_enabled()
+        store.responses.put_nowait(changes(7))
+        await asyncio.sleep(0.05)
+        assert not callbacks.changes
+        # What has changed meanwhile isn't missed.
+        enabled[0] = True
+        await asyncio.sleep(0.05)
+        assert [c.revision for c in callbacks.changes] == [7]
+        assert store.after_revisions[:2] == [5, 5]
+
+    run_watcher(scenario, is_enabled=lambda: enabled[0])
+
+
 class TestManyHosts:
     """The calls of each host add to the rate and the price of the fleet."""
 
