Cut off senders without end, and never reuse connections of calls

Cause: bytes that are no answer were read until the request's time-out, without a bound on heads, interim responses, answers to others, chunk framing and trailers; bodies of calls had none at all; a caller could send chunk framing or a body past its limit without end. Comments of a stream counted as progress. Change: bounds for a head (64 KiB, 256 headers), for bytes that belong to no response of the request (128 KiB and 16 for each byte of body), for bodies of calls (16 MiB), for buffered responses of a host (32 MiB), for framing of requests; past one the connection is reset and the attempt ends at once. Each call has its own connection. Only events with a field are progress. Left: the entry's sockets; an orderly end without length or chunks.

--- a/src/shallotfold/_gateway/following/catch_up.py
+++ b/src/shallotfold/_gateway/following/catch_up.py
@@ -120,5 +120,3 @@
             logger.info(
                 "Fetching the snapshot of peer {} failed: {}", peer.name, error
             )
-        finally:
-            await client.close()
--- a/src/shallotfold/_gateway/http/event_stream.py
+++ b/src/shallotfold/_gateway/http/event_stream.py
@@ -24,6 +24,14 @@
     data: bytes
     event_id: int | None
 
+    @property
+    def has_data(self) -> bool:
+        """Whether it has a field, and isn't a comment that keeps alive."""
+        return any(
+            line and not line.startswith(b":")
+            for line in self.data.splitlines()
+        )
+
 
 class EventSplitter:
     """Buffers stream data and returns the events that are complete."""
--- a/src/shallotfold/_gateway/http/http_client.py
+++ b/src/shallotfold/_gateway/http/http_client.py
@@ -1,7 +1,6 @@
-"""Call HTTP services over reused connections, without retries."""
+"""Call HTTP services without retries."""
 
 import asyncio
-import collections
 
 import attrs
 
@@ -11,8 +10,10 @@
 from shallotfold._gateway.http.messages import find_header
 from shallotfold._gateway.http.upstream_connection import UpstreamConnection
 
-CONNECT_TIMEOUT_S = 0.8
-MAX_IDLE_S = 20.0
+# A lost opening packet is sent again after a second.
+CONNECT_TIMEOUT_S = 1.3
+# The largest responses are pages of the store and snapshots of peers.
+MAX_BODY_BYTES = 16_777_216
 
 
 class CallFailedError(PlatformError):
@@ -62,6 +63,9 @@
         return True
 
     def on_data(self, data: bytes) -> None:
+        if len(self._body) + len(data) > MAX_BODY_BYTES:
+            self.on_failure(f"the body has more than {MAX_BODY_BYTES} bytes")
+            return
         self._body += data
 
     def on_complete(self) -> None:
@@ -79,21 +83,18 @@
 
 
 class HttpClient:
-    """HTTP client for one address."""
+    """HTTP client for one address.
+
+    Each call has a connection of its own. Responses carry no id here, so a
+    second copy of one that arrives late on a reused connection would be taken
+    for the response to the next call.
+    """
 
     def __init__(self, ip: str, port: int) -> None:
         self._ip = ip
         self._port = port
-        self._idle_connections: collections.deque[UpstreamConnection] = (
-            collections.deque()
-        )
         self.call_count = 0
 
-    async def close(self) -> None:
-        """Close the idle connections."""
-        while self._idle_connections:
-            self._idle_connections.pop().abort()
-
     async def call(
         self,
         method: str,
@@ -109,7 +110,7 @@
             CallFailedError: No complete response arrived in time.
         """
         self.call_count += 1
-        connection = await self._get_connection()
+        connection = await self._connect()
         loop = asyncio.get_running_loop()
         response_future: asyncio.Future[HttpResponse] = loop.create_future()
         host = f"{self._ip}:{self._port}".encode()
@@ -124,31 +125,16 @@
         )
         try:
             async with asyncio.timeout(timeout_s):
-                response = await response_future
+                return await response_future
         except TimeoutError as error:
-            # The response may still arrive, so the connection can't be reused.
-            connection.abort()
             raise CallFailedError(
                 "no response in time", may_have_run=True
             ) from error
-        except asyncio.CancelledError:
+        finally:
             connection.abort()
-            raise
-        if connection.reusable:
-            self._idle_connections.append(connection)
-        return response
 
-    async def _get_connection(self) -> UpstreamConnection:
+    async def _connect(self) -> UpstreamConnection:
         loop = asyncio.get_running_loop()
-        while self._idle_connections:
-            idle_connection = self._idle_connections.pop()
-            limit_s = idle_connection.keep_alive_s * 0.8 or MAX_IDLE_S
-            if (
-                idle_connection.connected
-                and loop.time() - idle_connection.idle_since_s < limit_s
-            ):
-                return idle_connection
-            idle_connection.abort()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
--- a/src/shallotfold/_gateway/http/upstream_connection.py
+++ b/src/shallotfold/_gateway/http/upstream_connection.py
@@ -8,14 +8,23 @@
 from typing import cast
 
 import httptools
+from loguru import logger
 
 from shallotfold._gateway.http.messages import BodyFraming
 from shallotfold._gateway.http.messages import Headers
 from shallotfold._gateway.http.messages import response_framing
+from shallotfold._runtime.sockets import reset_connection
 
 # Detects a server that disappeared without a reset (TCP_USER_TIMEOUT).
 UNACKNOWLEDGED_TIMEOUT_MS = 2_000
+# Bounds of what a server in trouble may send; past them it gets a reset.
 MAX_RESPONSE_HEAD_BYTES = 65_536
+MAX_RESPONSE_HEADERS = 256
+# Bytes that belong to no response of the request: blank lines, interim
+# responses, responses to other requests, chunk framing and trailers. Small
+# chunks need more framing than data.
+MAX_OVERHEAD_BYTES = 131_072
+MAX_OVERHEAD_PER_BODY_BYTE = 16
 
 
 class ResponseListener(Protocol):
@@ -63,10 +72,14 @@
         self._status = 0
         self._skipping = False
         self._in_response = False
+        self._in_body = False
         self._close_delimited = False
         self._completed = False
         self._surplus_data = False
         self._keep_alive = False
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._head_bytes = 0
         self.reusable = False
         self.idle_since_s = self._loop.time()
         self.keep_alive_s = 0.0
@@ -84,6 +97,8 @@
         """Pass the response to a request sent elsewhere to `listener`."""
         self._listener = listener
         self._completed = False
+        self._received_bytes = 0
+        self._body_bytes = 0
         self.reusable = False
 
     def abort(self) -> None:
@@ -151,6 +166,9 @@
             # No request is pending, so these bytes belong to none.
             self._close()
             return
+        self._received_bytes += len(data)
+        if not self._in_body:
+            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
@@ -158,6 +176,16 @@
             self._fail(f"malformed answer: {e}")
             self._close()
             return
+        excess = None if self._completed else self._find_excess()
+        if excess is not None:
+            logger.info(
+                "Reset a connection after {} bytes: {}",
+                self._received_bytes,
+                excess,
+            )
+            self._fail(excess)
+            self._reset()
+            return
         if self._completed:
             self._end_response()
 
@@ -170,6 +198,7 @@
         self._headers = []
         self._reason = b""
         self._in_response = True
+        self._in_body = False
         self._close_delimited = False
 
     def on_status(self, status: bytes) -> None:
@@ -182,6 +211,8 @@
 
     def on_headers_complete(self) -> None:
         """Pass the head on, or skip a response to another request."""
+        self._in_body = True
+        self._head_bytes = 0
         self._status = self._parser.get_status_code()
         if self._status < HTTPStatus.OK or self._completed:
             self._skipping = True
@@ -204,11 +235,13 @@
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body on."""
         if not self._skipping and self._listener is not None:
+            self._body_bytes += len(body)
             self._listener.on_data(body)
 
     def on_message_complete(self) -> None:
         """Handle the end of a response."""
         self._in_response = False
+        self._in_body = False
         # The parser resets its value after the callback.
         self._keep_alive = self._parser.should_keep_alive()
         if self._skipping:
@@ -220,6 +253,19 @@
             return
         self._completed = True
 
+    def _find_excess(self) -> str | None:
+        """Return the bound that the received bytes exceed, if any."""
+        if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
+            return f"the head has more than {MAX_RESPONSE_HEAD_BYTES} bytes"
+        if len(self._headers) > MAX_RESPONSE_HEADERS:
+            return f"the response has more than {MAX_RESPONSE_HEADERS} headers"
+        overhead_bytes = self._received_bytes - self._body_bytes
+        if overhead_bytes > (
+            MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * self._body_bytes
+        ):
+            return f"{overhead_bytes} bytes belong to no response"
+        return None
+
     def _end_response(self) -> None:
         self.response_count += 1
         self.idle_since_s = self._loop.time()
@@ -248,6 +294,11 @@
         else:
             listener.on_failure(reason)
 
+    def _reset(self) -> None:
+        self.reusable = False
+        if self._transport is not None:
+            reset_connection(self._transport)
+
     def _close(self) -> None:
         self.reusable = False
         if self._transport is not None:
--- a/src/shallotfold/_gateway/serving/attempt.py
+++ b/src/shallotfold/_gateway/serving/attempt.py
@@ -15,6 +15,10 @@
 
 # Responses that aren't streams are buffered until complete, up to this size.
 MAX_BUFFERED_RESPONSE_BYTES = 8_388_608
+# All of them together may take this much memory of a host. Smaller responses
+# are never refused for it.
+MAX_HOST_BUFFERED_BYTES = 33_554_432
+UNCOUNTED_RESPONSE_BYTES = 65_536
 
 
 class AttemptHandler(Protocol):
@@ -33,6 +37,10 @@
         """Whether a response with these headers belongs to the request."""
         ...
 
+    def host_buffered_bytes(self) -> int:
+        """Return the size of all buffered responses of this host."""
+        ...
+
     def release_connection(
         self, upstream: Upstream, send_handle: SendHandle
     ) -> None:
@@ -145,6 +153,14 @@
             self.body += data
             if len(self.body) > MAX_BUFFERED_RESPONSE_BYTES:
                 self._handler.on_broken(self, "answer is too large")
+            elif (
+                len(self.body) > UNCOUNTED_RESPONSE_BYTES
+                and self._handler.host_buffered_bytes()
+                > MAX_HOST_BUFFERED_BYTES
+            ):
+                self._handler.on_broken(
+                    self, "too many large answers at the same time"
+                )
             return
         try:
             stream_events = self.splitter.feed(data)
@@ -155,7 +171,8 @@
             if not self._started:
                 self._started = True
                 self._handler.on_started()
-            self._handler.on_progress()
+            if any(event.has_data for event in stream_events):
+                self._handler.on_progress()
             self._handler.on_stream_events(self, stream_events)
 
     def on_complete(self) -> None:
--- a/src/shallotfold/_gateway/serving/caller_connection.py
+++ b/src/shallotfold/_gateway/serving/caller_connection.py
@@ -18,6 +18,9 @@
 MAX_QUEUED_REQUESTS = 4
 # A caller with more unread response data is disconnected, to bound memory.
 MAX_WRITE_BUFFER_BYTES = 4_194_304
+# Chunk framing and trailers of a request, as far as they aren't its body.
+MAX_FRAMING_BYTES = 65_536
+MAX_FRAMING_PER_BODY_BYTE = 16
 
 
 class Exchange(Protocol):
@@ -93,6 +96,7 @@
         self._body_too_large = False
         self._head_bytes = 0
         self._head_too_large = False
+        self._body_input_bytes = 0
 
     # The transport calls these.
 
@@ -120,6 +124,8 @@
             self.request_started_s = self.last_active_s
         if not self.head_complete:
             self._unparsed_bytes += len(data)
+        else:
+            self._body_input_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -131,6 +137,12 @@
             self._reject(HTTPStatus.BAD_REQUEST)
         if not self.head_complete and self._head_is_too_large():
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        elif self.request_started_s is not None and not self._input_closed:
+            if self._body_too_large:
+                self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            elif self._has_excess_framing():
+                logger.info("Rejected a request: too much chunk framing")
+                self._reject(HTTPStatus.BAD_REQUEST)
         self._serve_next()
 
     # The parser calls these.
@@ -287,6 +299,12 @@
         # The parser may be buffering one long, incomplete header.
         return max(self._head_bytes, self._unparsed_bytes) > max_bytes
 
+    def _has_excess_framing(self) -> bool:
+        framing_bytes = self._body_input_bytes - len(self._body)
+        return framing_bytes > (
+            MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * len(self._body)
+        )
+
     def _reject(self, status: HTTPStatus) -> None:
         # A request in progress keeps the connection until its response is sent.
         self._input_closed = True
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -247,6 +247,12 @@
         """Remove a request that has finished."""
         self._relay_by_request.pop(relay.request_number, None)
 
+    def buffered_bytes(self) -> int:
+        """Return the size of the buffered responses of all requests."""
+        return sum(
+            relay.buffered_bytes for relay in self._relay_by_request.values()
+        )
+
     def count_run(self, relay: Relay) -> None:
         """Count a request for the workspace's usage."""
         if relay.workspace is not None:
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -75,6 +75,9 @@
     def report_invalid_pause(self, upstream: Upstream) -> bool:
         """Report an unusable Retry-After; return whether it is the first."""
 
+    def buffered_bytes(self) -> int:
+        """Return the size of the buffered responses of all requests."""
+
     def count_run(self, relay: "Relay") -> None:
         """Count a request that an upstream started to run."""
 
@@ -186,6 +189,15 @@
         self.cancel()
         self._gateway.remove_relay(self)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of the responses that are buffered for the caller."""
+        return sum(
+            len(attempt.body)
+            for attempt in (self._attempt, self._failed_attempt)
+            if attempt is not None
+        )
+
     # The attempt calls these.
 
     @property
@@ -193,6 +205,10 @@
         """Whether a successful response is an event stream."""
         return self._route.kind is RouteKind.STREAM
 
+    def host_buffered_bytes(self) -> int:
+        """Return the size of all responses that are buffered here."""
+        return self._gateway.buffered_bytes()
+
     def release_connection(
         self, upstream: Upstream, send_handle: SendHandle
     ) -> None:
--- a/src/shallotfold/platform/store.py
+++ b/src/shallotfold/platform/store.py
@@ -48,10 +48,6 @@
         """Number of calls made so far; each has a price."""
         return self._client.call_count
 
-    async def close(self) -> None:
-        """Close the connections."""
-        await self._client.close()
-
     async def get(self, key: str) -> StoredValue | None:
         """Read one key; see `Store`."""
         response = await self._call("GET", names.STORE_GET_PATH, {"Key": key})
--- a/tests/gateway/http/test_event_stream.py
+++ b/tests/gateway/http/test_event_stream.py
@@ -48,3 +48,20 @@
         for event in splitter.feed(data[start:end]):
             received += event.data
     assert received + splitter.incomplete_event == data
+
+
+@pytest.mark.parametrize(
+    ("event", "has_data"),
+    [
+        (b": ping\n\n", False),
+        (b":\r\n: a\r\n\r\n", False),
+        (b"data: a\n\n", True),
+        (b": ping\nid: 3\n\n", True),
+    ],
+)
+def test_comments_are_told_apart_from_data(
+    event: bytes, has_data: bool
+) -> None:
+    """A stalled stream that only kept its connection alive never moved on."""
+    (parsed,) = EventSplitter().feed(event)
+    assert parsed.has_data is has_data
--- a/tests/gateway/serving/test_caller_connections.py
+++ b/tests/gateway/serving/test_caller_connections.py
@@ -5,8 +5,10 @@
 import attrs
 import pytest
 
+from shallotfold._gateway.core.model import RequestLimits
 from shallotfold._gateway.http import upstream_pool
 from tests.gateway.backends import Backend
+from tests.gateway.backends import complete_response
 from tests.gateway.serving.harness import GatewayHarness
 from tests.gateway.serving.harness import request
 from tests.gateway.serving.harness import run_scenario
@@ -139,3 +141,27 @@
         assert status_of(await harness.send(request())) == 200
 
     run_scenario([Backend(lambda _: signed_response())], scenario)
+
+
+@pytest.mark.parametrize(
+    ("endless", "status"),
+    [
+        (b"5;" + b"a" * 300_000, b"400"),
+        (b"5\r\nhello\r\n0\r\n" + b"a: b\r\n" * 60_000, b"400"),
+        (b"100000\r\n" + bytes(200_000), b"413"),
+    ],
+    ids=["chunk extension", "trailers", "body"],
+)
+def test_endless_request_is_rejected_before_it_ends(
+    endless: bytes, status: bytes
+) -> None:
+    """A caller could keep its connection busy for as long as it sent."""
+
+    async def scenario(harness: GatewayHarness) -> None:
+        head = request("/lookup/1", "Transfer-Encoding: chunked", method="POST")
+        response = await harness.send(head + endless, timeout_s=1.0)
+        assert response.startswith(b"HTTP/1.1 " + status)
+
+    backend = Backend(lambda received: complete_response(b"ok"))
+    run_scenario([backend], scenario, RequestLimits(max_body_bytes=100_000))
+    assert not backend.requests
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -26,7 +26,6 @@
             try:
                 await scenario(store, standin)
             finally:
-                await store.close()
                 await backend.stop()
 
         with asyncio.Runner(loop_factory=new_event_loop) as runner:
