Take no requests in the last seconds of a planned stop

Cause: idle connections stayed open until the end of the grace period, and all were closed right after: requests that arrived in the last moments had been passed on and were cut off without an answer. Change: two seconds before the end the gateway stops listening and closes connections as they become idle; it ends when none is left.

--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -235,7 +235,7 @@
         grace_s = self._settings.grace_period_s - SHUTDOWN_MARGIN_S
         self._gateway.begin_shutdown(grace_s)
         self._shutdown_task = asyncio.get_running_loop().create_task(
-            self._finish_shutdown(grace_s)
+            self._finish_shutdown()
         )
 
     def reload(self) -> None:
@@ -261,12 +261,9 @@
         await self._shutdown_done.wait()
         return 0
 
-    async def _finish_shutdown(self, grace_s: float) -> None:
+    async def _finish_shutdown(self) -> None:
         """Keep serving for the grace period, then let the process end."""
-        # Callers may use an idle connection until a response asks them to
-        # close it, so idle connections stay open until the end.
-        await asyncio.sleep(grace_s)
-        self._gateway.close_idle_connections()
+        await self._gateway.drain()
         self._shutdown_done.set()
 
     def _on_store_restored(self) -> None:
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -41,6 +41,9 @@
 TICK_INTERVAL_S = 0.05
 # Callers may reuse an idle connection for four fifths of the idle timeout; the
 # first sweep after the whole timeout closes it.
+# In a shutdown, no requests are taken in this last part of the grace period, so
+# that those taken before can be answered.
+LAST_REQUESTS_BEFORE_END_S = 2.0
 CONNECTION_SWEEP_INTERVAL_S = 0.25
 # After a shutdown begins, all requests are accepted for this long; after that,
 # only those whose timeout ends before the process does.
@@ -142,8 +145,21 @@
         self.shutdown_started_s = boot_s()
         self.shutdown_ends_s = self.shutdown_started_s + grace_s
 
-    def close_idle_connections(self) -> None:
-        """Close the connections without a request in progress."""
+    async def drain(self) -> None:
+        """Serve until the shutdown ends; take no requests shortly before.
+
+        Callers may use an idle connection until it is closed, so idle ones stay
+        open at first. What arrives in the last moments couldn't be answered.
+        """
+        last_request_s = self.shutdown_ends_s - LAST_REQUESTS_BEFORE_END_S
+        await asyncio.sleep(max(0.0, last_request_s - boot_s()))
+        if self._server is not None:
+            self._server.close()
+        while self._connections and boot_s() < self.shutdown_ends_s:
+            self._close_idle_connections()
+            await asyncio.sleep(TICK_INTERVAL_S)
+
+    def _close_idle_connections(self) -> None:
         for connection in list(self._connections):
             if connection.idle:
                 connection.close()
