--- a/tests/gateway/deciding/test_dispatcher.py
+++ b/tests/gateway/deciding/test_dispatcher.py
@@ -163,6 +163,24 @@
     assert harness.dispatcher.open_requests == 0
 
 
+def test_running_request_outlives_the_registration_of_its_upstream() -> None:
+    """An upstream that only reported late had its work started elsewhere."""
+    harness = DispatcherHarness(A, B)
+    harness.arrive(route=RESUMABLE)
+    running_at = harness.sent_upstream_id()
+    other = B if running_at == "a" else A
+    assert not harness.feed(
+        events.AttemptProgressed(now_s=harness.now_s, request=1)
+    )
+    harness.change_upstreams(other)
+    assert not harness.effects
+    assert not harness.advance(0.5)
+    assert not harness.feed(
+        events.AttemptSucceeded(now_s=harness.now_s, request=1)
+    )
+    assert harness.dispatcher.open_requests == 0
+
+
 def test_upstream_replaced_at_its_address_gets_no_further_requests() -> None:
     harness = DispatcherHarness(A, B)
     harness.arrive()
