Send fewer heartbeats in large fleets; take up duties at once in a first start

And since a host waits for a lease before it acquires the duties after its start, the first orders of a new fleet came three seconds later. Change: in fleets of more than 100 hosts those that don't watch the store send every two seconds; a heartbeat carries its sender's interval, by which peers judge whether it is alive. Loads of peers count for 2.5 s, counts of ended hosts are passed on for 12 s. No cooldown when the whole fleet starts for the first time: nobody held the duties before.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -319,8 +319,8 @@
         "configuration adds one call per watching host, where changes within "
         f"{prefix_watcher.BATCH_DELAY_S:.1f} s count once.",
         "",
-        "| hosts | heartbeats per second, each way | % of a core "
-        "| Mbit/s, each way | store calls per second, all hosts "
+        "| hosts | heartbeats received per second | % of a core "
+        "| Mbit/s received | store calls per second, all hosts "
         "| watching hosts |",
         "| --- | --- | --- | --- | --- | --- |",
     ]
@@ -328,6 +328,12 @@
         heartbeats_per_s = (host_count - 1) / peers.heartbeat_interval_s(
             host_count
         )
+        if host_count > peers.LARGE_FLEET:
+            heartbeats_per_s = (
+                store_followers.FOLLOWERS / peers.MAX_HEARTBEAT_INTERVAL_S
+                + (host_count - 1 - store_followers.FOLLOWERS)
+                / peers.ORDINARY_HEARTBEAT_INTERVAL_S
+            )
         follower_count = (
             host_count
             if host_count <= store_followers.SMALL_FLEET
--- a/src/shallotfold/_gateway/core/settings.py
+++ b/src/shallotfold/_gateway/core/settings.py
@@ -33,6 +33,7 @@
         usage_window_s: Length of a usage window.
         usage_lateness_s: Time after the end of a window until its report is
             due.
+        is_first_start: Whether the whole fleet starts for the first time.
     """
 
     host: str
@@ -53,3 +54,4 @@
     lease_s: float
     usage_window_s: float
     usage_lateness_s: float
+    is_first_start: bool = False
--- a/src/shallotfold/_gateway/deciding/upstream_loads.py
+++ b/src/shallotfold/_gateway/deciding/upstream_loads.py
@@ -7,7 +7,7 @@
 from shallotfold._gateway.deciding.events import RequestLoad
 
 # An older report of a peer is worse than none: the requests in it have ended.
-PEER_LOAD_MAX_AGE_S = 2.0
+PEER_LOAD_MAX_AGE_S = 2.5
 # Upstreams report their counts about 0.1 s late; after a few tenths of a second
 # the counts are outdated.
 REPORTED_LOAD_MAX_AGE_S = 0.4
--- a/src/shallotfold/_gateway/duties/duty_lease.py
+++ b/src/shallotfold/_gateway/duties/duty_lease.py
@@ -46,7 +46,18 @@
         host: str,
         lease_s: float,
         is_candidate: Callable[[], bool],
+        *,
+        is_first_start: bool = False,
     ) -> None:
+        """Make a lease that isn't held yet.
+
+        Args:
+            store: Keeps the lease.
+            host: Name of this host.
+            lease_s: Length of the lease.
+            is_candidate: Returns whether this host should acquire the duties.
+            is_first_start: Whether no host can have held the duties before.
+        """
         self._store = store
         self._host = host
         self._lease_s = lease_s
@@ -57,7 +68,9 @@
             max(SEND_MARGIN_S, lease_s * MIN_SEND_MARGIN_LEASES),
             lease_s * MAX_SEND_MARGIN_LEASES,
         )
-        self._cooldown_until_s = boot_s() + lease_s * START_COOLDOWN_LEASES
+        self._cooldown_until_s = boot_s()
+        if not is_first_start:
+            self._cooldown_until_s += lease_s * START_COOLDOWN_LEASES
         self._periodic_task = PeriodicTask(
             "Renewing or acquiring the duty lease",
             self._renew_or_acquire,
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -34,17 +34,23 @@
 # The datagrams of all hosts grow with the square of their number, so each
 # host sends less often the more hosts there are.
 HEARTBEAT_INTERVAL_S_PER_HOST = 0.0125
-# Short enough that two heartbeats in a row may be lost before a peer no longer
-# counts as alive.
 MAX_HEARTBEAT_INTERVAL_S = 1.0
-# A peer without a heartbeat for this long doesn't count as alive.
-ALIVE_TIMEOUT_S = 2.5
+# In a fleet of more hosts than this, those that don't watch the store send
+# heartbeats less often: each goes to all others.
+LARGE_FLEET = 100
+ORDINARY_HEARTBEAT_INTERVAL_S = 2.0
+# A peer without a heartbeat for this many of its intervals doesn't count as
+# alive: two in a row may be lost.
+ALIVE_TIMEOUT_INTERVALS = 2.5
+MIN_ALIVE_TIMEOUT_S = 2.5
 # Clocks that differ by no more than this agree; it exceeds the network delay
 # of a heartbeat.
 CLOCK_TOLERANCE_S = 0.5
 # The agreed time is kept while at least this share of the clocks agrees with
 # it: the others were stepped, even if they are the majority.
 MIN_AGREEING_SHARE = 1 / 3
+# Intervals of peers are trusted up to this.
+MAX_PEER_INTERVAL_S = 5.0
 # A peer that was silent for longer than this has ended, or its counts come too
 # late for a report.
 PRESUMED_ENDED_AFTER_S = 20.0
@@ -58,7 +64,7 @@
 STANDBY_HOSTS = 4
 # These hosts pass on the counts of an ended incarnation for this long; by then
 # its last usage window has been frozen.
-RELAY_ENDED_COUNTS_S = 8.0
+RELAY_ENDED_COUNTS_S = 12.0
 # Addresses of other peers in one datagram.
 ADDRESSES_PER_DATAGRAM = 6
 
@@ -99,6 +105,7 @@
         leaving_started_ms_by_id: Upstreams that lately said in a response to it
             that they are leaving, with their starts in Unix milliseconds.
         store_access: Whether it reaches the store.
+        interval_s: Time between its heartbeats.
     """
 
     name: str
@@ -118,12 +125,19 @@
     prefixes_sent: Sequence[tuple[str, str]]
     leaving_started_ms_by_id: Mapping[str, int] = attrs.field(factory=dict)
     store_access: StoreAccess = StoreAccess.UNKNOWN
+    interval_s: float = MAX_HEARTBEAT_INTERVAL_S
 
     @property
     def origin(self) -> str:
         """Name of the host and incarnation of its process."""
         return f"{self.name}/{self.incarnation}"
 
+    @property
+    def alive_until_s(self) -> float:
+        """When it no longer counts as alive, on the boot clock."""
+        timeout_s = ALIVE_TIMEOUT_INTERVALS * self.interval_s
+        return self.received_s + max(MIN_ALIVE_TIMEOUT_S, timeout_s)
+
 
 @attrs.define(kw_only=True)
 class LocalState:
@@ -164,6 +178,8 @@
         ip: Address of this host.
         seed_ips: Hosts to contact when no peer is known, maybe stale.
         state_by_name: Latest state of each host.
+        acts_for_fleet: Whether this host watches the store for others, so that
+            its end must be noticed soon.
     """
 
     def __init__(
@@ -174,6 +190,7 @@
         self.ip = ip
         self.seed_ips = seed_ips
         self.state_by_name: dict[str, PeerState] = {}
+        self.acts_for_fleet = True
         self._received_s_by_origin: dict[str, float] = {}
         self._alive: frozenset[str] = frozenset()
         self._clock_offset_s = time.time() - boot_s()
@@ -186,11 +203,11 @@
 
     def alive(self) -> list[PeerState]:
         """Return the peers with a recent heartbeat."""
-        oldest_s = boot_s() - ALIVE_TIMEOUT_S
+        now_s = boot_s()
         return [
             state
             for state in self.state_by_name.values()
-            if state.received_s > oldest_s
+            if state.alive_until_s > now_s
         ]
 
     def ended_origins(self) -> set[str]:
@@ -261,7 +278,10 @@
 
     def heartbeat_interval_s(self) -> float:
         """Return the time between two heartbeats of this host."""
-        return heartbeat_interval_s(len(self.state_by_name) + 1)
+        host_count = len(self.state_by_name) + 1
+        if host_count > LARGE_FLEET and not self.acts_for_fleet:
+            return ORDINARY_HEARTBEAT_INTERVAL_S
+        return heartbeat_interval_s(host_count)
 
     def usage_replica_ips(self) -> set[str]:
         """Return the addresses of the hosts that replicate all usage counts."""
@@ -310,6 +330,7 @@
                     local.prefixes_sent,
                     local.leaving_started_ms_by_id,
                     int(local.store_access),
+                    self.heartbeat_interval_s(),
                 )
             ),
         )
@@ -355,6 +376,11 @@
                 if len(fields) > 15
                 else StoreAccess.UNKNOWN
             ),
+            interval_s=(
+                min(float(fields[16]), MAX_PEER_INTERVAL_S)
+                if len(fields) > 16
+                else MAX_HEARTBEAT_INTERVAL_S
+            ),
         )
         return state, fields[12]
 
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -126,7 +126,11 @@
             self._is_follower,
         )
         self._duty_lease = DutyLease(
-            store, settings.host, settings.lease_s, self._is_duty_candidate
+            store,
+            settings.host,
+            settings.lease_s,
+            self._is_duty_candidate,
+            is_first_start=settings.is_first_start,
         )
         self._usage_reporter = UsageReporter(
             store,
@@ -281,7 +285,7 @@
 
     async def _run_housekeeping(self) -> None:
         self._notice_restore()
-        self._followers.update(self._peers.alive())
+        self._peers.acts_for_fleet = self._followers.update(self._peers.alive())
         for watcher in self._watchers:
             watcher.check_enabled()
         self._fleet_view.drop_lapsed_upstreams(is_follower=self._is_follower())
--- a/src/shallotfold/platform/settings.py
+++ b/src/shallotfold/platform/settings.py
@@ -78,6 +78,7 @@
             usage_lateness_s=float(
                 read_value("ContractParameters", "UsageLatenessS")
             ),
+            is_first_start=bool(content.get("Bootstrap", False)),
         )
     except (KeyError, IndexError, TypeError, ValueError) as error:
         raise _invalid(
--- a/tests/gateway/duties/test_duties.py
+++ b/tests/gateway/duties/test_duties.py
@@ -429,6 +429,26 @@
     run_with_store(scenario)
 
 
+def test_first_start_of_a_fleet_needs_no_cooldown(
+    run_with_store: RunWithStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Upstreams were ordered seconds later than they could be."""
+    monkeypatch.setattr(duty_lease, "START_COOLDOWN_LEASES", 1.0)
+
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        del standin
+        lease = DutyLease(
+            store, "h1", LEASE_S, lambda: True, is_first_start=True
+        )
+        assert not lease.is_cooling_down
+        await lease.start()
+        await asyncio.sleep(0.2)
+        assert lease.is_held
+        await lease.close()
+
+    run_with_store(scenario)
+
+
 def test_lease_acquired_while_the_store_was_restored_is_returned(
     run_with_store: RunWithStore,
 ) -> None:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -89,3 +89,11 @@
     path = write(tmp_path, Platform={})
     assert entry_main.main(["--settings", str(path), "--check"]) == 2
     assert "Platform.Address" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("first", [True, False])
+def test_first_start_of_the_fleet_is_read(
+    tmp_path: pathlib.Path, *, first: bool
+) -> None:
+    path = write(tmp_path, Bootstrap=first)
+    assert load_platform_settings(path).is_first_start is first
