Fix faults of the gateway that were found by reading

Also: UsageReporter forgets windows that are long reported (no test: memory only). Left of that list: HEAD, a held error response that a later attempt drops, frozen counts of former holders, 409 on a spot order (its body isn't documented).

--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -344,9 +344,12 @@
     def _retry(self, request: _OpenRequest, now_s: float) -> Effects:
         if request.attempts >= request.route.max_attempts:
             return []
-        if not self.budget.try_spend(request.service, now_s):
+        if not self.budget.allows_retry(request.service, now_s):
             return []
-        return self._send(request, now_s)
+        retry_effects = self._send(request, now_s)
+        if retry_effects:
+            self.budget.count_retry(request.service, now_s)
+        return retry_effects
 
     def _is_stalled(self, request: _OpenRequest, now_s: float) -> bool:
         """Whether the attempt has stalled and may move to another upstream."""
--- a/src/shallotfold/_gateway/deciding/retry_budget.py
+++ b/src/shallotfold/_gateway/deciding/retry_budget.py
@@ -37,8 +37,8 @@
             self._request_times_by_service, service, now_s
         ).append(now_s)
 
-    def try_spend(self, service: str, now_s: float) -> bool:
-        """Spend one retry if the window still allows it."""
+    def allows_retry(self, service: str, now_s: float) -> bool:
+        """Whether the window allows one more retry."""
         retries = self._recent_times(
             self._retry_times_by_service, service, now_s
         )
@@ -48,10 +48,13 @@
         allowed = USABLE_BUDGET_SHARE * (
             self.ratio * len(requests) + self.extra / max(1, self.host_count)
         )
-        if len(retries) + 1 > allowed:
-            return False
-        retries.append(now_s)
-        return True
+        return len(retries) + 1 <= allowed
+
+    def count_retry(self, service: str, now_s: float) -> None:
+        """Count a retry that was sent."""
+        self._recent_times(self._retry_times_by_service, service, now_s).append(
+            now_s
+        )
 
     def _recent_times(
         self,
--- a/src/shallotfold/_gateway/duties/usage_reporting.py
+++ b/src/shallotfold/_gateway/duties/usage_reporting.py
@@ -115,7 +115,16 @@
             )
             self._windows_to_restore.discard(window)
 
+    def _forget_old_windows(self) -> None:
+        now_window = self._counts.window_at(self._agreed_time_s())
+        oldest = now_window - RETAINED_FROZEN_WINDOWS
+        for window in [w for w in self._frozen if w < oldest]:
+            del self._frozen[window]
+        self._reported = {w for w in self._reported if w >= oldest}
+        self._windows_to_restore &= self._frozen.keys()
+
     async def _report_due(self) -> None:
+        self._forget_old_windows()
         await self._restore_frozen()
         if not self._lease.is_held:
             return
--- a/src/shallotfold/_gateway/following/catch_up.py
+++ b/src/shallotfold/_gateway/following/catch_up.py
@@ -116,7 +116,13 @@
                 "GET", SNAPSHOT_PATH, timeout_s=PEER_FETCH_TIMEOUT_S
             )
             self._view.apply_peer_snapshot(peer.name, response.body)
-        except (CallFailedError, ValueError, TypeError, LookupError) as error:
+        except (
+            CallFailedError,
+            ValueError,
+            TypeError,
+            LookupError,
+            AttributeError,
+        ) as error:
             logger.info(
                 "Fetching the snapshot of peer {} failed: {}", peer.name, error
             )
--- a/src/shallotfold/_gateway/http/messages.py
+++ b/src/shallotfold/_gateway/http/messages.py
@@ -47,11 +47,13 @@
 
 
 def connection_options(headers: Headers) -> frozenset[bytes]:
-    """Return the headers that the Connection header makes hop-by-hop."""
-    value = find_header(headers, b"connection")
-    if value is None:
-        return frozenset()
-    return frozenset(name.strip().lower() for name in value.split(b","))
+    """Return the headers that Connection headers make hop-by-hop."""
+    return frozenset(
+        option.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for option in value.split(b",")
+    )
 
 
 def response_framing(
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -30,6 +30,27 @@
 from shallotfold._gateway.peers.change_messages import decode_changes
 
 PROTOCOL_VERSION = 5
+_NUMBER = (int, float)
+# Types of a heartbeat's fields, in order; earlier builds don't send the last.
+FIELD_TYPES: tuple[type | tuple[type, ...], ...] = (
+    int,
+    str,
+    str,
+    _NUMBER,
+    (int, float, type(None)),
+    int,
+    int,
+    int,
+    bool,
+    dict,
+    (dict, type(None)),
+    dict,
+    list,
+    list,
+    dict,
+    int,
+    _NUMBER,
+)
 MIN_HEARTBEAT_INTERVAL_S = 0.4
 # The datagrams of all hosts grow with the square of their number, so each
 # host sends less often the more hosts there are.
@@ -344,6 +365,7 @@
         fields: Any = msgpack.unpackb(data, strict_map_key=False)
         if not isinstance(fields, list) or fields[0] != PROTOCOL_VERSION:
             raise ValueError("unknown version of the peer protocol")
+        _check_types(fields)
         now_s = boot_s()
         state = PeerState(
             name=fields[1],
@@ -422,6 +444,21 @@
         return addresses
 
 
+def _check_types(fields: Sequence[Any]) -> None:
+    """Check the fields that the decoder uses as they are.
+
+    Raises:
+        ValueError: A field has another type than a peer sends.
+    """
+    for number, (value, types) in enumerate(
+        zip(fields, FIELD_TYPES, strict=False)
+    ):
+        if not isinstance(value, types):
+            raise ValueError(f"field {number} is a {type(value).__name__}")
+    if not all(isinstance(ip, str) for ip in fields[12]):
+        raise ValueError("an address isn't text")
+
+
 class PeerLink(asyncio.DatagramProtocol):
     """Sends and receives heartbeats over UDP."""
 
@@ -495,7 +532,12 @@
                 self._on_changes(changes)
                 return
             state, passed_on_ips = self._peers.decode(data, addr[0])
-        except (ValueError, TypeError, LookupError) as error:
+        except (
+            ValueError,
+            TypeError,
+            LookupError,
+            AttributeError,
+        ) as error:
             logger.info("Datagram from {} can't be decoded: {}", addr[0], error)
             return
         if not self._peers.record_state(state):
--- a/src/shallotfold/_gateway/serving/caller_connection.py
+++ b/src/shallotfold/_gateway/serving/caller_connection.py
@@ -97,6 +97,7 @@
         self._head_bytes = 0
         self._head_too_large = False
         self._body_input_bytes = 0
+        self._continue_expected = False
 
     # The transport calls these.
 
@@ -165,13 +166,14 @@
         if name_lower in (b"content-length", b"transfer-encoding"):
             self._has_body = True
         elif name_lower == b"expect" and value.lower() == b"100-continue":
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._continue_expected = True
 
     def on_headers_complete(self) -> None:
         """Handle the end of the header section."""
         self.head_complete = True
         self._unparsed_bytes = 0
         self._head_too_large = self._head_is_too_large()
+        self._send_continue()
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
@@ -182,6 +184,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the request, which is now complete."""
+        self._continue_expected = False
         if self._input_closed:
             return
         if self._head_too_large:
@@ -313,6 +316,21 @@
             self.write(encode_local_response(status, close=True))
             self.close()
 
+    def _send_continue(self) -> None:
+        """Ask for the body of the next request, unless a response is under way.
+
+        In the middle of a response it would be taken for a part of that.
+        """
+        if (
+            self._continue_expected
+            and self.head_complete
+            and not self._serving
+            and not self._queued_requests
+            and not self._input_closed
+        ):
+            self._continue_expected = False
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _serve_next(self) -> None:
         while self._queued_requests and not self._serving and self._transport:
             request = self._queued_requests.popleft()
@@ -321,3 +339,4 @@
             if len(self._queued_requests) < MAX_QUEUED_REQUESTS:
                 self._transport.resume_reading()
             self._exchange = self._handler.start_request(request, self)
+        self._send_continue()
--- a/src/shallotfold/platform/store.py
+++ b/src/shallotfold/platform/store.py
@@ -160,9 +160,14 @@
 
     async def revoke_lease(self, lease_id: str) -> None:
         """Revoke a lease; see `Store`."""
-        await self._call(
+        response = await self._call(
             "DELETE", f"{names.STORE_REVOKE_LEASE_PATH}/{lease_id}", {}
         )
+        # A lease that is gone has ended by itself.
+        if response.status not in (HTTPStatus.OK, HTTPStatus.NOT_FOUND):
+            raise StoreUnavailableError(
+                f"the store responded with status {response.status}"
+            )
 
     async def _transact(
         self,
@@ -240,7 +245,11 @@
 
 
 def _actual_revision(response: HttpResponse, key: str, era: int) -> int:
-    entries = json.loads(response.body).get("Entries", ())
+    try:
+        entries = json.loads(response.body).get("Entries", ())
+    except (ValueError, AttributeError):
+        # The status alone says that the condition doesn't hold.
+        return 0
     revisions = [e.get("Revision", 0) for e in entries if e.get("Key") == key]
     number = int(revisions[0]) if revisions else 0
     return make_revision(era, number) if number else 0
--- a/tests/gateway/deciding/test_dispatcher.py
+++ b/tests/gateway/deciding/test_dispatcher.py
@@ -136,6 +136,26 @@
     assert isinstance(fail, effects.Fail)
 
 
+def test_retry_that_finds_no_upstream_spends_no_budget() -> None:
+    """During an outage the budget was used up before any could serve again."""
+    harness = DispatcherHarness(A, extra=1.0 / 0.7)
+    harness.arrive(1)
+    (fail,) = harness.feed(
+        events.AttemptBroken(
+            now_s=harness.now_s, request=1, response_started=False
+        )
+    )
+    assert isinstance(fail, effects.Fail)
+    harness.change_upstreams(A, B)
+    harness.arrive(2)
+    (send,) = harness.feed(
+        events.AttemptBroken(
+            now_s=harness.now_s, request=2, response_started=False
+        )
+    )
+    assert isinstance(send, effects.SendAttempt)
+
+
 def test_a_silent_repeatable_attempt_switches_upstreams_in_time() -> None:
     harness = DispatcherHarness(A, B)
     harness.arrive(route=make_route(target_s=0.2))
--- a/tests/gateway/peers/test_peers.py
+++ b/tests/gateway/peers/test_peers.py
@@ -1,5 +1,7 @@
 """Check what hosts know of each other from heartbeats."""
 
+import hypothesis
+from hypothesis import strategies
 import msgpack
 import pytest
 
@@ -7,6 +9,7 @@
 from shallotfold._gateway.deciding.events import RequestLoad
 from shallotfold._gateway.peers import peers as peers_module
 from shallotfold._gateway.peers.peers import LocalState
+from shallotfold._gateway.peers.peers import PeerLink
 from shallotfold._gateway.peers.peers import Peers
 from shallotfold._gateway.peers.peers import PeerState
 
@@ -298,3 +301,31 @@
     )
     state, _ = make_peers(2).decode(msgpack.packb(fields[:14]), "10.0.0.1")
     assert state.leaving_started_ms_by_id == {}
+
+
+@hypothesis.given(
+    field=strategies.integers(0, 16),
+    value=strategies.one_of(
+        strategies.none(),
+        strategies.integers(-5, 5),
+        strategies.text(max_size=3),
+        strategies.lists(strategies.integers(), max_size=2),
+    ),
+)
+def test_damaged_heartbeat_does_not_end_the_receiver(
+    field: int, value: object
+) -> None:
+    """An exception that wasn't foreseen passed the receiver's handling."""
+    fields = msgpack.unpackb(
+        make_peers(1).encode(LocalState()), strict_map_key=False
+    )
+    fields[field] = value
+    link = PeerLink(
+        make_peers(0),
+        1,
+        LocalState,
+        list,
+        lambda state: None,
+        lambda changes: None,
+    )
+    link.datagram_received(msgpack.packb(fields), ("10.0.0.9", 1))
--- a/tests/gateway/serving/test_caller_connections.py
+++ b/tests/gateway/serving/test_caller_connections.py
@@ -165,3 +165,24 @@
     backend = Backend(lambda received: complete_response(b"ok"))
     run_scenario([backend], scenario, RequestLimits(max_body_bytes=100_000))
     assert not backend.requests
+
+
+def test_continue_is_not_written_into_another_response() -> None:
+    """A pipelined request's was taken for a part of the running response."""
+
+    async def scenario(harness: GatewayHarness) -> None:
+        first = request("/lookup/1").replace(b"Connection: close\r\n", b"")
+        second = request(
+            "/book/1",
+            "Expect: 100-continue",
+            "Content-Length: 1",
+            method="POST",
+        )
+        response = await harness.send(first + second, timeout_s=1.0)
+        assert response.index(b"first") < response.index(b"100 Continue")
+
+    def respond(received: bytes) -> bytes:
+        del received
+        return complete_response(b"first")
+
+    run_scenario([Backend(respond)], scenario)
--- a/tests/gateway/serving/test_forwarding.py
+++ b/tests/gateway/serving/test_forwarding.py
@@ -115,3 +115,17 @@
 
     harness = run_scenario([Backend(lambda _: signed_response())], scenario)
     assert harness.counts.total(0) == {"north": 1}
+
+
+def test_headers_that_any_connection_header_names_are_removed() -> None:
+    """Those that a second one named were forwarded."""
+    backend = Backend(lambda _: signed_response(b"ok"))
+
+    async def scenario(harness: GatewayHarness) -> None:
+        await harness.send(
+            request("/lookup/1", "Connection: Two", "One: 1", "Two: 2")
+        )
+
+    run_scenario([backend], scenario)
+    assert b"One: 1" in backend.requests[0]
+    assert b"Two: 2" not in backend.requests[0]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -116,3 +116,30 @@
             await store.compare_and_swap("k", 0, b"v", lease.lease_id)
 
     run_with_store(scenario)
+
+
+def test_lease_that_could_not_be_revoked_is_an_error(
+    run_with_store: RunWithStore,
+) -> None:
+    """A refusal passed for a revoked lease."""
+
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        lease = await store.grant_lease(1.0)
+        standin.error_status = 503
+        with pytest.raises(StoreUnavailableError):
+            await store.revoke_lease(lease.lease_id)
+        standin.error_status = 404
+        await store.revoke_lease(lease.lease_id)
+
+    run_with_store(scenario)
+
+
+def test_conflict_without_details_is_a_conflict(
+    run_with_store: RunWithStore,
+) -> None:
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        standin.error_status = 412
+        with pytest.raises(StoreConflictError):
+            await store.compare_and_swap("k", 0, b"v")
+
+    run_with_store(scenario)
