--- a/benchmarks/platform_days.py
+++ b/benchmarks/platform_days.py
@@ -77,6 +77,12 @@
         ("node_freeze", "leader renewed", "count = 1, for_s = 6.0"),
         ("core_cut", "leader one_way", "count = 1, for_s = 5.0"),
     ],
+    "hindered-holders": [
+        ("node_freeze", "leader renewed", "count = 1, for_s = 5.0"),
+        ("node_slow", "leader", "count = 1, x = 8.0, for_s = 6.0"),
+        ("node_cut", "leader all", "count = 1, for_s = 5.0"),
+        ("cloud_down", "silent", "for_s = 5.0"),
+    ],
     "herds": [
         ("herd_kill", "", "share = 0.7, for_s = 1.5"),
         ("herd_kill", "power", "share = 0.6, for_s = 2.0"),
@@ -112,6 +118,11 @@
         ("hup", "", "share = 1.0, gap_s = 2.0"),
         ("release", "", "share = 0.6, x = 2.0, gap_s = 1.0"),
     ],
+    "changed-settings": [
+        ("hup", "", "share = 1.0, gap_s = 0.2"),
+        ("roll_term", "", "share = 0.5, gap_s = 1.0"),
+        ("hup", "", "share = 1.0, gap_s = 1.0"),
+    ],
     "planned-changes": [
         ("config_storm", "", "for_s = 5.0, gap_s = 0.3"),
         ("config_change", "route", ""),
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -6,6 +6,8 @@
 import subprocess
 import sys
 
+import pytest
+
 from benchmarks.soak import checks
 from benchmarks.soak import stepped_clock
 from benchmarks.soak.callers import Outcome
@@ -151,18 +153,20 @@
     assert clock() == 60.0
 
 
-def test_short_soak_finds_no_violation() -> None:
+# In the larger fleet only some hosts watch the store.
+@pytest.mark.parametrize(("seed", "hosts"), [("7", "3"), ("303", "14")])
+def test_short_soak_finds_no_violation(seed: str, hosts: str) -> None:
     result = subprocess.run(
         [
             sys.executable,
             "-m",
             "benchmarks.soak",
             "--seed",
-            "7",
+            seed,
             "--seconds",
             SECONDS,
             "--hosts",
-            "3",
+            hosts,
         ],
         capture_output=True,
         text=True,
