--- a/src/shallotfold/_gateway/following/prefix_watcher.py
+++ b/src/shallotfold/_gateway/following/prefix_watcher.py
@@ -29,7 +29,7 @@
 
 
 def watch_timeout_s(host_count: int) -> float:
-    """Return the timeout of a watch when `host_count` hosts watch."""
+    """Return the timeout of a watch in a fleet of `host_count` hosts."""
     scaled_s = host_count * WATCH_TIMEOUT_S_PER_HOST
     return min(MAX_WATCH_TIMEOUT_S, max(MIN_WATCH_TIMEOUT_S, scaled_s))
 
@@ -55,7 +55,7 @@
             on_snapshot: Called with all values under the prefix.
             on_changes: Called with the changes of each watch, even if empty.
             on_call: Called after each call with its error, or `None`.
-            host_count: Returns how many hosts watch the prefix.
+            host_count: Returns the size of the fleet.
             is_enabled: Returns whether this host watches the prefix. It reads
                 the prefix once in any case.
         """
