--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -218,8 +218,7 @@
 
     async def close(self) -> None:
         """Stop and close all components."""
-        # The event loop removes the handler before the process has ended.
-        reload_signal.hold()
+        reload_signal.ignore(asyncio.get_running_loop())
         await self._upstream_ordering.close()
         await self._usage_reporter.close()
         await self._duty_lease.close()
