--- a/tests/gateway/deciding/test_dispatcher.py
+++ b/tests/gateway/deciding/test_dispatcher.py
@@ -137,7 +137,7 @@
 
 
 def test_retry_that_finds_no_upstream_spends_no_budget() -> None:
-    """During an outage the budget was used up before any could serve again."""
+    """In an outage the budget would be used up before any serves again."""
     harness = DispatcherHarness(A, extra=1.0 / 0.7)
     harness.arrive(1)
     (fail,) = harness.feed(
--- a/tests/gateway/duties/test_duties.py
+++ b/tests/gateway/duties/test_duties.py
@@ -420,7 +420,7 @@
 def test_process_that_starts_leaves_the_duties_to_others_at_first(
     run_with_store: RunWithStore, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """In a rolling restart a host got the duties back within one lease."""
+    """In a rolling restart a host could get the duties back at once."""
     monkeypatch.setattr(duty_lease, "START_COOLDOWN_LEASES", 1.0)
 
     async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
--- a/tests/gateway/following/test_fleet_view.py
+++ b/tests/gateway/following/test_fleet_view.py
@@ -374,7 +374,7 @@
         assert other.upstreams == {"a", "c", "d"}
 
     def test_copies_from_several_hosts_change_nothing(self) -> None:
-        """A late copy of a registration revived an upstream that was gone."""
+        """A late copy of a registration would revive an upstream."""
         watching, other = self.make_hosts()
         watching.register("a", "b", "c", "d", revision=5)
         copy = watching.sent_changes[0]
@@ -443,7 +443,7 @@
         assert watching.upstreams == other.upstreams == {"b", "c", "d"}
 
     def test_only_a_configuration_of_the_store_is_announced(self) -> None:
-        """195 hosts that each sent 194 datagrams took seconds of a link."""
+        """Otherwise 195 hosts would each send 194 datagrams at once."""
         watching, other = Host(), Host()
         watching.configure(7)
         assert watching.adopted == 1
--- a/tests/gateway/http/test_expiring_call.py
+++ b/tests/gateway/http/test_expiring_call.py
@@ -1,7 +1,7 @@
 """Test that a call whose permission has expired is never sent.
 
-A holder's permission ended while it connected, and its call reached the
-platform after the calls of the next holder.
+A holder's permission could end while it connected, so that its call reached
+the platform after the calls of the next holder.
 """
 
 import asyncio
