--- a/src/shallotfold/_gateway/following/store_followers.py
+++ b/src/shallotfold/_gateway/following/store_followers.py
@@ -17,8 +17,8 @@
 SMALL_FLEET = 12
 # Enough that some remain when many hosts end at the same moment.
 FOLLOWERS = 7
-# A host that watches stops only when this many hosts before it do. With a single
-# limit it would open a watch each time one of them restarts.
+# A host that watches stops only when this many hosts before it do. With one
+# limit for both it would open a watch each time one of them restarts.
 MAX_FOLLOWERS = 9
 # While the store fails for all, no more hosts than this try to reach it.
 MAX_TRYING = 12
