Log the shared parts of a prompt with its attempts

The send line now names the shared parts; joined with broken and done by the request's id it gives broken and completed attempts of each part.

No decision changes.

--- a/src/shallotfold/_gateway/core/model.py
+++ b/src/shallotfold/_gateway/core/model.py
@@ -219,6 +219,11 @@
         """Id of the last part shared with other requests; empty: none."""
         return self.parts[-2].part_id if len(self.parts) > 1 else ""
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may share, in order."""
+        return tuple(part.part_id for part in self.parts[:-1])
+
     @property
     def shared_prefix_tokens(self) -> int:
         """Tokens of all parts shared with other requests."""
--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -328,6 +328,7 @@
                     f"requests={load.requests} candidates={len(engines.by_id)} "
                     f"expected_ms={request.expected_s * 1000:.0f}"
                 ),
+                shared_part_ids=prompt.shared_part_ids,
             )
         ]
 
--- a/src/shallotfold/_gateway/deciding/effects.py
+++ b/src/shallotfold/_gateway/deciding/effects.py
@@ -21,12 +21,15 @@
         number: 1 for the first attempt of the request.
         allowed_s: How long the upstream may work.
         reason: Inputs of the choice of this upstream, for the log.
+        shared_part_ids: Parts of the prompt that other requests may share, for
+            the log.
     """
 
     upstream: Upstream
     number: int
     allowed_s: float
     reason: str
+    shared_part_ids: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -124,6 +124,7 @@
             attempt=effect.number,
             allowed_ms=round(effect.allowed_s * _MS_PER_S),
             reason=effect.reason,
+            parts=effect.shared_part_ids or None,
         )
         attempt = Attempt(self, effect.upstream)
         self._attempt = attempt
