Hold back prompts under which upstreams end

Cause: a broken attempt counted against the upstream only. Nothing remembered what was asked, so that each request with the part had a fresh engine, and its retry a second one, on each host anew. The class of fault: a failure that repeats with the request is put down to the server.

Change: deciding/crashing_prompts.py keeps, for each shared part, the upstreams that ended under it since it was last answered. A part under which three ended one after the other, while others are answered, is held back: refused before it is sent, with the time that the hold lasts. While it can't be told which of two parts that come together is the cause, only prompts with both are held back. A part counts as sound for 60 s after an answer, or once an answer has been written for 1 s. Hosts tell each other at once and in each heartbeat what they saw, what they hold back and which suspected parts were answered; holds are in the store under a lease of their ten minutes, for hosts that start when nobody is left who knows. One request is let through after five seconds in case the part is sound.

A part is now not held while another prompt's part explains its crashes, and six crashes suffice without answers.

--- /dev/null
+++ b/src/shallotfold/_gateway/deciding/crashing_prompts.py
@@ -0,0 +1,596 @@
+"""Hold back prompts under which upstreams end.
+
+A prompt can make every upstream end that begins to answer it. One upstream that
+ended says little: all its open requests broke off, most of them sound. What
+tells is a part that several upstreams ended under, one after the other, and
+that none has answered, while other prompts are answered. Hosts exchange what
+they saw, since requests with such a part come to any of them.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+import attrs
+
+from shallotfold._gateway.core.model import Prompt
+
+# Fewer would hold back sound parts that were open twice by chance.
+CRASHES_TO_HOLD = 3
+# A part that was held before is held again after the first crash.
+CRASHES_TO_HOLD_AGAIN = 1
+REMEMBERED_HOLD_S = 3_600.0
+# Upstreams that end closer together may have ended for one common reason.
+MIN_CRASH_SPACING_S = 0.05
+EVIDENCE_LIFETIME_S = 120.0
+# An answer shows that its parts end no upstream. Engines may get other software
+# or weights later, so that this doesn't hold for ever.
+SOUND_AFTER_ANSWER_S = 60.0
+# While a service answers nothing, each of its parts looks like the cause: then
+# it takes more crashes, and more than under any other part.
+MIN_RECENT_ANSWERS = 2
+RECENT_ANSWER_S = 3.0
+CRASHES_TO_HOLD_WITHOUT_ANSWERS = 6
+HOLD_S = 600.0
+# One request is let through this long after a hold began, in case the part is
+# sound. Hosts do so at different times, and the first one tells the others.
+TRIAL_AFTER_S = 5.0
+TRIAL_SPREAD_S_PER_HOST = 0.2
+# Peers are told for this long of crashes, and of answers on parts that one of
+# them suspects: several heartbeats may be lost.
+ANNOUNCED_S = 10.0
+MAX_SOUND_PARTS = 4_096
+MAX_REPORTS = 32
+MAX_EVIDENCE_PARTS = 512
+MAX_HOLDS = 64
+MAX_ANNOUNCED_ANSWERS = 64
+
+
+@attrs.frozen
+class CrashReport:
+    """An upstream ended while a request was open there.
+
+    Attributes:
+        upstream: Id and start of the upstream.
+        age_s: How long ago that was.
+        part_ids: Parts of the request's prompt that aren't known to be sound.
+    """
+
+    upstream: str
+    age_s: float
+    part_ids: tuple[str, ...]
+
+
+@attrs.frozen
+class HoldReport:
+    """Prompts that a host holds back.
+
+    Attributes:
+        part_ids: Prompts with all of these parts are held back.
+        age_s: How long they have been.
+        stored: Whether the platform's store has it.
+        tried: Whether a request was let through as a trial.
+    """
+
+    part_ids: tuple[str, ...]
+    age_s: float
+    stored: bool
+    tried: bool
+
+
+@attrs.frozen(kw_only=True)
+class CrashKnowledge:
+    """What a host tells its peers about prompts under which upstreams end.
+
+    Attributes:
+        reports: Upstreams that ended under its own requests.
+        holds: Prompts that it holds back.
+        answer_ages_s_by_part: How long ago parts that its peers suspect were
+            part of an answered prompt.
+    """
+
+    reports: Sequence[CrashReport] = ()
+    holds: Sequence[HoldReport] = ()
+    answer_ages_s_by_part: Mapping[str, float] = attrs.field(factory=dict)
+
+    def __bool__(self) -> bool:
+        """Whether there is anything to tell."""
+        return bool(self.reports or self.holds or self.answer_ages_s_by_part)
+
+
+@attrs.define
+class PromptHold:
+    """Prompts that are held back.
+
+    Attributes:
+        part_ids: Prompts with all of these parts. There are several as long as
+            it isn't known which of them ends upstreams.
+        held_s: Since when, on the boot clock.
+        stored: Whether the platform's store has it.
+        tried: Whether a request was let through as a trial.
+        decided_here: Whether this host decided it.
+    """
+
+    part_ids: frozenset[str]
+    held_s: float
+    stored: bool = False
+    tried: bool = False
+    decided_here: bool = False
+
+    @property
+    def ends_s(self) -> float:
+        """When prompts are let through again, on the boot clock."""
+        return self.held_s + HOLD_S
+
+
+@attrs.frozen(kw_only=True)
+class HoldChange:
+    """A hold that began, changed or ended, for the log.
+
+    Attributes:
+        decision: `prompt_held`, `hold_narrowed` or `prompt_released`.
+        part_ids: Its parts, before the change if it ended.
+        reason: What led to it.
+        upstreams: Upstreams that ended under its parts, if this host decided.
+    """
+
+    decision: str
+    part_ids: tuple[str, ...]
+    reason: str
+    upstreams: tuple[str, ...] = ()
+
+
+@attrs.define
+class _Crash:
+    """An upstream that ended under a part.
+
+    Attributes:
+        crashed_s: When, on the boot clock.
+        companions: Other parts of all requests with the part that were open
+            there.
+    """
+
+    crashed_s: float
+    companions: frozenset[str]
+
+
+@attrs.define
+class _Evidence:
+    """Upstreams that ended under a part since it was last answered."""
+
+    crash_by_upstream: dict[str, _Crash] = attrs.field(factory=dict)
+    service: str = ""
+    """Service of a request of this host; empty: only peers had one."""
+
+    def crash_count(self) -> int:
+        """Return the number of crashes that didn't come at the same time."""
+        count, last_s = 0, -MIN_CRASH_SPACING_S
+        for crashed_s in sorted(
+            crash.crashed_s for crash in self.crash_by_upstream.values()
+        ):
+            if crashed_s - last_s >= MIN_CRASH_SPACING_S:
+                count, last_s = count + 1, crashed_s
+        return count
+
+    def companions(self) -> frozenset[str]:
+        """Return the parts that were open together with it in each crash."""
+        crashes = self.crash_by_upstream.values()
+        return frozenset.intersection(*(crash.companions for crash in crashes))
+
+
+@attrs.define
+class _OwnReport:
+    upstream: str
+    crashed_s: float
+    part_ids: tuple[str, ...]
+
+
+@attrs.define
+class CrashingPrompts:
+    """What this host knows of prompts under which upstreams end.
+
+    Attributes:
+        holds: Prompts that are held back, by their parts.
+        has_news: Whether peers should be told at once.
+        host_count: Number of hosts that are alive, this one included.
+        trial_draw: Random number of this host, 0 to 1, that spreads trials.
+    """
+
+    holds: dict[frozenset[str], PromptHold] = attrs.field(factory=dict)
+    has_news: bool = False
+    host_count: int = 1
+    trial_draw: float = 0.0
+    _answered_s_by_part: dict[str, float] = attrs.field(factory=dict)
+    _recent_answers_s_by_service: dict[str, list[float]] = attrs.field(
+        factory=dict
+    )
+    _evidence_by_part: dict[str, _Evidence] = attrs.field(factory=dict)
+    _own_reports: list[_OwnReport] = attrs.field(factory=list)
+    _suspected_s_by_part: dict[str, float] = attrs.field(factory=dict)
+    _held_before_s_by_part: dict[str, float] = attrs.field(factory=dict)
+
+    def hold_on(self, prompt: Prompt, now_s: float) -> PromptHold | None:
+        """Return the hold that a prompt falls under, if any."""
+        if not self.holds:
+            return None
+        part_ids = set(prompt.shared_part_ids)
+        for hold in self.holds.values():
+            if hold.part_ids <= part_ids and now_s < hold.ends_s:
+                return hold
+        return None
+
+    def try_trial(self, hold: PromptHold, now_s: float) -> bool:
+        """Return whether a request may be let through; only one is."""
+        spread_s = TRIAL_SPREAD_S_PER_HOST * self.host_count
+        if (
+            hold.tried
+            or now_s < hold.held_s + TRIAL_AFTER_S + self.trial_draw * spread_s
+        ):
+            return False
+        hold.tried = True
+        self.has_news = True
+        return True
+
+    # What this host sees.
+
+    def record_answer(
+        self, service: str, prompt: Prompt, now_s: float
+    ) -> list[HoldChange]:
+        """Record that a prompt was answered, or for long enough."""
+        part_ids = prompt.shared_part_ids
+        if not part_ids:
+            return []
+        recent_s = self._recent_answers_s_by_service.setdefault(service, [])
+        recent_s.append(now_s)
+        del recent_s[:-MIN_RECENT_ANSWERS]
+        return self._record_sound(dict.fromkeys(part_ids, now_s), "answered")
+
+    def record_crash(
+        self, upstream: str, service: str, prompt: Prompt, now_s: float
+    ) -> list[HoldChange]:
+        """Record that an upstream ended while a request was open there.
+
+        Args:
+            upstream: Id and start of the upstream.
+            service: Its service.
+            prompt: Prompt of the request.
+            now_s: Time on the boot clock.
+        """
+        report = _OwnReport(
+            upstream, now_s, self._unsound(prompt.shared_part_ids, now_s)
+        )
+        if not report.part_ids:
+            return []
+        self._add_evidence(report.upstream, now_s, report.part_ids, now_s)
+        for part_id in report.part_ids:
+            self._evidence_by_part[part_id].service = service
+        self._own_reports.append(report)
+        del self._own_reports[:-MAX_REPORTS]
+        self.has_news = True
+        return self._decide(report.part_ids, now_s)
+
+    # What others saw.
+
+    def merge(
+        self, peer: str, knowledge: CrashKnowledge, now_s: float
+    ) -> list[HoldChange]:
+        """Merge what a peer told, which may be old news."""
+        changes = self._record_sound(
+            {
+                part_id: now_s - age_s
+                for part_id, age_s in knowledge.answer_ages_s_by_part.items()
+            },
+            f"answered at {peer}",
+        )
+        for hold in knowledge.holds:
+            changes += self._adopt(hold, now_s, f"held at {peer}")
+        new_part_ids: set[str] = set()
+        for report in knowledge.reports:
+            self._note_suspected(report.part_ids, now_s)
+            unsound = self._unsound(report.part_ids, now_s)
+            if unsound and report.age_s < EVIDENCE_LIFETIME_S:
+                self._add_evidence(
+                    report.upstream, now_s - report.age_s, unsound, now_s
+                )
+                new_part_ids.update(unsound)
+        return changes + self._decide(new_part_ids, now_s)
+
+    def load(
+        self, stored_holds: Iterable[Sequence[str]], now_s: float
+    ) -> list[HoldChange]:
+        """Adopt the holds that the platform's store has."""
+        changes = []
+        for part_ids in stored_holds:
+            # The time of day when it was stored may come from a wrong clock.
+            hold = HoldReport(tuple(part_ids), 0.0, stored=True, tried=True)
+            changes += self._adopt(hold, now_s, "held in the store")
+        return changes
+
+    def knowledge(self, now_s: float) -> CrashKnowledge:
+        """Return what peers should know."""
+        suspected = [
+            part_id
+            for part_id, at_s in self._suspected_s_by_part.items()
+            if now_s - at_s < ANNOUNCED_S and self._is_sound(part_id, now_s)
+        ]
+        return CrashKnowledge(
+            reports=[
+                CrashReport(report.upstream, now_s - report.crashed_s, unsound)
+                for report in self._own_reports
+                if now_s - report.crashed_s < ANNOUNCED_S
+                and (unsound := self._unsound(report.part_ids, now_s))
+            ],
+            holds=[
+                HoldReport(
+                    tuple(sorted(hold.part_ids)),
+                    now_s - hold.held_s,
+                    hold.stored,
+                    hold.tried,
+                )
+                for hold in self.holds.values()
+            ],
+            answer_ages_s_by_part={
+                part_id: now_s - self._answered_s_by_part[part_id]
+                for part_id in suspected[-MAX_ANNOUNCED_ANSWERS:]
+            },
+        )
+
+    def drop_expired(self, now_s: float) -> list[HoldChange]:
+        """Drop what is too old; return the holds that ended."""
+        if not (self.holds or self._evidence_by_part):
+            return []
+        oldest_s = now_s - EVIDENCE_LIFETIME_S
+        self._own_reports = [
+            report
+            for report in self._own_reports
+            if report.crashed_s > oldest_s
+        ]
+        for part_id, evidence in list(self._evidence_by_part.items()):
+            crashes = evidence.crash_by_upstream
+            for upstream, crash in list(crashes.items()):
+                if crash.crashed_s <= oldest_s:
+                    del crashes[upstream]
+            if not crashes:
+                del self._evidence_by_part[part_id]
+        changes = []
+        for hold in list(self.holds.values()):
+            if now_s >= hold.ends_s:
+                changes.append(self._release(hold, "time is over"))
+                self._held_before_s_by_part |= dict.fromkeys(
+                    hold.part_ids, now_s
+                )
+        while len(self._held_before_s_by_part) > MAX_EVIDENCE_PARTS:
+            oldest = next(iter(self._held_before_s_by_part))
+            del self._held_before_s_by_part[oldest]
+        return changes
+
+    # Helpers.
+
+    def _is_sound(self, part_id: str, now_s: float) -> bool:
+        answered_s = self._answered_s_by_part.get(part_id)
+        return (
+            answered_s is not None and now_s - answered_s < SOUND_AFTER_ANSWER_S
+        )
+
+    def _unsound(
+        self, part_ids: Iterable[str], now_s: float
+    ) -> tuple[str, ...]:
+        return tuple(p for p in part_ids if not self._is_sound(p, now_s))
+
+    def _record_sound(
+        self, answered_s_by_part: Mapping[str, float], reason: str
+    ) -> list[HoldChange]:
+        changes: list[HoldChange] = []
+        for part_id, answered_s in answered_s_by_part.items():
+            known_s = self._answered_s_by_part.pop(part_id, answered_s)
+            self._answered_s_by_part[part_id] = max(known_s, answered_s)
+            self._evidence_by_part.pop(part_id, None)
+            self._held_before_s_by_part.pop(part_id, None)
+            for hold in list(self.holds.values()):
+                if (
+                    part_id in hold.part_ids
+                    and answered_s > hold.held_s - SOUND_AFTER_ANSWER_S
+                ):
+                    changes.append(self._narrow(hold, part_id, reason))
+        while len(self._answered_s_by_part) > MAX_SOUND_PARTS:
+            del self._answered_s_by_part[next(iter(self._answered_s_by_part))]
+        return changes
+
+    def _narrow(
+        self, hold: PromptHold, part_id: str, reason: str
+    ) -> HoldChange:
+        """Leave a part that is sound out of a hold."""
+        # Peers must know that it is sound.
+        self._note_suspected((part_id,), self._answered_s_by_part[part_id])
+        self.has_news = True
+        if len(hold.part_ids) == 1:
+            return self._release(hold, reason)
+        del self.holds[hold.part_ids]
+        hold.part_ids -= {part_id}
+        hold.stored = False
+        self._put(hold)
+        return HoldChange(
+            decision="hold_narrowed",
+            part_ids=tuple(sorted(hold.part_ids)),
+            reason=reason,
+        )
+
+    def _release(self, hold: PromptHold, reason: str) -> HoldChange:
+        self.holds.pop(hold.part_ids, None)
+        return HoldChange(
+            decision="prompt_released",
+            part_ids=tuple(sorted(hold.part_ids)),
+            reason=reason,
+        )
+
+    def _put(self, hold: PromptHold) -> None:
+        """Add a hold, and drop those of prompts that it covers."""
+        for other in list(self.holds.values()):
+            if hold.part_ids < other.part_ids:
+                del self.holds[other.part_ids]
+        self.holds[hold.part_ids] = hold
+        while len(self.holds) > MAX_HOLDS:
+            del self.holds[next(iter(self.holds))]
+
+    def _adopt(
+        self, report: HoldReport, now_s: float, reason: str
+    ) -> list[HoldChange]:
+        held_s = now_s - report.age_s
+        if not report.part_ids or now_s >= held_s + HOLD_S:
+            return []
+        self._note_suspected(report.part_ids, now_s)
+        part_ids = frozenset(
+            part_id
+            for part_id in report.part_ids
+            if self._answered_s_by_part.get(part_id, -SOUND_AFTER_ANSWER_S)
+            <= held_s - SOUND_AFTER_ANSWER_S
+        )
+        is_same = len(part_ids) == len(report.part_ids)
+        if not is_same:
+            self.has_news = True
+        if not part_ids:
+            return []
+        known = self.holds.get(part_ids)
+        if known is not None:
+            known.held_s = min(known.held_s, held_s)
+            known.stored |= report.stored and is_same
+            known.tried |= report.tried
+            return []
+        if any(other <= part_ids for other in self.holds):
+            return []
+        self._put(
+            PromptHold(
+                part_ids,
+                held_s,
+                stored=report.stored and is_same,
+                tried=report.tried,
+            )
+        )
+        self._explain(part_ids)
+        return [
+            HoldChange(
+                decision="prompt_held",
+                part_ids=tuple(sorted(part_ids)),
+                reason=reason,
+            )
+        ]
+
+    def _note_suspected(self, part_ids: Iterable[str], now_s: float) -> None:
+        for part_id in part_ids:
+            self._suspected_s_by_part.pop(part_id, None)
+            self._suspected_s_by_part[part_id] = now_s
+        while len(self._suspected_s_by_part) > MAX_EVIDENCE_PARTS:
+            oldest = next(iter(self._suspected_s_by_part))
+            del self._suspected_s_by_part[oldest]
+
+    def _add_evidence(
+        self,
+        upstream: str,
+        crashed_s: float,
+        part_ids: tuple[str, ...],
+        now_s: float,
+    ) -> None:
+        for part_id in part_ids:
+            companions = frozenset(part_ids) - {part_id}
+            evidence = self._evidence_by_part.setdefault(part_id, _Evidence())
+            crash = evidence.crash_by_upstream.get(upstream)
+            if crash is None:
+                evidence.crash_by_upstream[upstream] = _Crash(
+                    crashed_s, companions
+                )
+            else:
+                crash.companions &= companions
+        while len(self._evidence_by_part) > MAX_EVIDENCE_PARTS:
+            del self._evidence_by_part[next(iter(self._evidence_by_part))]
+
+    def _decide(
+        self, part_ids: Iterable[str], now_s: float
+    ) -> list[HoldChange]:
+        """Hold parts back under which enough upstreams ended.
+
+        The part with the most crashes comes first: it explains those of other
+        parts.
+        """
+        changes: list[HoldChange] = []
+        for held_part_ids in self.holds:
+            self._explain(held_part_ids)
+        counts = {
+            part_id: evidence.crash_count()
+            for part_id in part_ids
+            if (evidence := self._evidence_by_part.get(part_id)) is not None
+        }
+        for part_id in sorted(counts, key=lambda p: (-counts[p], p)):
+            evidence = self._evidence_by_part.get(part_id)
+            if evidence is None or not self._is_conclusive(
+                part_id, evidence, now_s
+            ):
+                continue
+            held = evidence.companions() | {part_id}
+            held = frozenset(self._unsound(held, now_s))
+            if any(hold <= held for hold in self.holds):
+                continue
+            self._put(PromptHold(held, now_s, decided_here=True))
+            self.has_news = True
+            changes.append(
+                HoldChange(
+                    decision="prompt_held",
+                    part_ids=tuple(sorted(held)),
+                    reason="upstreams ended under it",
+                    upstreams=tuple(evidence.crash_by_upstream),
+                )
+            )
+            self._explain(held)
+        return changes
+
+    def _is_conclusive(
+        self, part_id: str, evidence: _Evidence, now_s: float
+    ) -> bool:
+        # Only a host that had such a request itself can compare it with others
+        # of the service.
+        if not evidence.service:
+            return False
+        count = evidence.crash_count()
+        recent_s = self._recent_answers_s_by_service.get(evidence.service, [])
+        if (
+            len(recent_s) < MIN_RECENT_ANSWERS
+            or now_s - recent_s[0] > RECENT_ANSWER_S
+        ):
+            needed = CRASHES_TO_HOLD_WITHOUT_ANSWERS
+        elif self._was_held(part_id, now_s):
+            needed = CRASHES_TO_HOLD_AGAIN
+        else:
+            needed = CRASHES_TO_HOLD
+        return count >= needed and not self._is_covered(part_id, evidence)
+
+    def _was_held(self, part_id: str, now_s: float) -> bool:
+        held_before_s = self._held_before_s_by_part.get(part_id)
+        return (
+            held_before_s is not None
+            and now_s - held_before_s < REMEMBERED_HOLD_S
+        )
+
+    def _is_covered(self, part_id: str, evidence: _Evidence) -> bool:
+        """Whether upstreams ended as often under a part of other prompts."""
+        upstreams = evidence.crash_by_upstream.keys()
+        companions = evidence.companions()
+        return any(
+            other_id != part_id
+            and other_id not in companions
+            and upstreams <= other.crash_by_upstream.keys()
+            for other_id, other in self._evidence_by_part.items()
+        )
+
+    def _explain(self, held: frozenset[str]) -> None:
+        """Drop the crashes under held prompts from the evidence on others."""
+        explained: set[str] = set()
+        for part_id in held:
+            evidence = self._evidence_by_part.get(part_id)
+            if evidence is not None:
+                explained |= evidence.crash_by_upstream.keys()
+        for part_id, evidence in list(self._evidence_by_part.items()):
+            if part_id in held:
+                continue
+            for upstream in explained & evidence.crash_by_upstream.keys():
+                del evidence.crash_by_upstream[upstream]
+            if not evidence.crash_by_upstream:
+                del self._evidence_by_part[part_id]
--- a/src/shallotfold/_gateway/deciding/effects.py
+++ b/src/shallotfold/_gateway/deciding/effects.py
@@ -3,17 +3,23 @@
 import attrs
 
 from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.deciding.crashing_prompts import HoldChange
 
 
 @attrs.frozen(kw_only=True)
 class Effect:
-    """Base of all effects; each concerns one request."""
+    """Base of all effects."""
+
+
+@attrs.frozen(kw_only=True)
+class RequestEffect(Effect):
+    """Base of the effects that concern one request."""
 
     request: int
 
 
 @attrs.frozen(kw_only=True)
-class SendAttempt(Effect):
+class SendAttempt(RequestEffect):
     """Send the request to an upstream.
 
     Attributes:
@@ -33,17 +39,17 @@
 
 
 @attrs.frozen(kw_only=True)
-class CancelAttempt(Effect):
+class CancelAttempt(RequestEffect):
     """Abort the current attempt so that its upstream stops working on it."""
 
 
 @attrs.frozen(kw_only=True)
-class DeliverFailure(Effect):
+class DeliverFailure(RequestEffect):
     """Forward the error response of the upstream unchanged."""
 
 
 @attrs.frozen(kw_only=True)
-class Refuse(Effect):
+class Refuse(RequestEffect):
     """Respond that the request has not run and when to retry.
 
     Attributes:
@@ -56,7 +62,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Fail(Effect):
+class Fail(RequestEffect):
     """Respond that the outcome is unknown, or abort a started response.
 
     Attributes:
@@ -67,3 +73,15 @@
 
     timed_out: bool
     reason: str
+
+
+@attrs.frozen(kw_only=True)
+class LogHoldChange(Effect):
+    """Log that prompts are held back or let through."""
+
+    change: HoldChange
+
+
+@attrs.frozen(kw_only=True)
+class AnnounceCrashes(Effect):
+    """Tell all peers at once what this host knows of crashing prompts."""
--- a/src/shallotfold/_gateway/deciding/events.py
+++ b/src/shallotfold/_gateway/deciding/events.py
@@ -11,6 +11,7 @@
 from shallotfold._gateway.core.model import Prompt
 from shallotfold._gateway.core.model import Route
 from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.deciding.crashing_prompts import CrashKnowledge
 from shallotfold._model.events import Event
 
 
@@ -155,6 +156,25 @@
     prefixes_sent: Sequence[tuple[str, str]] = ()
 
 
+@attrs.frozen(kw_only=True)
+class PeerCrashesReceived(Event):
+    """A peer told what it knows of prompts under which upstreams end."""
+
+    peer: str
+    knowledge: CrashKnowledge
+
+
+@attrs.frozen(kw_only=True)
+class StoredHoldsRead(Event):
+    """The holds in the platform's store were read.
+
+    Attributes:
+        holds: Parts of each hold.
+    """
+
+    holds: Sequence[tuple[str, ...]]
+
+
 @attrs.frozen(kw_only=True)
 class TimePassed(Event):
     """Time has passed; sent periodically while the process runs.
--- /dev/null
+++ b/src/shallotfold/_gateway/following/stored_holds.py
@@ -0,0 +1,148 @@
+"""Keep the prompts that are held back in the platform's store.
+
+Hosts tell each other of them. The store is for hosts that start when no other
+host is left that knows, and for hosts that lose all others.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import hashlib
+import json
+import random
+
+from shallotfold._errors import PlatformError
+from shallotfold._errors import StoreConflictError
+from shallotfold._gateway.core import decision_log
+from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.core.periodic_task import PeriodicTask
+from shallotfold._gateway.core.ports import WatchedStore
+from shallotfold._gateway.deciding.crashing_prompts import CrashingPrompts
+from shallotfold._gateway.deciding.crashing_prompts import PromptHold
+from shallotfold._services.ports import StoredValue
+
+HOLDS_PREFIX = "shallotfold/held-prompts/"
+CHECK_INTERVAL_S = 0.2
+# After a failed call, each further one costs the store something.
+RETRY_DELAY_S = 1.0
+# The host that decided a hold stores it. Others do so if it hasn't for this
+# long, at different times.
+OTHERS_STORE_AFTER_S = (3.0, 6.0)
+# A host without a peer that is alive reads the holds of others this often.
+ISOLATED_READ_INTERVAL_S = 2.0
+# The store keeps no lease that is shorter.
+MIN_LEASE_S = 1.0
+
+
+class StoredHolds:
+    """Reads and writes the holds in the platform's store."""
+
+    def __init__(
+        self,
+        store: WatchedStore,
+        prompts: CrashingPrompts,
+        on_read: Callable[[Sequence[tuple[str, ...]]], None],
+        is_follower: Callable[[], bool],
+        is_isolated: Callable[[], bool],
+        *,
+        is_first_start: bool,
+    ) -> None:
+        """Make the keeper of a host.
+
+        Args:
+            store: The platform's store.
+            prompts: The holds of this host.
+            on_read: Called with the parts of each hold in the store.
+            is_follower: Returns whether this host calls the store for others.
+            is_isolated: Returns whether the host has lost all its peers.
+            is_first_start: Whether the store can't have any hold yet.
+        """
+        self._store = store
+        self._prompts = prompts
+        self._on_read = on_read
+        self._is_follower = is_follower
+        self._is_isolated = is_isolated
+        self._must_read = not is_first_start
+        self._read_s = 0.0
+        self._others_store_after_s = random.uniform(*OTHERS_STORE_AFTER_S)
+        self._retry_s = 0.0
+        self._periodic_task = PeriodicTask(
+            "Storing held prompts", self.step, self._pause_s
+        )
+
+    async def start(self) -> None:
+        """Start reading and writing."""
+        await self._periodic_task.start()
+
+    async def close(self) -> None:
+        """Stop reading and writing."""
+        await self._periodic_task.close()
+
+    async def step(self) -> None:
+        """Read or write what is due."""
+        now_s = boot_s()
+        if now_s < self._retry_s:
+            return
+        if self._is_isolated() and now_s - self._read_s > (
+            ISOLATED_READ_INTERVAL_S
+        ):
+            self._must_read = True
+        try:
+            if self._must_read:
+                self._on_read(_read_parts(await self._store.list(HOLDS_PREFIX)))
+                self._must_read = False
+                self._read_s = now_s
+            for hold in list(self._prompts.holds.values()):
+                if self._should_store(hold, now_s):
+                    await self._write(hold)
+        except PlatformError as error:
+            decision_log.record("holds_call_failed", error=str(error))
+            self._retry_s = boot_s() + RETRY_DELAY_S * random.uniform(0.8, 1.2)
+
+    def _pause_s(self) -> float:
+        # A host that starts reads the holds before its first request.
+        return (
+            0.0 if self._must_read and not self._retry_s else CHECK_INTERVAL_S
+        )
+
+    def _should_store(self, hold: PromptHold, now_s: float) -> bool:
+        if hold.stored or hold.ends_s - now_s < MIN_LEASE_S:
+            return False
+        if hold.decided_here:
+            return True
+        age_s = now_s - hold.held_s
+        return self._is_follower() and age_s > self._others_store_after_s
+
+    async def _write(self, hold: PromptHold) -> None:
+        """Store a hold for as long as it lasts."""
+        part_ids = sorted(hold.part_ids)
+        lease = await self._store.grant_lease(hold.ends_s - boot_s())
+        try:
+            await self._store.compare_and_swap(
+                _key(part_ids),
+                0,
+                json.dumps({"parts": part_ids}).encode(),
+                lease.lease_id,
+            )
+        except StoreConflictError:
+            # Another host has stored it.
+            await self._store.revoke_lease(lease.lease_id)
+        hold.stored = True
+        decision_log.record("hold_stored", parts=part_ids)
+
+
+def _key(part_ids: Sequence[str]) -> str:
+    digest = hashlib.blake2b(json.dumps(part_ids).encode(), digest_size=16)
+    return HOLDS_PREFIX + digest.hexdigest()
+
+
+def _read_parts(values: Sequence[StoredValue]) -> list[tuple[str, ...]]:
+    holds = []
+    for value in values:
+        try:
+            parts = json.loads(value.value)["parts"]
+            holds.append(tuple(str(part_id) for part_id in parts))
+        except (ValueError, TypeError, LookupError) as error:
+            decision_log.record(
+                "stored_hold_ignored", key=value.key, error=str(error)
+            )
+    return holds
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -24,14 +24,20 @@
 from shallotfold._gateway.core import decision_log
 from shallotfold._gateway.core.clocks import boot_s
 from shallotfold._gateway.core.periodic_task import PeriodicTask
+from shallotfold._gateway.deciding.crashing_prompts import CrashKnowledge
 from shallotfold._gateway.deciding.events import RequestLoad
 from shallotfold._gateway.peers.change_messages import MAX_MESSAGE_BYTES
 from shallotfold._gateway.peers.change_messages import UpstreamChanges
 from shallotfold._gateway.peers.change_messages import decode_changes
+from shallotfold._gateway.peers.crash_messages import decode_knowledge
+from shallotfold._gateway.peers.crash_messages import encode_knowledge
+from shallotfold._gateway.peers.crash_messages import knowledge_fields
+from shallotfold._gateway.peers.crash_messages import read_knowledge
 
 PROTOCOL_VERSION = 5
 _NUMBER = (int, float)
-# Types of a heartbeat's fields, in order; earlier builds don't send the last.
+# Types of a heartbeat's fields, in order; earlier builds don't send the last
+# ones.
 FIELD_TYPES: tuple[type | tuple[type, ...], ...] = (
     int,
     str,
@@ -50,6 +56,7 @@
     dict,
     int,
     _NUMBER,
+    list,
 )
 MIN_HEARTBEAT_INTERVAL_S = 0.4
 # The datagrams of all hosts grow with the square of their number, so each
@@ -88,6 +95,9 @@
 RELAY_ENDED_COUNTS_S = 12.0
 # Addresses of other peers in one datagram.
 ADDRESSES_PER_DATAGRAM = 6
+# An upstream that ends breaks several requests off; peers are told of all of
+# them in one message.
+CRASH_BATCH_DELAY_S = 0.01
 
 
 class StoreAccess(enum.IntEnum):
@@ -127,6 +137,7 @@
             that they are leaving, with their starts in Unix milliseconds.
         store_access: Whether it reaches the store.
         interval_s: Time between its heartbeats.
+        crash_knowledge: What it knows of prompts under which upstreams end.
     """
 
     name: str
@@ -147,6 +158,7 @@
     leaving_started_ms_by_id: Mapping[str, int] = attrs.field(factory=dict)
     store_access: StoreAccess = StoreAccess.UNKNOWN
     interval_s: float = MAX_HEARTBEAT_INTERVAL_S
+    crash_knowledge: CrashKnowledge = attrs.field(factory=CrashKnowledge)
 
     @property
     def origin(self) -> str:
@@ -176,6 +188,7 @@
     prefixes_sent: Sequence[tuple[str, str]] = ()
     leaving_started_ms_by_id: Mapping[str, int] = attrs.field(factory=dict)
     store_access: StoreAccess = StoreAccess.UNKNOWN
+    crash_knowledge: CrashKnowledge = attrs.field(factory=CrashKnowledge)
 
 
 def heartbeat_interval_s(host_count: int) -> float:
@@ -217,6 +230,11 @@
         self._clock_offset_s = time.time() - boot_s()
         self._has_agreed = False
 
+    @property
+    def name(self) -> str:
+        """Name of this host."""
+        return self._name
+
     @property
     def origin(self) -> str:
         """Name of this host and incarnation of its process."""
@@ -352,6 +370,7 @@
                     local.leaving_started_ms_by_id,
                     int(local.store_access),
                     self.heartbeat_interval_s(),
+                    knowledge_fields(local.crash_knowledge),
                 )
             ),
         )
@@ -403,6 +422,11 @@
                 if len(fields) > 16
                 else MAX_HEARTBEAT_INTERVAL_S
             ),
+            crash_knowledge=(
+                read_knowledge(fields[17])
+                if len(fields) > 17
+                else CrashKnowledge()
+            ),
         )
         return state, fields[12]
 
@@ -470,6 +494,7 @@
         pop_prefixes: Callable[[], Sequence[tuple[str, str]]],
         on_state: Callable[[PeerState], None],
         on_changes: Callable[[UpstreamChanges], None],
+        on_crashes: Callable[[str, CrashKnowledge], None],
     ) -> None:
         self._peers = peers
         self._port = port
@@ -477,6 +502,8 @@
         self._pop_prefixes = pop_prefixes
         self._on_state = on_state
         self._on_changes = on_changes
+        self._on_crashes = on_crashes
+        self._crashes_timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._seeds_contacted_s = 0.0
         self._sender = PeriodicTask(
@@ -499,6 +526,8 @@
     async def close(self) -> None:
         """Send a last heartbeat and close the socket."""
         await self._sender.close()
+        if self._crashes_timer is not None:
+            self._crashes_timer.cancel()
         if self._transport is not None:
             self.send_now()
             self._transport.close()
@@ -524,6 +553,24 @@
         for ip in self._peers.recipients(with_seeds=False):
             self._send(data, ip)
 
+    def announce_crashes(self) -> None:
+        """Soon tell all known peers what this host knows of crashes."""
+        if self._crashes_timer is None:
+            self._crashes_timer = asyncio.get_running_loop().call_later(
+                CRASH_BATCH_DELAY_S, self._send_crashes
+            )
+
+    def _send_crashes(self) -> None:
+        self._crashes_timer = None
+        data = encode_knowledge(
+            self._peers.name, self._make_state().crash_knowledge
+        )
+        if len(data) > MAX_MESSAGE_BYTES:
+            decision_log.record("crashes_too_large", size=len(data))
+            return
+        for ip in self._peers.recipients(with_seeds=False):
+            self._send(data, ip)
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Handle a peer's datagram; send a heartbeat to new hosts it names."""
         try:
@@ -531,6 +578,10 @@
             if changes is not None:
                 self._on_changes(changes)
                 return
+            crashes = decode_knowledge(data)
+            if crashes is not None:
+                self._on_crashes(*crashes)
+                return
             state, passed_on_ips = self._peers.decode(data, addr[0])
         except (
             ValueError,
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 from http import HTTPStatus
 import random
 import signal
@@ -19,8 +20,11 @@
 from shallotfold._gateway.core.ports import DutyCalls
 from shallotfold._gateway.core.ports import WatchedStore
 from shallotfold._gateway.core.settings import GatewaySettings
+from shallotfold._gateway.deciding.crashing_prompts import CrashKnowledge
 from shallotfold._gateway.deciding.dispatcher import Dispatcher
+from shallotfold._gateway.deciding.events import PeerCrashesReceived
 from shallotfold._gateway.deciding.events import PeerLoadsReceived
+from shallotfold._gateway.deciding.events import StoredHoldsRead
 from shallotfold._gateway.deciding.placement import Placement
 from shallotfold._gateway.deciding.retry_budget import FleetRetryBudget
 from shallotfold._gateway.duties.duty_lease import DutyLease
@@ -32,6 +36,7 @@
 from shallotfold._gateway.following.fleet_view import FleetView
 from shallotfold._gateway.following.prefix_watcher import PrefixWatcher
 from shallotfold._gateway.following.store_followers import StoreFollowers
+from shallotfold._gateway.following.stored_holds import StoredHolds
 from shallotfold._gateway.peers.change_messages import UpstreamChanges
 from shallotfold._gateway.peers.peers import LocalState
 from shallotfold._gateway.peers.peers import PeerLink
@@ -97,6 +102,7 @@
             self._metrics,
             self._peers.agreed_time_s,
         )
+        dispatcher.crashing_prompts.trial_draw = random.random()
         self._peer_link = PeerLink(
             self._peers,
             settings.peer_port,
@@ -104,7 +110,9 @@
             dispatcher.placement.prefixes.take_unannounced,
             self._on_peer_state,
             self._on_peer_changes,
+            self._on_peer_crashes,
         )
+        self._gateway.announce_crashes = self._peer_link.announce_crashes
         self._followers = StoreFollowers(settings.host)
         # A new configuration is announced at once, for peers that get no
         # updates from the store.
@@ -125,6 +133,14 @@
             settings.peer_address.port,
             self._is_follower,
         )
+        self._stored_holds = StoredHolds(
+            store,
+            dispatcher.crashing_prompts,
+            self._on_stored_holds,
+            self._is_follower,
+            self._is_isolated,
+            is_first_start=settings.is_first_start,
+        )
         self._duty_lease = DutyLease(
             store,
             settings.host,
@@ -207,6 +223,7 @@
         )
         for watcher in self._watchers:
             await watcher.start()
+        await self._stored_holds.start()
         await self._peer_link.start(settings.ip)
         address = settings.caller_address
         await self._gateway.start(address.ip, address.port)
@@ -226,6 +243,7 @@
         await self._catch_up.close()
         for watcher in self._watchers:
             await watcher.close()
+        await self._stored_holds.close()
         await self._gateway.close()
         await self._peer_link.close()
         await self._page_server.close()
@@ -302,6 +320,10 @@
     def _is_follower(self) -> bool:
         return self._followers.is_follower
 
+    def _is_isolated(self) -> bool:
+        """Whether all peers that this host knew lately are silent."""
+        return bool(self._peers.state_by_name) and not self._peers.alive()
+
     def _store_access(self) -> StoreAccess:
         if any(watcher.failing for watcher in self._watchers):
             return StoreAccess.FAILING
@@ -357,6 +379,9 @@
                 self._peers.ended_origins(), window
             ),
             store_access=self._store_access(),
+            crash_knowledge=self._gateway.dispatcher.crashing_prompts.knowledge(
+                boot_s()
+            ),
         )
 
     def _on_peer_state(self, state: PeerState) -> None:
@@ -379,6 +404,19 @@
                 prefixes_sent=state.prefixes_sent,
             )
         )
+        if state.crash_knowledge:
+            self._on_peer_crashes(state.name, state.crash_knowledge)
+
+    def _on_peer_crashes(self, peer: str, knowledge: CrashKnowledge) -> None:
+        if peer != self._peers.name:
+            self._gateway.deliver(
+                PeerCrashesReceived(
+                    now_s=boot_s(), peer=peer, knowledge=knowledge
+                )
+            )
+
+    def _on_stored_holds(self, holds: Sequence[tuple[str, ...]]) -> None:
+        self._gateway.deliver(StoredHoldsRead(now_s=boot_s(), holds=holds))
 
     def _on_peer_changes(self, changes: UpstreamChanges) -> None:
         if self._store_access() is not StoreAccess.WORKING:
@@ -415,4 +453,7 @@
             "upstream_connections_made": self._gateway.pool.connections_made,
             "store_era": self._store.era,
             "holds_duties": float(self._duty_lease.is_held),
+            "held_prompts": len(
+                self._gateway.dispatcher.crashing_prompts.holds
+            ),
         }
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -60,6 +60,10 @@
     reason: str
 
 
+def _announce_nothing() -> None:
+    """Without peers there is nobody to tell."""
+
+
 def _ignore_leaving(upstream: Upstream) -> bool:
     del upstream
     return False
@@ -78,6 +82,7 @@
         host_count: Number of hosts that share the fleet's retry budget.
         on_upstream_leaving: Called when an upstream says in a response that it
             is leaving; returns whether that is new.
+        announce_crashes: Called when peers should learn of crashing prompts.
     """
 
     def __init__(
@@ -98,6 +103,7 @@
         self.host_count = 1
         self._invalid_pause_ids: set[str] = set()
         self.on_upstream_leaving: Callable[[Upstream], bool] = _ignore_leaving
+        self.announce_crashes: Callable[[], None] = _announce_nothing
         self._usage = usage
         self._agreed_time_s = agreed_time_s
         self._request_numbers = itertools.count(1)
@@ -114,6 +120,8 @@
             effects.DeliverFailure: self._deliver_failure,
             effects.Refuse: self._refuse,
             effects.Fail: self._fail,
+            effects.LogHoldChange: self._log_hold_change,
+            effects.AnnounceCrashes: self._announce_crashes,
         }
 
     async def start(self, ip: str, port: int) -> None:
@@ -310,6 +318,19 @@
             status = 504 if effect.timed_out else 502
             relay.respond(status, effect.reason, None)
 
+    def _log_hold_change(self, effect: effects.LogHoldChange) -> None:
+        change = effect.change
+        decision_log.record(
+            change.decision,
+            parts=change.part_ids,
+            reason=change.reason,
+            upstreams=change.upstreams or None,
+        )
+
+    def _announce_crashes(self, effect: effects.AnnounceCrashes) -> None:
+        del effect
+        self.announce_crashes()
+
     # Helpers.
 
     def _rejects_during_shutdown(self, timeout_s: float) -> bool:
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -25,6 +25,8 @@
         error_status: Status of all responses, unless 0.
         era: Number of restores, in a header of all responses.
         calls: Names of the calls so far.
+        lifetime_ms_by_lease: Lifetime of each lease that was granted; `respond`
+            doesn't end leases.
     """
 
     revision: int = 1
@@ -36,6 +38,7 @@
     entries: dict[str, dict[str, Any]] = attrs.field(factory=dict)
     history: list[dict[str, Any]] = attrs.field(factory=list)
     leases: set[int] = attrs.field(factory=set)
+    lifetime_ms_by_lease: dict[int, int] = attrs.field(factory=dict)
 
     def respond(self, request: bytes) -> bytes:
         head, _, body = request.partition(b"\r\n\r\n")
@@ -150,6 +153,7 @@
         del query, last
         lease = 1000 + len(self.calls)
         self.leases.add(lease)
+        self.lifetime_ms_by_lease[lease] = content["LifetimeMs"]
         return 200, {"LeaseId": lease, "LifetimeMs": content["LifetimeMs"]}
 
     def kv_keep(self, query: Any, content: Any, last: str) -> tuple[int, Any]:
