Test holds, their messages and their place in the store

Unit tests of what brought: narrowing, trials, crashes at the same moment, leaving upstreams, damaged messages, the store's part.

Also, found by reading: an answer that only the end of its connection ends no longer shows that its parts are sound, since the connection also ends when the upstream does; holds are stored again after a restore; a host that doesn't watch the store reads it once and doesn't repeat a failed read.

--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -238,6 +238,8 @@
             return []
         self.placement.health.record_success(request.upstream, event.now_s)
         self._end_attempt(request)
+        if not event.end_marked:
+            return []
         return self._record_sound(request, event.now_s)
 
     def _on_caller_disconnected(
--- a/src/shallotfold/_gateway/deciding/events.py
+++ b/src/shallotfold/_gateway/deciding/events.py
@@ -84,7 +84,14 @@
 
 @attrs.frozen(kw_only=True)
 class AttemptSucceeded(AttemptEvent):
-    """The whole response has been forwarded."""
+    """The whole response has been forwarded.
+
+    Attributes:
+        end_marked: Whether the response marked its end itself. The end of a
+            connection proves less: it also comes when an upstream ends.
+    """
+
+    end_marked: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_gateway/following/stored_holds.py
+++ b/src/shallotfold/_gateway/following/stored_holds.py
@@ -77,6 +77,11 @@
         """Stop reading and writing."""
         await self._periodic_task.close()
 
+    def record_store_restored(self) -> None:
+        """Store the holds again, since the backup may lack them."""
+        for hold in self._prompts.holds.values():
+            hold.stored = False
+
     async def step(self) -> None:
         """Read or write what is due."""
         now_s = boot_s()
@@ -97,6 +102,8 @@
         except PlatformError as error:
             decision_log.record("holds_call_failed", error=str(error))
             self._retry_s = boot_s() + RETRY_DELAY_S * random.uniform(0.8, 1.2)
+            # The others learn from the hosts that keep calling the store.
+            self._must_read = self._must_read and self._is_follower()
 
     def _pause_s(self) -> float:
         # A host that starts reads the holds before its first request.
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -292,6 +292,7 @@
             watcher.restart_watch()
         self._duty_lease.record_store_restored()
         self._usage_reporter.record_store_restored()
+        self._stored_holds.record_store_restored()
 
     def _notice_restore(self) -> None:
         """Read the store again if a call has shown that it was restored."""
--- a/src/shallotfold/_gateway/serving/attempt.py
+++ b/src/shallotfold/_gateway/serving/attempt.py
@@ -116,6 +116,11 @@
                 return value
         return None
 
+    @property
+    def end_marked(self) -> bool:
+        """Whether the response marks its end itself."""
+        return self.framing is not BodyFraming.CONNECTION_CLOSE
+
     def cancel(self) -> None:
         """Drop the connection."""
         if self.send_handle is not None:
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -366,7 +366,11 @@
             )
             return
         self._gateway.deliver(
-            events.AttemptSucceeded(now_s=now_s, request=self.request_number)
+            events.AttemptSucceeded(
+                now_s=now_s,
+                request=self.request_number,
+                end_marked=attempt.end_marked,
+            )
         )
         self._write_response(attempt)
 
@@ -468,7 +472,11 @@
     def _finish_stream(self, attempt: Attempt) -> None:
         attempt.release_connection()
         self._gateway.deliver(
-            events.AttemptSucceeded(now_s=boot_s(), request=self.request_number)
+            events.AttemptSucceeded(
+                now_s=boot_s(),
+                request=self.request_number,
+                end_marked=attempt.end_marked,
+            )
         )
         self._finish_request(attempt.status, **self._stream_position(attempt))
         self._stream_response.finish()
--- a/tests/gateway/deciding/test_crashing_prompts.py
+++ b/tests/gateway/deciding/test_crashing_prompts.py
@@ -1,6 +1,11 @@
 """Check which requests are held back after upstreams ended under them."""
 
 import itertools
+import math
+
+import hypothesis
+from hypothesis import strategies
+import pytest
 
 from shallotfold._gateway.core.model import Prompt
 from shallotfold._gateway.core.model import PromptPart
@@ -8,6 +13,12 @@
 from shallotfold._gateway.core.model import RouteKind
 from shallotfold._gateway.deciding import effects
 from shallotfold._gateway.deciding import events
+from shallotfold._gateway.deciding.crashing_prompts import HOLD_S
+from shallotfold._gateway.deciding.crashing_prompts import TRIAL_AFTER_S
+from shallotfold._gateway.deciding.crashing_prompts import CrashingPrompts
+from shallotfold._gateway.deciding.dispatcher import WRITTEN_WITHOUT_CRASH_S
+from shallotfold._gateway.peers.crash_messages import decode_knowledge
+from shallotfold._gateway.peers.crash_messages import encode_knowledge
 from tests.gateway.factories import DispatcherHarness
 from tests.gateway.factories import make_route
 from tests.gateway.factories import make_upstream
@@ -15,6 +26,9 @@
 STREAM = make_route(
     RouteKind.STREAM, max_attempts=2, reads_prompt=True, resumable=True
 )
+ONCE = make_route(
+    RouteKind.STREAM, name="once", path_prefix="/once/", max_attempts=1
+)
 UPSTREAM_COUNT = 8
 # An answer is ready, or its upstream ends, this long after the send.
 RUN_S = 0.1
@@ -83,6 +97,19 @@
         self.effects = effects_of_last
 
 
+def held_harness() -> EnginesHarness:
+    """Return a host that holds part "bad" back and knows "system" as sound."""
+    harness = EnginesHarness("bad")
+    harness.send("system", "good")
+    harness.send("system", "good")
+    harness.send("system", "bad")
+    harness.send("system", "bad")
+    assert set(harness.dispatcher.crashing_prompts.holds) == {
+        frozenset({"bad"})
+    }
+    return harness
+
+
 def test_part_under_which_upstreams_ended_is_sent_to_no_further_ones() -> None:
     # Each request with the part had a fresh upstream, and its retry another.
     harness = EnginesHarness("bad")
@@ -90,3 +117,273 @@
         harness.send("system", "bad")
         assert harness.send("system", f"subject{number % 3}") == 1
     assert len(harness.crashed) <= 5
+
+
+def test_prompts_with_the_other_parts_are_sent_while_a_part_is_held() -> None:
+    """Without any earlier answer, the first part is as suspect as the other."""
+    harness = EnginesHarness("bad")
+    for number in range(6):
+        harness.send("system", "bad", f"subject{number}")
+    for number in range(6):
+        assert harness.send("system", f"subject{number}") == 1
+        assert harness.send("system", f"subject{number}", "bad") == 0
+    assert set(harness.dispatcher.crashing_prompts.holds) == {
+        frozenset({"bad"})
+    }
+
+
+def test_held_request_is_told_that_it_has_not_run_and_how_long() -> None:
+    harness = held_harness()
+    (refusal,) = harness.arrive(900, STREAM, prompt=make_prompt_of("bad"))
+    assert isinstance(refusal, effects.Refuse)
+    assert refusal.reason == "upstreams end under prompts with part bad"
+    assert HOLD_S - 10.0 <= refusal.retry_after_s <= 1.1 * HOLD_S
+
+
+def test_request_is_not_retried_once_its_part_is_held() -> None:
+    harness = EnginesHarness("bad")
+    harness.send("system", "good")
+    harness.send("system", "good")
+    harness.send("system", "bad")
+    # The third upstream ends under the first attempt of this one.
+    assert harness.send("system", "bad") == 1
+
+
+def test_part_that_is_answered_now_and_then_is_not_held() -> None:
+    """Sound requests break off too when an upstream ends."""
+    harness = EnginesHarness("bad")
+    for _ in range(10):
+        harness.crashing_parts = {"shared"}
+        harness.send("system", "shared")
+        harness.crashing_parts = set()
+        harness.send("system", "shared")
+    assert not harness.dispatcher.crashing_prompts.holds
+
+
+def test_upstream_that_was_leaving_does_not_count_as_crashed() -> None:
+    harness = EnginesHarness()
+    harness.send("system", "other")
+    harness.send("system", "other")
+    for request in (501, 502, 503, 504):
+        harness.arrive(request, ONCE, prompt=make_prompt_of("system", "rare"))
+        upstream_id = harness.dispatcher._open_requests[request].upstream
+        harness.change_upstreams(make_upstream(upstream_id, draining=True))
+        harness.now_s += 1.0
+        harness.crash(upstream_id, request)
+    assert not harness.dispatcher.crashing_prompts.holds
+
+
+def test_one_request_is_let_through_as_a_trial_and_releases_a_sound_part() -> (
+    None
+):
+    harness = held_harness()
+    harness.advance(TRIAL_AFTER_S + 1.0)
+    assert harness.send("system", "bad") == 1
+    assert harness.send("system", "bad") == 0
+    harness = held_harness()
+    harness.crashing_parts = set()
+    harness.advance(TRIAL_AFTER_S + 1.0)
+    assert harness.send("system", "bad") == 1
+    assert harness.send("system", "bad") == 1
+    assert not harness.dispatcher.crashing_prompts.holds
+
+
+def test_part_that_was_held_before_is_held_again_after_one_crash() -> None:
+    harness = held_harness()
+    harness.advance(HOLD_S + 1.0)
+    assert not harness.dispatcher.crashing_prompts.holds
+    harness.send("system", "good")
+    harness.send("system", "good")
+    assert harness.send("system", "bad") == 1
+    assert harness.send("system", "bad") == 0
+
+
+def test_answer_without_a_marked_end_does_not_show_that_a_part_is_sound() -> (
+    None
+):
+    """The connection also ends when the upstream does."""
+    harness = held_harness()
+    harness.advance(TRIAL_AFTER_S + 1.0)
+    harness.arrive(900, STREAM, prompt=make_prompt_of("bad"))
+    harness.sent_upstream_id()
+    harness.feed(
+        events.AttemptSucceeded(
+            now_s=harness.now_s, request=900, end_marked=False
+        )
+    )
+    assert harness.dispatcher.crashing_prompts.holds
+
+
+def test_answer_that_is_written_for_long_releases_its_parts() -> None:
+    harness = held_harness()
+    harness.advance(TRIAL_AFTER_S + 1.0)
+    harness.arrive(900, STREAM, prompt=make_prompt_of("bad"))
+    for _ in range(2):
+        harness.feed(events.AttemptProgressed(now_s=harness.now_s, request=900))
+        harness.now_s += WRITTEN_WITHOUT_CRASH_S + 0.1
+    assert not harness.dispatcher.crashing_prompts.holds
+
+
+class TwoHosts:
+    """What two hosts know, with a clock that both follow."""
+
+    def __init__(self) -> None:
+        self.now_s = 50.0
+        self.a = CrashingPrompts()
+        self.b = CrashingPrompts()
+        for host in (self.a, self.b):
+            for _ in range(2):
+                host.record_answer("writers", make_prompt_of("good"), 49.9)
+
+    def crash(self, host: CrashingPrompts, *part_ids: str) -> None:
+        """Let a new upstream end under a request of a host."""
+        self.now_s += 0.2
+        host.record_crash(
+            f"u{self.now_s:.1f}/1",
+            "writers",
+            make_prompt_of(*part_ids),
+            self.now_s,
+        )
+
+    def exchange(self) -> None:
+        self.now_s += 0.01
+        for sender, receiver in ((self.a, self.b), (self.b, self.a)):
+            sent = encode_knowledge("peer", sender.knowledge(self.now_s))
+            message = decode_knowledge(sent)
+            assert message is not None
+            receiver.merge(*message, self.now_s)
+
+
+def test_crashes_at_several_hosts_count_together() -> None:
+    hosts = TwoHosts()
+    for host in (hosts.a, hosts.b, hosts.a):
+        hosts.crash(host, "bad")
+        hosts.exchange()
+    for host in (hosts.a, hosts.b):
+        assert host.hold_on(make_prompt_of("bad"), hosts.now_s)
+
+
+def test_upstreams_that_end_at_the_same_moment_hold_no_part_back() -> None:
+    """They ended for one common reason, such as a lost rack."""
+    hosts = TwoHosts()
+    for number in range(8):
+        hosts.a.record_crash(
+            f"u{number}/1", "writers", make_prompt_of("rare"), hosts.now_s
+        )
+    assert not hosts.a.holds
+
+
+def test_crash_that_several_hosts_saw_counts_once() -> None:
+    hosts = TwoHosts()
+    for _ in range(2):
+        hosts.now_s += 0.2
+        for host in (hosts.a, hosts.b):
+            host.record_crash(
+                f"u{hosts.now_s:.1f}/1",
+                "writers",
+                make_prompt_of("bad"),
+                hosts.now_s,
+            )
+        hosts.exchange()
+    assert not hosts.a.holds
+
+
+def test_answer_at_one_host_releases_a_part_on_the_others() -> None:
+    hosts = TwoHosts()
+    for _ in range(3):
+        hosts.crash(hosts.a, "rare")
+    hosts.exchange()
+    assert hosts.b.holds
+    hosts.now_s += 1.0
+    hosts.b.record_answer("writers", make_prompt_of("rare"), hosts.now_s)
+    hosts.exchange()
+    hosts.exchange()
+    assert not hosts.a.holds
+    assert not hosts.b.holds
+
+
+def test_host_that_knows_a_part_as_sound_tells_one_that_holds_it() -> None:
+    hosts = TwoHosts()
+    hosts.b.record_answer("writers", make_prompt_of("rare"), hosts.now_s)
+    for _ in range(3):
+        hosts.crash(hosts.a, "rare")
+    assert hosts.a.holds
+    hosts.exchange()
+    assert not hosts.b.holds
+    hosts.exchange()
+    assert not hosts.a.holds
+
+
+def test_hold_of_two_parts_is_narrowed_by_an_answer_on_one() -> None:
+    hosts = TwoHosts()
+    for _ in range(3):
+        hosts.crash(hosts.a, "first", "bad")
+    both = frozenset({"first", "bad"})
+    assert set(hosts.a.holds) == {both}
+    hosts.a.record_answer("writers", make_prompt_of("first"), hosts.now_s)
+    assert set(hosts.a.holds) == {frozenset({"bad"})}
+    hosts.exchange()
+    assert set(hosts.b.holds) == {frozenset({"bad"})}
+
+
+def test_hold_lasts_equally_long_on_all_hosts() -> None:
+    """Each exchange delayed its end by the time that the message took."""
+    hosts = TwoHosts()
+    for _ in range(3):
+        hosts.crash(hosts.a, "bad")
+    held_s = hosts.now_s
+    for _ in range(100):
+        hosts.exchange()
+    (hold,) = hosts.a.holds.values()
+    assert hold.held_s == pytest.approx(held_s)
+    hosts.now_s = held_s + HOLD_S + 0.1
+    hosts.a.drop_expired(hosts.now_s)
+    hosts.exchange()
+    assert not hosts.a.holds
+
+
+@hypothesis.given(
+    steps=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(["crash", "answer", "exchange", "wait"]),
+            strategies.booleans(),
+            strategies.lists(
+                strategies.sampled_from(["p", "q", "r", "s"]),
+                min_size=1,
+                max_size=3,
+                unique=True,
+            ),
+        ),
+        max_size=60,
+    )
+)
+def test_no_part_is_held_that_was_answered_since(
+    steps: list[tuple[str, bool, list[str]]],
+) -> None:
+    hosts = TwoHosts()
+    answered_s: dict[str, float] = {}
+    for kind, is_first, part_ids in steps:
+        host = hosts.a if is_first else hosts.b
+        if kind == "crash":
+            hosts.crash(host, *part_ids)
+        elif kind == "answer":
+            hosts.now_s += 0.1
+            host.record_answer(
+                "writers", make_prompt_of(*part_ids), hosts.now_s
+            )
+            answered_s |= dict.fromkeys(part_ids, hosts.now_s)
+        elif kind == "exchange":
+            hosts.exchange()
+        else:
+            hosts.now_s += 3.0
+            for each in (hosts.a, hosts.b):
+                each.drop_expired(hosts.now_s)
+    hosts.exchange()
+    hosts.exchange()
+    for host in (hosts.a, hosts.b):
+        for hold in host.holds.values():
+            assert all(
+                answered_s.get(part_id, -math.inf) <= hold.held_s
+                for part_id in hold.part_ids
+            )
+    assert set(hosts.a.holds) == set(hosts.b.holds)
--- /dev/null
+++ b/tests/gateway/following/test_stored_holds.py
@@ -0,0 +1,164 @@
+"""Check that held prompts outlast all hosts, in the platform's store."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+
+import pytest
+
+from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.deciding.crashing_prompts import CrashingPrompts
+from shallotfold._gateway.deciding.crashing_prompts import PromptHold
+from shallotfold._gateway.following import stored_holds
+from shallotfold._gateway.following.stored_holds import HOLDS_PREFIX
+from shallotfold._gateway.following.stored_holds import StoredHolds
+from shallotfold.platform.store import PlatformStore
+from tests.platform.conftest import StoreScenario
+from tests.platform.store_standin import StoreStandIn
+
+RunWithStore = Callable[[StoreScenario], None]
+
+
+class Keeper:
+    """A host's keeper of holds, with the holds that it read."""
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        *,
+        decided_here: bool = True,
+        held_for_s: float = 0.0,
+        is_follower: bool = True,
+        is_first_start: bool = True,
+    ) -> None:
+        self.prompts = CrashingPrompts()
+        self.read: list[Sequence[tuple[str, ...]]] = []
+        self.is_isolated = False
+        hold = PromptHold(
+            frozenset({"bad"}),
+            boot_s() - held_for_s,
+            decided_here=decided_here,
+        )
+        self.prompts.holds[hold.part_ids] = hold
+        self.hold = hold
+        self.keeper = StoredHolds(
+            store,
+            self.prompts,
+            self.read.append,
+            lambda: is_follower,
+            lambda: self.is_isolated,
+            is_first_start=is_first_start,
+        )
+
+
+def test_hold_is_stored_once_for_as_long_as_it_lasts(
+    run_with_store: RunWithStore,
+) -> None:
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        host = Keeper(store, held_for_s=100.0)
+        await host.keeper.step()
+        await host.keeper.step()
+        assert host.hold.stored
+        (key,) = standin.entries
+        assert key.startswith(HOLDS_PREFIX)
+        (lifetime_ms,) = standin.lifetime_ms_by_lease.values()
+        assert 499_000 <= lifetime_ms <= 500_000
+        assert standin.calls == ["kv-lease", "kv-txn"]
+
+    run_with_store(scenario)
+
+
+def test_host_that_starts_reads_what_others_stored(
+    run_with_store: RunWithStore,
+) -> None:
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        await Keeper(store).keeper.step()
+        standin.put(f"{HOLDS_PREFIX}damaged", b"?")
+        host = Keeper(store, decided_here=False, is_first_start=False)
+        await host.keeper.step()
+        assert host.read == [[("bad",)]]
+        await host.keeper.step()
+        assert len(host.read) == 1
+
+    run_with_store(scenario)
+
+
+def test_hold_that_another_host_has_stored_leaves_no_lease(
+    run_with_store: RunWithStore,
+) -> None:
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        await Keeper(store).keeper.step()
+        host = Keeper(store)
+        await host.keeper.step()
+        assert host.hold.stored
+        assert len(standin.leases) == 1
+
+    run_with_store(scenario)
+
+
+@pytest.mark.parametrize("held_for_s", [0.0, 10.0])
+@pytest.mark.parametrize("is_follower", [True, False])
+def test_followers_store_what_the_deciding_host_has_not(
+    run_with_store: RunWithStore, *, held_for_s: float, is_follower: bool
+) -> None:
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        del standin
+        host = Keeper(
+            store,
+            decided_here=False,
+            held_for_s=held_for_s,
+            is_follower=is_follower,
+        )
+        await host.keeper.step()
+        assert host.hold.stored is (is_follower and held_for_s > 0.0)
+
+    run_with_store(scenario)
+
+
+def test_failed_call_is_made_again_after_a_while(
+    run_with_store: RunWithStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        standin.error_status = 503
+        host = Keeper(store)
+        await host.keeper.step()
+        standin.error_status = 0
+        await host.keeper.step()
+        assert not host.hold.stored
+        after_s = boot_s() + 2.0 * stored_holds.RETRY_DELAY_S
+        monkeypatch.setattr(stored_holds, "boot_s", lambda: after_s)
+        await host.keeper.step()
+        assert host.hold.stored
+
+    run_with_store(scenario)
+
+
+def test_holds_are_stored_again_after_a_restore(
+    run_with_store: RunWithStore,
+) -> None:
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        backup = standin.back_up()
+        host = Keeper(store)
+        await host.keeper.step()
+        standin.restore(backup)
+        host.keeper.record_store_restored()
+        await host.keeper.step()
+        assert any(key.startswith(HOLDS_PREFIX) for key in standin.entries)
+
+    run_with_store(scenario)
+
+
+def test_host_without_peers_keeps_reading(
+    run_with_store: RunWithStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        host = Keeper(store, decided_here=False)
+        host.is_isolated = True
+        await host.keeper.step()
+        assert host.read == [[]]
+        standin.put(f"{HOLDS_PREFIX}x", b'{"parts": ["other"]}')
+        after_s = boot_s() + stored_holds.ISOLATED_READ_INTERVAL_S + 0.1
+        monkeypatch.setattr(stored_holds, "boot_s", lambda: after_s)
+        await host.keeper.step()
+        assert host.read == [[], [("other",)]]
+
+    run_with_store(scenario)
