Let prompts end upstreams in the soak

Streams have prompts with shared parts; six in a hundred hold a part that ends the upstream, which is back a second later with another start. The checks count such requests that undisturbed hosts sent on later than 3 s after the fifth crash, and sound streams that were held back.

--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -7,9 +7,13 @@
 
 import attrs
 
+from benchmarks.soak.external_services import CRASHING_PART
 from benchmarks.soak.external_services import get_header
 
 REQUEST_KINDS = ("once", "repeat", "stream")
+# Streams whose prompt ends the upstream; the others share its other parts.
+CRASHING_SHARE = 0.06
+SUBJECTS = 12
 CLIENT_DEADLINE_S = 4.0
 
 
@@ -27,6 +31,7 @@
         status: Status of the response; 0 if there was none.
         complete: Whether the response was complete.
         body: Received part of the body, without chunk framing.
+        crashing: Whether its prompt ends upstreams.
     """
 
     request_id: str
@@ -38,6 +43,7 @@
     status: int = 0
     complete: bool = False
     body: bytes = b""
+    crashing: bool = False
 
 
 class Caller:
@@ -58,12 +64,14 @@
             if connection
             else self._rng.randrange(len(self._addresses))
         )
+        kind = self._rng.choice(REQUEST_KINDS)
         outcome = Outcome(
             request_id=f"{self._rng.getrandbits(64):016x}",
-            kind=self._rng.choice(REQUEST_KINDS),
+            kind=kind,
             key=key,
             host=host,
             began_s=time.monotonic(),
+            crashing=(kind == "stream" and self._rng.random() < CRASHING_SHARE),
         )
         try:
             async with asyncio.timeout(CLIENT_DEADLINE_S + 1.0):
@@ -95,6 +103,13 @@
             f"X-Api-Key: {outcome.key}",
             "Content-Length: 3",
         ]
+        if outcome.kind == "stream":
+            parts = ["a0:300", f"5b{self._rng.randrange(SUBJECTS):x}:200"]
+            if outcome.crashing:
+                parts.insert(1, f"{CRASHING_PART}:100")
+            parts.append(f"{outcome.request_id}:50")
+            lines.append("Token-Counts: 600,40")
+            lines.append(f"Prompt-Prefix: {','.join(parts)}")
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\nabc")
         await writer.drain()
         head = await reader.readuntil(b"\r\n\r\n")
--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -25,6 +25,14 @@
 # only a few requests until the pause ends.
 PAUSE_SLACK_S = 0.5
 MAX_REQUESTS_IN_PAUSE = 2
+# So long after the fifth upstream ended under a prompt, undisturbed hosts know
+# of it and send only a few further ones.
+CRASH_CONTACT_S = 3.0
+CRASHES_TO_KNOW = 5
+MAX_LATE_CRASHING = 3
+# Sound streams that may be held back by mistake.
+MAX_HELD_SOUND_SHARE = 0.02
+HELD_REASON = b"upstreams end under prompts"
 # The final response may be this much later than the route's timeout.
 TIMEOUT_SLACK_S = 0.75
 # A window is reported after its end by the correct time. Late reports come
@@ -149,6 +157,50 @@
     return violations
 
 
+def find_crash_violations(
+    outcomes: Iterable[Outcome],
+    runs: Runs,
+    disturbances: Iterable[tuple[int, float, float]],
+) -> list[str]:
+    """Return lines for crashing prompts sent on and sound ones held back.
+
+    Args:
+        outcomes: Outcomes of all requests.
+        runs: Requests that upstreams ran, and upstreams that ended.
+        disturbances: Spans (host, from, to) in which a host was disturbed.
+    """
+    streams = [outcome for outcome in outcomes if outcome.kind == "stream"]
+    outcome_by_id = {outcome.request_id: outcome for outcome in streams}
+    violations = []
+    if len(runs.crashes_s) >= CRASHES_TO_KNOW:
+        known_s = sorted(runs.crashes_s)[CRASHES_TO_KNOW - 1] + CRASH_CONTACT_S
+        spans = list(disturbances)
+        late = [
+            outcome
+            for request_id in runs.crashing_ids
+            if (outcome := outcome_by_id.get(request_id)) is not None
+            and outcome.began_s > known_s
+            and not _overlaps(
+                spans,
+                outcome.host,
+                outcome.began_s - CRASH_CONTACT_S,
+                outcome.began_s,
+            )
+        ]
+        if len(late) > MAX_LATE_CRASHING:
+            violations.append(
+                f"{len(late)} requests that end upstreams were sent on later "
+                f"than {CRASH_CONTACT_S} s after the fifth crash"
+            )
+    sound = [outcome for outcome in streams if not outcome.crashing]
+    held = sum(outcome.body.startswith(HELD_REASON) for outcome in sound)
+    if held > MAX_HELD_SOUND_SHARE * len(sound):
+        violations.append(
+            f"{held} of {len(sound)} sound streams were held back"
+        )
+    return violations
+
+
 def _overlaps(
     spans: Iterable[tuple[Any, float, float]],
     subject: int | str | None,
--- a/benchmarks/soak/external_services.py
+++ b/benchmarks/soak/external_services.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import json
 import random
 import re
@@ -23,6 +24,8 @@
 TRUNCATED_BY_RESET_SHARE = 0.3
 WATCH_POLL_INTERVAL_S = 0.02
 LEASE_S = 1.5
+# Upstreams end when they begin to answer a prompt with this part.
+CRASHING_PART = "bad0"
 HEADER_END = b"\r\n\r\n"
 _CONTENT_LENGTH = re.compile(rb"(?i)\r\ncontent-length: *(\d+)")
 
@@ -235,6 +238,9 @@
         workspace_by_id: Workspace that each request ran for.
         leaving_arrivals: Requests that reached leaving upstreams.
         arrivals: All requests that reached the upstream they were meant for.
+        crashes_s: Times at which an upstream ended under a crashing prompt, on
+            the monotonic clock.
+        crashing_ids: Requests with such a prompt that reached an upstream.
     """
 
     starts_by_id: collections.Counter[str] = attrs.field(
@@ -243,6 +249,12 @@
     workspace_by_id: dict[str, str] = attrs.field(factory=dict)
     leaving_arrivals: list[LeavingArrival] = attrs.field(factory=list)
     arrivals: list[Arrival] = attrs.field(factory=list)
+    crashes_s: list[float] = attrs.field(factory=list)
+    crashing_ids: list[str] = attrs.field(factory=list)
+
+
+def _ignore_crash() -> None:
+    """The upstream goes on."""
 
 
 class UpstreamService(Service):
@@ -255,6 +267,7 @@
         self.pause_s = 0.0
         self.leaving = False
         self.started_ms = int(time.time() * 1000)
+        self.on_crash: Callable[[], None] = _ignore_crash
         self._runs = runs
 
     async def handle(
@@ -303,6 +316,12 @@
         echo_header: str,
         writer: asyncio.StreamWriter,
     ) -> None:
+        if CRASHING_PART in get_header(head, "Prompt-Prefix"):
+            self._runs.crashing_ids.append(request_id)
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            self._runs.crashes_s.append(time.monotonic())
+            self.on_crash()
+            return
         last_event_id = int(get_header(head, "Last-Event-Id") or 0)
         # Drawn from the request's id and run, so that a seed repeats them.
         run_count = self._runs.starts_by_id[request_id]
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import collections
+import functools
 import json
 import os
 import pathlib
@@ -41,6 +42,8 @@
 CLOCK_STEPS_S = (-4000.0, -3.0, 3.0, 4000.0)
 OTHER_WRITES_INTERVAL_S = 0.05
 ALL_FULL_SHARE = 0.5
+# An upstream that ended under a prompt is back after this time.
+CRASH_S = 1.0
 
 
 def make_configuration(version: int) -> bytes:
@@ -137,6 +140,9 @@
         violations += checks.find_pause_violations(
             self._outcomes, self._runs, self._disturbed_spans, self._cut_spans
         )
+        violations += checks.find_crash_violations(
+            self._outcomes, self._runs, self._disturbed_spans
+        )
         violations += self._unexpected_exits
         statuses = collections.Counter(o.status for o in self._outcomes)
         return {
@@ -144,6 +150,7 @@
             "requests": len(self._outcomes),
             "statuses": dict(sorted(statuses.items())),
             "harms": dict(self._fault_counts),
+            "crashes": len(self._runs.crashes_s),
             "violations": violations,
         }
 
@@ -156,6 +163,7 @@
             proxy = FaultyTcpProxy(("127.0.0.1", upstream.port))
             await proxy.start()
             self._upstream_proxies.append(proxy)
+            upstream.on_crash = functools.partial(self._crash, upstream, proxy)
             self._register(upstream, proxy)
         for number in range(len(self._ips)):
             proxy = FaultyTcpProxy(("127.0.0.1", self._store.port))
@@ -189,6 +197,20 @@
             f"{names.UPSTREAMS_PREFIX}{upstream.upstream_id}", document
         )
 
+    def _crash(self, upstream: UpstreamService, proxy: FaultyTcpProxy) -> None:
+        """Let an upstream end; it starts again under its id."""
+        proxy.set_fault(Fault.RESET)
+        asyncio.get_running_loop().call_later(
+            CRASH_S, self._end_crash, upstream, proxy
+        )
+
+    def _end_crash(
+        self, upstream: UpstreamService, proxy: FaultyTcpProxy
+    ) -> None:
+        proxy.set_fault(Fault.NONE)
+        upstream.started_ms = int(time.time() * 1000)
+        self._register(upstream, proxy)
+
     def _make_settings(self, number: int) -> dict[str, Any]:
         ip = self._ips[number]
         return {
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -97,6 +97,35 @@
     assert find(4, cut="u0") == []
 
 
+def test_crashing_prompts_that_are_sent_on_are_found() -> None:
+    runs = Runs(
+        crashes_s=[1.0, 1.1, 1.2, 1.3, 1.4],
+        crashing_ids=["r1", "r2", "r3", "r4", "r1", "r5"],
+    )
+    outcomes = [
+        make_outcome(
+            request_id=f"r{n}", kind="stream", began_s=4.5, crashing=True
+        )
+        for n in range(1, 5)
+    ]
+
+    (violation,) = checks.find_crash_violations(outcomes, runs, [])
+    assert violation.startswith("5 requests")
+    assert not checks.find_crash_violations(outcomes, runs, [(0, 1.6, 4.0)])
+    runs.crashes_s.pop()
+    assert not checks.find_crash_violations(outcomes, runs, [])
+
+
+def test_sound_streams_that_are_held_back_are_found() -> None:
+    refused = b"upstreams end under prompts with part a0"
+    outcomes = [
+        make_outcome(kind="stream", request_id="r1", body=refused),
+        make_outcome(kind="stream", request_id="r2", body=b""),
+    ]
+    (violation,) = checks.find_crash_violations(outcomes, Runs(), [])
+    assert violation.startswith("1 of 2 sound streams")
+
+
 def find_duty_violations(*calls: tuple[str, int, float]) -> list[str]:
     duties = DutyService()
     duties.arrivals = [
