Bound what callers' part ids take of messages and memory

Found by reading: the evidence on the part that was suspected first was dropped when there were too many, also while that part was being recorded, which raised a KeyError; and a prompt with hundreds of long parts made messages that are too large for a datagram, so that a host's heartbeats would have been lost. Parts with the latest crash now stay, and the first 16 parts of up to 32 characters are watched.

--- a/src/shallotfold/_gateway/deciding/crashing_prompts.py
+++ b/src/shallotfold/_gateway/deciding/crashing_prompts.py
@@ -39,10 +39,13 @@
 # Peers are told for this long of crashes, and of answers on parts that one of
 # them suspects: several heartbeats may be lost.
 ANNOUNCED_S = 10.0
+# Callers choose ids and number of parts; further ones aren't watched.
+MAX_WATCHED_PARTS = 16
+MAX_PART_ID_CHARACTERS = 32
 MAX_SOUND_PARTS = 4_096
-MAX_REPORTS = 32
+MAX_REPORTS = 16
 MAX_EVIDENCE_PARTS = 512
-MAX_HOLDS = 64
+MAX_HOLDS = 32
 MAX_ANNOUNCED_ANSWERS = 64
 
 
@@ -237,7 +240,7 @@
         self, service: str, prompt: Prompt, now_s: float
     ) -> list[HoldChange]:
         """Record that a prompt was answered, or for long enough."""
-        part_ids = prompt.shared_part_ids
+        part_ids = _watched_part_ids(prompt)
         if not part_ids:
             return []
         recent_s = self._recent_answers_s_by_service.setdefault(service, [])
@@ -257,13 +260,11 @@
             now_s: Time on the boot clock.
         """
         report = _OwnReport(
-            upstream, now_s, self._unsound(prompt.shared_part_ids, now_s)
+            upstream, now_s, self._unsound(_watched_part_ids(prompt), now_s)
         )
         if not report.part_ids:
             return []
-        self._add_evidence(report.upstream, now_s, report.part_ids, now_s)
-        for part_id in report.part_ids:
-            self._evidence_by_part[part_id].service = service
+        self._add_evidence(report.upstream, now_s, report.part_ids, service)
         self._own_reports.append(report)
         del self._own_reports[:-MAX_REPORTS]
         self.has_news = True
@@ -290,7 +291,7 @@
             unsound = self._unsound(report.part_ids, now_s)
             if unsound and report.age_s < EVIDENCE_LIFETIME_S:
                 self._add_evidence(
-                    report.upstream, now_s - report.age_s, unsound, now_s
+                    report.upstream, now_s - report.age_s, unsound, service=""
                 )
                 new_part_ids.update(unsound)
         return changes + self._decide(new_part_ids, now_s)
@@ -488,11 +489,14 @@
         upstream: str,
         crashed_s: float,
         part_ids: tuple[str, ...],
-        now_s: float,
+        service: str,
     ) -> None:
         for part_id in part_ids:
             companions = frozenset(part_ids) - {part_id}
-            evidence = self._evidence_by_part.setdefault(part_id, _Evidence())
+            # Parts without crashes for the longest time are first.
+            evidence = self._evidence_by_part.pop(part_id, None) or _Evidence()
+            self._evidence_by_part[part_id] = evidence
+            evidence.service = evidence.service or service
             crash = evidence.crash_by_upstream.get(upstream)
             if crash is None:
                 evidence.crash_by_upstream[upstream] = _Crash(
@@ -594,3 +598,11 @@
                 del evidence.crash_by_upstream[upstream]
             if not evidence.crash_by_upstream:
                 del self._evidence_by_part[part_id]
+
+
+def _watched_part_ids(prompt: Prompt) -> tuple[str, ...]:
+    return tuple(
+        part_id
+        for part_id in prompt.shared_part_ids[:MAX_WATCHED_PARTS]
+        if len(part_id) <= MAX_PART_ID_CHARACTERS
+    )
--- a/tests/gateway/deciding/test_crashing_prompts.py
+++ b/tests/gateway/deciding/test_crashing_prompts.py
@@ -14,9 +14,12 @@
 from shallotfold._gateway.deciding import effects
 from shallotfold._gateway.deciding import events
 from shallotfold._gateway.deciding.crashing_prompts import HOLD_S
+from shallotfold._gateway.deciding.crashing_prompts import MAX_EVIDENCE_PARTS
+from shallotfold._gateway.deciding.crashing_prompts import MAX_REPORTS
 from shallotfold._gateway.deciding.crashing_prompts import TRIAL_AFTER_S
 from shallotfold._gateway.deciding.crashing_prompts import CrashingPrompts
 from shallotfold._gateway.deciding.dispatcher import WRITTEN_WITHOUT_CRASH_S
+from shallotfold._gateway.peers.change_messages import MAX_MESSAGE_BYTES
 from shallotfold._gateway.peers.crash_messages import decode_knowledge
 from shallotfold._gateway.peers.crash_messages import encode_knowledge
 from tests.gateway.factories import DispatcherHarness
@@ -342,6 +345,34 @@
     assert not hosts.a.holds
 
 
+def test_part_with_a_late_crash_outlasts_many_others() -> None:
+    """The evidence on the part that was suspected first was dropped."""
+    hosts = TwoHosts()
+    for _ in range(2):
+        hosts.crash(hosts.a, "bad")
+        for _ in range(MAX_EVIDENCE_PARTS // 2 + 10):
+            part_id = f"p{len(hosts.a._evidence_by_part)}-{hosts.now_s}"
+            hosts.now_s += 0.001
+            hosts.a.record_crash(
+                "another/1", "writers", make_prompt_of(part_id), hosts.now_s
+            )
+    hosts.crash(hosts.a, "bad")
+    assert hosts.a.hold_on(make_prompt_of("bad"), hosts.now_s)
+
+
+def test_prompt_with_many_long_parts_fits_into_a_datagram() -> None:
+    """Callers choose the ids of parts and how many there are."""
+    hosts = TwoHosts()
+    for number in range(MAX_REPORTS):
+        hosts.crash(
+            hosts.a,
+            *(f"{number}x{part}".ljust(32, "y") for part in range(500)),
+            "z" * 1000,
+        )
+    data = encode_knowledge("h1", hosts.a.knowledge(hosts.now_s))
+    assert len(data) <= MAX_MESSAGE_BYTES / 2
+
+
 @hypothesis.given(
     steps=strategies.lists(
         strategies.tuples(
