Don't suspect prompts that reached an upstream after its end

Cause: something in front of an upstream that has ended may still accept connections and reset them. Each request sent there broke off at once and counted as a crash under its parts; three upstreams that were away at the same time were enough.

Change: a request counts only if it was sent before the upstream began to break off others, and broke off together with them, as seen here or by a peer. A request whose answer had begun to come counts half: upstreams end when they begin to answer.

--- a/src/shallotfold/_gateway/deciding/crashing_prompts.py
+++ b/src/shallotfold/_gateway/deciding/crashing_prompts.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+from collections.abc import Set
+import math
 
 import attrs
 
@@ -22,6 +24,13 @@
 REMEMBERED_HOLD_S = 3_600.0
 # Upstreams that end closer together may have ended for one common reason.
 MIN_CRASH_SPACING_S = 0.05
+# When an upstream ends, all its open requests break off within this time. What
+# breaks off there later was sent after the end, until the upstream may be back.
+SAME_CRASH_S = 0.3
+MIN_RESTART_S = 2.0
+# A prompt ends an upstream that begins to answer it, so that one whose answer
+# has already come in part is less likely the cause.
+BEGUN_ANSWER_WEIGHT = 0.5
 EVIDENCE_LIFETIME_S = 120.0
 # An answer shows that its parts end no upstream. Engines may get other software
 # or weights later, so that this doesn't hold for ever.
@@ -57,11 +66,13 @@
         upstream: Id and start of the upstream.
         age_s: How long ago that was.
         part_ids: Parts of the request's prompt that aren't known to be sound.
+        answer_begun: Whether part of the answer had come.
     """
 
     upstream: str
     age_s: float
     part_ids: tuple[str, ...]
+    answer_begun: bool
 
 
 @attrs.frozen
@@ -151,10 +162,12 @@
         crashed_s: When, on the boot clock.
         companions: Other parts of all requests with the part that were open
             there.
+        weight: How much it counts, 0 to 1.
     """
 
     crashed_s: float
     companions: frozenset[str]
+    weight: float
 
 
 @attrs.define
@@ -165,14 +178,14 @@
     service: str = ""
     """Service of a request of this host; empty: only peers had one."""
 
-    def crash_count(self) -> int:
-        """Return the number of crashes that didn't come at the same time."""
-        count, last_s = 0, -MIN_CRASH_SPACING_S
-        for crashed_s in sorted(
-            crash.crashed_s for crash in self.crash_by_upstream.values()
+    def crash_count(self) -> float:
+        """Return the weight of the crashes that came at different times."""
+        count, last_s = 0.0, -MIN_CRASH_SPACING_S
+        for crash in sorted(
+            self.crash_by_upstream.values(), key=lambda c: c.crashed_s
         ):
-            if crashed_s - last_s >= MIN_CRASH_SPACING_S:
-                count, last_s = count + 1, crashed_s
+            if crash.crashed_s - last_s >= MIN_CRASH_SPACING_S:
+                count, last_s = count + crash.weight, crash.crashed_s
         return count
 
     def companions(self) -> frozenset[str]:
@@ -186,6 +199,7 @@
     upstream: str
     crashed_s: float
     part_ids: tuple[str, ...]
+    answer_begun: bool
 
 
 @attrs.define
@@ -208,6 +222,7 @@
         factory=dict
     )
     _evidence_by_part: dict[str, _Evidence] = attrs.field(factory=dict)
+    _crashed_s_by_upstream: dict[str, float] = attrs.field(factory=dict)
     _own_reports: list[_OwnReport] = attrs.field(factory=list)
     _suspected_s_by_part: dict[str, float] = attrs.field(factory=dict)
     _held_before_s_by_part: dict[str, float] = attrs.field(factory=dict)
@@ -249,7 +264,14 @@
         return self._record_sound(dict.fromkeys(part_ids, now_s), "answered")
 
     def record_crash(
-        self, upstream: str, service: str, prompt: Prompt, now_s: float
+        self,
+        upstream: str,
+        service: str,
+        prompt: Prompt,
+        now_s: float,
+        *,
+        sent_s: float = -math.inf,
+        answer_begun: bool = False,
     ) -> list[HoldChange]:
         """Record that an upstream ended while a request was open there.
 
@@ -258,13 +280,28 @@
             service: Its service.
             prompt: Prompt of the request.
             now_s: Time on the boot clock.
+            sent_s: When the request was sent there.
+            answer_begun: Whether part of the answer had come.
         """
+        crashed_s = self._crashed_s_by_upstream.get(upstream, -math.inf)
+        sent_after_crash = crashed_s < sent_s < crashed_s + MIN_RESTART_S
+        if sent_after_crash or not self._was_running(upstream, now_s):
+            return []
         report = _OwnReport(
-            upstream, now_s, self._unsound(_watched_part_ids(prompt), now_s)
+            upstream,
+            now_s,
+            self._unsound(_watched_part_ids(prompt), now_s),
+            answer_begun,
         )
         if not report.part_ids:
             return []
-        self._add_evidence(report.upstream, now_s, report.part_ids, service)
+        self._add_evidence(
+            report.upstream,
+            now_s,
+            report.part_ids,
+            service,
+            answer_begun=answer_begun,
+        )
         self._own_reports.append(report)
         del self._own_reports[:-MAX_REPORTS]
         self.has_news = True
@@ -289,9 +326,16 @@
         for report in knowledge.reports:
             self._note_suspected(report.part_ids, now_s)
             unsound = self._unsound(report.part_ids, now_s)
-            if unsound and report.age_s < EVIDENCE_LIFETIME_S:
+            crashed_s = now_s - report.age_s
+            if report.age_s < EVIDENCE_LIFETIME_S and self._was_running(
+                report.upstream, crashed_s
+            ):
                 self._add_evidence(
-                    report.upstream, now_s - report.age_s, unsound, service=""
+                    report.upstream,
+                    crashed_s,
+                    unsound,
+                    "",
+                    answer_begun=report.answer_begun,
                 )
                 new_part_ids.update(unsound)
         return changes + self._decide(new_part_ids, now_s)
@@ -316,7 +360,12 @@
         ]
         return CrashKnowledge(
             reports=[
-                CrashReport(report.upstream, now_s - report.crashed_s, unsound)
+                CrashReport(
+                    report.upstream,
+                    now_s - report.crashed_s,
+                    unsound,
+                    report.answer_begun,
+                )
                 for report in self._own_reports
                 if now_s - report.crashed_s < ANNOUNCED_S
                 and (unsound := self._unsound(report.part_ids, now_s))
@@ -338,21 +387,8 @@
 
     def drop_expired(self, now_s: float) -> list[HoldChange]:
         """Drop what is too old; return the holds that ended."""
-        if not (self.holds or self._evidence_by_part):
-            return []
-        oldest_s = now_s - EVIDENCE_LIFETIME_S
-        self._own_reports = [
-            report
-            for report in self._own_reports
-            if report.crashed_s > oldest_s
-        ]
-        for part_id, evidence in list(self._evidence_by_part.items()):
-            crashes = evidence.crash_by_upstream
-            for upstream, crash in list(crashes.items()):
-                if crash.crashed_s <= oldest_s:
-                    del crashes[upstream]
-            if not crashes:
-                del self._evidence_by_part[part_id]
+        if self._crashed_s_by_upstream:
+            self._drop_old_crashes(now_s - EVIDENCE_LIFETIME_S)
         changes = []
         for hold in list(self.holds.values()):
             if now_s >= hold.ends_s:
@@ -367,12 +403,45 @@
 
     # Helpers.
 
+    def _drop_old_crashes(self, oldest_s: float) -> None:
+        self._own_reports = [
+            report
+            for report in self._own_reports
+            if report.crashed_s > oldest_s
+        ]
+        old = {
+            upstream
+            for upstream, crashed_s in self._crashed_s_by_upstream.items()
+            if crashed_s <= oldest_s
+        }
+        if old:
+            for upstream in old:
+                del self._crashed_s_by_upstream[upstream]
+            self._drop_evidence(old, kept=frozenset())
+
     def _is_sound(self, part_id: str, now_s: float) -> bool:
         answered_s = self._answered_s_by_part.get(part_id)
         return (
             answered_s is not None and now_s - answered_s < SOUND_AFTER_ANSWER_S
         )
 
+    def _was_running(self, upstream: str, crashed_s: float) -> bool:
+        """Whether an upstream was running until this crash.
+
+        News of an earlier crash also drop the evidence of what came after it.
+        """
+        first_s = self._crashed_s_by_upstream.get(upstream, -math.inf)
+        if first_s + SAME_CRASH_S < crashed_s <= first_s + MIN_RESTART_S:
+            return False
+        if crashed_s < first_s - MIN_RESTART_S:
+            # It is older than a restart.
+            return True
+        if crashed_s < first_s - SAME_CRASH_S:
+            self._drop_evidence({upstream}, kept=frozenset())
+        if crashed_s < first_s or crashed_s > first_s + SAME_CRASH_S:
+            self._crashed_s_by_upstream[upstream] = crashed_s
+        return True
+
     def _unsound(
         self, part_ids: Iterable[str], now_s: float
     ) -> tuple[str, ...]:
@@ -490,7 +559,10 @@
         crashed_s: float,
         part_ids: tuple[str, ...],
         service: str,
+        *,
+        answer_begun: bool,
     ) -> None:
+        weight = BEGUN_ANSWER_WEIGHT if answer_begun else 1.0
         for part_id in part_ids:
             companions = frozenset(part_ids) - {part_id}
             # Parts without crashes for the longest time are first.
@@ -500,10 +572,11 @@
             crash = evidence.crash_by_upstream.get(upstream)
             if crash is None:
                 evidence.crash_by_upstream[upstream] = _Crash(
-                    crashed_s, companions
+                    crashed_s, companions, weight
                 )
             else:
                 crash.companions &= companions
+                crash.weight = max(crash.weight, weight)
         while len(self._evidence_by_part) > MAX_EVIDENCE_PARTS:
             del self._evidence_by_part[next(iter(self._evidence_by_part))]
 
@@ -591,10 +664,14 @@
             evidence = self._evidence_by_part.get(part_id)
             if evidence is not None:
                 explained |= evidence.crash_by_upstream.keys()
+        self._drop_evidence(explained, kept=held)
+
+    def _drop_evidence(self, upstreams: Set[str], kept: frozenset[str]) -> None:
+        """Drop crashes of upstreams from the evidence on all but kept parts."""
         for part_id, evidence in list(self._evidence_by_part.items()):
-            if part_id in held:
+            if part_id in kept:
                 continue
-            for upstream in explained & evidence.crash_by_upstream.keys():
+            for upstream in upstreams & evidence.crash_by_upstream.keys():
                 del evidence.crash_by_upstream[upstream]
             if not evidence.crash_by_upstream:
                 del self._evidence_by_part[part_id]
--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -56,7 +56,7 @@
 STALL_TIMEOUT_PER_GAP_TARGET = 3.0
 MIN_STALL_TIMEOUT_S = 1.2
 # A prompt whose answer has been written for this long doesn't end upstreams.
-WRITTEN_WITHOUT_CRASH_S = 1.0
+WRITTEN_WITHOUT_CRASH_S = 0.5
 # A held prompt is told the whole time that the hold lasts, with this share on
 # top at most, so that its callers don't return at the same moment.
 HOLD_JITTER_SHARE = 0.1
@@ -521,14 +521,18 @@
         if upstream is None or upstream.draining:
             # It was expected to end.
             return []
+        prompt = request.prompt
         if self._has_written_long(request, now_s):
-            return []
+            # It isn't the cause, but tells when the upstream ended.
+            prompt = Prompt()
         return self._hold_effects(
             self.crashing_prompts.record_crash(
                 f"{upstream.upstream_id}/{upstream.started_ms}",
                 request.service,
-                request.prompt,
+                prompt,
                 now_s,
+                sent_s=request.sent_s,
+                answer_begun=request.writing_since_s is not None,
             )
         )
 
--- a/src/shallotfold/_gateway/peers/crash_messages.py
+++ b/src/shallotfold/_gateway/peers/crash_messages.py
@@ -20,7 +20,12 @@
     """Return the fields of a message."""
     return (
         [
-            (report.upstream, report.age_s, report.part_ids)
+            (
+                report.upstream,
+                report.age_s,
+                report.part_ids,
+                report.answer_begun,
+            )
             for report in knowledge.reports
         ],
         [
@@ -41,8 +46,13 @@
         reports, holds, answer_ages_s_by_part = fields
         return CrashKnowledge(
             reports=[
-                CrashReport(str(upstream), _age_s(age_s), _part_ids(part_ids))
-                for upstream, age_s, part_ids in reports
+                CrashReport(
+                    str(upstream),
+                    _age_s(age_s),
+                    _part_ids(part_ids),
+                    answer_begun=bool(answer_begun),
+                )
+                for upstream, age_s, part_ids, answer_begun in reports
             ],
             holds=[
                 HoldReport(
--- a/tests/gateway/deciding/crash_simulation.py
+++ b/tests/gateway/deciding/crash_simulation.py
@@ -215,10 +215,15 @@
         for attempt in sorted(broken, key=lambda a: a.request):
             prompts = self._hosts[attempt.host]
             written_s = self.now_s - attempt.began_s - FIRST_EVENT_S
-            if written_s <= WRITTEN_WITHOUT_CRASH_S:
-                prompts.record_crash(
-                    f"{engine}/0", SERVICE, attempt.prompt, self.now_s
-                )
+            is_cause = written_s <= WRITTEN_WITHOUT_CRASH_S
+            prompts.record_crash(
+                f"{engine}/0",
+                SERVICE,
+                attempt.prompt if is_cause else Prompt(),
+                self.now_s,
+                sent_s=attempt.began_s,
+                answer_begun=written_s > 0.0 and not attempt.crashing,
+            )
             if attempt.route.resumable and attempt.number < MAX_ATTEMPTS:
                 self._send(
                     attempt.request,
--- a/tests/gateway/deciding/test_crashing_prompts.py
+++ b/tests/gateway/deciding/test_crashing_prompts.py
@@ -291,6 +291,78 @@
     assert not hosts.a.holds
 
 
+def test_requests_to_an_upstream_that_has_ended_do_not_count() -> None:
+    """Something in front of it may still accept connections, and reset them."""
+    hosts = TwoHosts()
+    for number in range(4):
+        hosts.now_s += 3.0
+        for host, age_s in ((hosts.a, 0.0), (hosts.b, 0.1)):
+            host.record_crash(
+                f"u{number}/1",
+                "writers",
+                make_prompt_of(f"first{number}"),
+                hosts.now_s + age_s,
+            )
+            for _ in range(5):
+                hosts.now_s += 0.4 / 5
+                host.record_crash(
+                    f"u{number}/1",
+                    "writers",
+                    make_prompt_of("late"),
+                    hosts.now_s + 0.4,
+                )
+        hosts.exchange()
+    assert not hosts.a.hold_on(make_prompt_of("late"), hosts.now_s)
+
+
+def test_requests_sent_after_an_upstream_has_ended_do_not_count() -> None:
+    hosts = TwoHosts()
+    for number in range(4):
+        hosts.now_s += 3.0
+        for part_id, sent_s in (("first", -1.0), ("late", 0.01)):
+            hosts.a.record_crash(
+                f"u{number}/1",
+                "writers",
+                make_prompt_of(f"{part_id}{number if sent_s < 0 else ''}"),
+                hosts.now_s + 0.02 * (sent_s > 0),
+                sent_s=hosts.now_s + sent_s,
+            )
+    assert not hosts.a.holds
+
+
+def test_request_whose_answer_had_begun_counts_less() -> None:
+    """Upstreams end when they begin to answer."""
+    hosts = TwoHosts()
+    for number in range(5):
+        hosts.now_s += 0.2
+        assert not hosts.a.holds
+        hosts.a.record_crash(
+            f"u{number}/1",
+            "writers",
+            make_prompt_of("begun"),
+            hosts.now_s,
+            answer_begun=True,
+        )
+    hosts.crash(hosts.a, "begun")
+    assert hosts.a.holds
+
+
+def test_peer_s_earlier_crash_drops_what_came_after_it() -> None:
+    hosts = TwoHosts()
+    for number in range(3):
+        hosts.now_s += 3.0
+        for host, delay_s in ((hosts.b, 0.0), (hosts.a, 0.6)):
+            host.record_crash(
+                f"u{number}/1",
+                "writers",
+                make_prompt_of("late" if delay_s else f"first{number}"),
+                hosts.now_s + delay_s,
+            )
+        hosts.now_s += 0.7
+        hosts.exchange()
+    assert not hosts.a.holds
+
+
 def test_answer_at_one_host_releases_a_part_on_the_others() -> None:
     hosts = TwoHosts()
     for _ in range(3):
