--- a/tests/gateway/deciding/test_crashing_prompts.py
+++ b/tests/gateway/deciding/test_crashing_prompts.py
@@ -234,9 +234,15 @@
         self.now_s = 50.0
         self.a = CrashingPrompts()
         self.b = CrashingPrompts()
+        self.answer_others()
+
+    def answer_others(self) -> None:
+        """Let both hosts see that the service answers."""
         for host in (self.a, self.b):
             for _ in range(2):
-                host.record_answer("writers", make_prompt_of("good"), 49.9)
+                host.record_answer(
+                    "writers", make_prompt_of("good"), self.now_s
+                )
 
     def crash(self, host: CrashingPrompts, *part_ids: str) -> None:
         """Let a new upstream end under a request of a host."""
@@ -296,6 +302,7 @@
     hosts = TwoHosts()
     for number in range(4):
         hosts.now_s += 3.0
+        hosts.answer_others()
         for host, age_s in ((hosts.a, 0.0), (hosts.b, 0.1)):
             host.record_crash(
                 f"u{number}/1",
@@ -319,6 +326,7 @@
     hosts = TwoHosts()
     for number in range(4):
         hosts.now_s += 3.0
+        hosts.answer_others()
         for part_id, sent_s in (("first", -1.0), ("late", 0.01)):
             hosts.a.record_crash(
                 f"u{number}/1",
@@ -351,6 +359,7 @@
     hosts = TwoHosts()
     for number in range(3):
         hosts.now_s += 3.0
+        hosts.answer_others()
         for host, delay_s in ((hosts.b, 0.0), (hosts.a, 0.6)):
             host.record_crash(
                 f"u{number}/1",
