Split what is known of crashing prompts into three modules

crash_knowledge.py holds what hosts tell each other, crash_evidence.py the upstreams that ended under each part, crashing_prompts.py the decisions.

--- /dev/null
+++ b/src/shallotfold/_gateway/deciding/crash_knowledge.py
@@ -0,0 +1,60 @@
+"""Define what hosts tell each other of prompts under which upstreams end."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+import attrs
+
+
+@attrs.frozen
+class CrashReport:
+    """An upstream ended while a request was open there.
+
+    Attributes:
+        upstream: Id and start of the upstream.
+        age_s: How long ago that was.
+        part_ids: Parts of the request's prompt that aren't known to be sound.
+        answer_begun: Whether part of the answer had come.
+    """
+
+    upstream: str
+    age_s: float
+    part_ids: tuple[str, ...]
+    answer_begun: bool
+
+
+@attrs.frozen
+class HoldReport:
+    """Prompts that a host holds back.
+
+    Attributes:
+        part_ids: Prompts with all of these parts are held back.
+        age_s: How long they have been.
+        stored: Whether the platform's store has it.
+        tried: Whether a request was let through as a trial.
+    """
+
+    part_ids: tuple[str, ...]
+    age_s: float
+    stored: bool
+    tried: bool
+
+
+@attrs.frozen(kw_only=True)
+class CrashKnowledge:
+    """What a host tells its peers about prompts under which upstreams end.
+
+    Attributes:
+        reports: Upstreams that ended under its own requests.
+        holds: Prompts that it holds back.
+        answer_ages_s_by_part: How long ago parts that its peers suspect were
+            part of an answered prompt.
+    """
+
+    reports: Sequence[CrashReport] = ()
+    holds: Sequence[HoldReport] = ()
+    answer_ages_s_by_part: Mapping[str, float] = attrs.field(factory=dict)
+
+    def __bool__(self) -> bool:
+        """Whether there is anything to tell."""
+        return bool(self.reports or self.holds or self.answer_ages_s_by_part)
--- a/src/shallotfold/_gateway/deciding/crashing_prompts.py
+++ b/src/shallotfold/_gateway/deciding/crashing_prompts.py
@@ -10,27 +10,23 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
-from collections.abc import Set
 import math
 
 import attrs
 
 from shallotfold._gateway.core.model import Prompt
+from shallotfold._gateway.deciding.crash_evidence import MAX_EVIDENCE_PARTS
+from shallotfold._gateway.deciding.crash_evidence import CrashEvidence
+from shallotfold._gateway.deciding.crash_evidence import PartEvidence
+from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
+from shallotfold._gateway.deciding.crash_knowledge import CrashReport
+from shallotfold._gateway.deciding.crash_knowledge import HoldReport
 
 # Fewer would hold back sound parts that were open twice by chance.
 CRASHES_TO_HOLD = 3
 # A part that was held before is held again after the first crash.
 CRASHES_TO_HOLD_AGAIN = 1
 REMEMBERED_HOLD_S = 3_600.0
-# Upstreams that end closer together may have ended for one common reason.
-MIN_CRASH_SPACING_S = 0.05
-# When an upstream ends, all its open requests break off within this time. What
-# breaks off there later was sent after the end, until the upstream may be back.
-SAME_CRASH_S = 0.3
-MIN_RESTART_S = 2.0
-# A prompt ends an upstream that begins to answer it, so that one whose answer
-# has already come in part is less likely the cause.
-BEGUN_ANSWER_WEIGHT = 0.5
 EVIDENCE_LIFETIME_S = 120.0
 # An answer shows that its parts end no upstream. Engines may get other software
 # or weights later, so that this doesn't hold for ever.
@@ -53,65 +49,10 @@
 MAX_PART_ID_CHARACTERS = 32
 MAX_SOUND_PARTS = 4_096
 MAX_REPORTS = 16
-MAX_EVIDENCE_PARTS = 512
 MAX_HOLDS = 32
 MAX_ANNOUNCED_ANSWERS = 64
 
 
-@attrs.frozen
-class CrashReport:
-    """An upstream ended while a request was open there.
-
-    Attributes:
-        upstream: Id and start of the upstream.
-        age_s: How long ago that was.
-        part_ids: Parts of the request's prompt that aren't known to be sound.
-        answer_begun: Whether part of the answer had come.
-    """
-
-    upstream: str
-    age_s: float
-    part_ids: tuple[str, ...]
-    answer_begun: bool
-
-
-@attrs.frozen
-class HoldReport:
-    """Prompts that a host holds back.
-
-    Attributes:
-        part_ids: Prompts with all of these parts are held back.
-        age_s: How long they have been.
-        stored: Whether the platform's store has it.
-        tried: Whether a request was let through as a trial.
-    """
-
-    part_ids: tuple[str, ...]
-    age_s: float
-    stored: bool
-    tried: bool
-
-
-@attrs.frozen(kw_only=True)
-class CrashKnowledge:
-    """What a host tells its peers about prompts under which upstreams end.
-
-    Attributes:
-        reports: Upstreams that ended under its own requests.
-        holds: Prompts that it holds back.
-        answer_ages_s_by_part: How long ago parts that its peers suspect were
-            part of an answered prompt.
-    """
-
-    reports: Sequence[CrashReport] = ()
-    holds: Sequence[HoldReport] = ()
-    answer_ages_s_by_part: Mapping[str, float] = attrs.field(factory=dict)
-
-    def __bool__(self) -> bool:
-        """Whether there is anything to tell."""
-        return bool(self.reports or self.holds or self.answer_ages_s_by_part)
-
-
 @attrs.define
 class PromptHold:
     """Prompts that are held back.
@@ -154,46 +95,6 @@
     upstreams: tuple[str, ...] = ()
 
 
-@attrs.define
-class _Crash:
-    """An upstream that ended under a part.
-
-    Attributes:
-        crashed_s: When, on the boot clock.
-        companions: Other parts of all requests with the part that were open
-            there.
-        weight: How much it counts, 0 to 1.
-    """
-
-    crashed_s: float
-    companions: frozenset[str]
-    weight: float
-
-
-@attrs.define
-class _Evidence:
-    """Upstreams that ended under a part since it was last answered."""
-
-    crash_by_upstream: dict[str, _Crash] = attrs.field(factory=dict)
-    service: str = ""
-    """Service of a request of this host; empty: only peers had one."""
-
-    def crash_count(self) -> float:
-        """Return the weight of the crashes that came at different times."""
-        count, last_s = 0.0, -MIN_CRASH_SPACING_S
-        for crash in sorted(
-            self.crash_by_upstream.values(), key=lambda c: c.crashed_s
-        ):
-            if crash.crashed_s - last_s >= MIN_CRASH_SPACING_S:
-                count, last_s = count + crash.weight, crash.crashed_s
-        return count
-
-    def companions(self) -> frozenset[str]:
-        """Return the parts that were open together with it in each crash."""
-        crashes = self.crash_by_upstream.values()
-        return frozenset.intersection(*(crash.companions for crash in crashes))
-
-
 @attrs.define
 class _OwnReport:
     upstream: str
@@ -221,8 +122,7 @@
     _recent_answers_s_by_service: dict[str, list[float]] = attrs.field(
         factory=dict
     )
-    _evidence_by_part: dict[str, _Evidence] = attrs.field(factory=dict)
-    _crashed_s_by_upstream: dict[str, float] = attrs.field(factory=dict)
+    _evidence: CrashEvidence = attrs.field(factory=CrashEvidence)
     _own_reports: list[_OwnReport] = attrs.field(factory=list)
     _suspected_s_by_part: dict[str, float] = attrs.field(factory=dict)
     _held_before_s_by_part: dict[str, float] = attrs.field(factory=dict)
@@ -283,9 +183,9 @@
             sent_s: When the request was sent there.
             answer_begun: Whether part of the answer had come.
         """
-        crashed_s = self._crashed_s_by_upstream.get(upstream, -math.inf)
-        sent_after_crash = crashed_s < sent_s < crashed_s + MIN_RESTART_S
-        if sent_after_crash or not self._was_running(upstream, now_s):
+        if self._evidence.has_ended_before(
+            upstream, sent_s
+        ) or not self._evidence.was_running(upstream, now_s):
             return []
         report = _OwnReport(
             upstream,
@@ -295,7 +195,7 @@
         )
         if not report.part_ids:
             return []
-        self._add_evidence(
+        self._evidence.add(
             report.upstream,
             now_s,
             report.part_ids,
@@ -327,10 +227,11 @@
             self._note_suspected(report.part_ids, now_s)
             unsound = self._unsound(report.part_ids, now_s)
             crashed_s = now_s - report.age_s
-            if report.age_s < EVIDENCE_LIFETIME_S and self._was_running(
-                report.upstream, crashed_s
+            if (
+                report.age_s < EVIDENCE_LIFETIME_S
+                and self._evidence.was_running(report.upstream, crashed_s)
             ):
-                self._add_evidence(
+                self._evidence.add(
                     report.upstream,
                     crashed_s,
                     unsound,
@@ -387,8 +288,10 @@
 
     def drop_expired(self, now_s: float) -> list[HoldChange]:
         """Drop what is too old; return the holds that ended."""
-        if self._crashed_s_by_upstream:
-            self._drop_old_crashes(now_s - EVIDENCE_LIFETIME_S)
+        oldest_s = now_s - EVIDENCE_LIFETIME_S
+        self._evidence.drop_before(oldest_s)
+        if self._own_reports and self._own_reports[0].crashed_s <= oldest_s:
+            del self._own_reports[0]
         changes = []
         for hold in list(self.holds.values()):
             if now_s >= hold.ends_s:
@@ -403,45 +306,12 @@
 
     # Helpers.
 
-    def _drop_old_crashes(self, oldest_s: float) -> None:
-        self._own_reports = [
-            report
-            for report in self._own_reports
-            if report.crashed_s > oldest_s
-        ]
-        old = {
-            upstream
-            for upstream, crashed_s in self._crashed_s_by_upstream.items()
-            if crashed_s <= oldest_s
-        }
-        if old:
-            for upstream in old:
-                del self._crashed_s_by_upstream[upstream]
-            self._drop_evidence(old, kept=frozenset())
-
     def _is_sound(self, part_id: str, now_s: float) -> bool:
         answered_s = self._answered_s_by_part.get(part_id)
         return (
             answered_s is not None and now_s - answered_s < SOUND_AFTER_ANSWER_S
         )
 
-    def _was_running(self, upstream: str, crashed_s: float) -> bool:
-        """Whether an upstream was running until this crash.
-
-        News of an earlier crash also drop the evidence of what came after it.
-        """
-        first_s = self._crashed_s_by_upstream.get(upstream, -math.inf)
-        if first_s + SAME_CRASH_S < crashed_s <= first_s + MIN_RESTART_S:
-            return False
-        if crashed_s < first_s - MIN_RESTART_S:
-            # It is older than a restart.
-            return True
-        if crashed_s < first_s - SAME_CRASH_S:
-            self._drop_evidence({upstream}, kept=frozenset())
-        if crashed_s < first_s or crashed_s > first_s + SAME_CRASH_S:
-            self._crashed_s_by_upstream[upstream] = crashed_s
-        return True
-
     def _unsound(
         self, part_ids: Iterable[str], now_s: float
     ) -> tuple[str, ...]:
@@ -454,7 +324,7 @@
         for part_id, answered_s in answered_s_by_part.items():
             known_s = self._answered_s_by_part.pop(part_id, answered_s)
             self._answered_s_by_part[part_id] = max(known_s, answered_s)
-            self._evidence_by_part.pop(part_id, None)
+            self._evidence.by_part.pop(part_id, None)
             self._held_before_s_by_part.pop(part_id, None)
             for hold in list(self.holds.values()):
                 if (
@@ -536,7 +406,7 @@
                 tried=report.tried,
             )
         )
-        self._explain(part_ids)
+        self._evidence.explain(part_ids)
         return [
             HoldChange(
                 decision="prompt_held",
@@ -553,33 +423,6 @@
             oldest = next(iter(self._suspected_s_by_part))
             del self._suspected_s_by_part[oldest]
 
-    def _add_evidence(
-        self,
-        upstream: str,
-        crashed_s: float,
-        part_ids: tuple[str, ...],
-        service: str,
-        *,
-        answer_begun: bool,
-    ) -> None:
-        weight = BEGUN_ANSWER_WEIGHT if answer_begun else 1.0
-        for part_id in part_ids:
-            companions = frozenset(part_ids) - {part_id}
-            # Parts without crashes for the longest time are first.
-            evidence = self._evidence_by_part.pop(part_id, None) or _Evidence()
-            self._evidence_by_part[part_id] = evidence
-            evidence.service = evidence.service or service
-            crash = evidence.crash_by_upstream.get(upstream)
-            if crash is None:
-                evidence.crash_by_upstream[upstream] = _Crash(
-                    crashed_s, companions, weight
-                )
-            else:
-                crash.companions &= companions
-                crash.weight = max(crash.weight, weight)
-        while len(self._evidence_by_part) > MAX_EVIDENCE_PARTS:
-            del self._evidence_by_part[next(iter(self._evidence_by_part))]
-
     def _decide(
         self, part_ids: Iterable[str], now_s: float
     ) -> list[HoldChange]:
@@ -590,14 +433,14 @@
         """
         changes: list[HoldChange] = []
         for held_part_ids in self.holds:
-            self._explain(held_part_ids)
+            self._evidence.explain(held_part_ids)
         counts = {
             part_id: evidence.crash_count()
             for part_id in part_ids
-            if (evidence := self._evidence_by_part.get(part_id)) is not None
+            if (evidence := self._evidence.by_part.get(part_id)) is not None
         }
         for part_id in sorted(counts, key=lambda p: (-counts[p], p)):
-            evidence = self._evidence_by_part.get(part_id)
+            evidence = self._evidence.by_part.get(part_id)
             if evidence is None or not self._is_conclusive(
                 part_id, evidence, now_s
             ):
@@ -616,11 +459,11 @@
                     upstreams=tuple(evidence.crash_by_upstream),
                 )
             )
-            self._explain(held)
+            self._evidence.explain(held)
         return changes
 
     def _is_conclusive(
-        self, part_id: str, evidence: _Evidence, now_s: float
+        self, part_id: str, evidence: PartEvidence, now_s: float
     ) -> bool:
         # Only a host that had such a request itself can compare it with others
         # of the service.
@@ -637,7 +480,9 @@
             needed = CRASHES_TO_HOLD_AGAIN
         else:
             needed = CRASHES_TO_HOLD
-        return count >= needed and not self._is_covered(part_id, evidence)
+        return count >= needed and not self._evidence.is_covered(
+            part_id, evidence
+        )
 
     def _was_held(self, part_id: str, now_s: float) -> bool:
         held_before_s = self._held_before_s_by_part.get(part_id)
@@ -646,36 +491,6 @@
             and now_s - held_before_s < REMEMBERED_HOLD_S
         )
 
-    def _is_covered(self, part_id: str, evidence: _Evidence) -> bool:
-        """Whether upstreams ended as often under a part of other prompts."""
-        upstreams = evidence.crash_by_upstream.keys()
-        companions = evidence.companions()
-        return any(
-            other_id != part_id
-            and other_id not in companions
-            and upstreams <= other.crash_by_upstream.keys()
-            for other_id, other in self._evidence_by_part.items()
-        )
-
-    def _explain(self, held: frozenset[str]) -> None:
-        """Drop the crashes under held prompts from the evidence on others."""
-        explained: set[str] = set()
-        for part_id in held:
-            evidence = self._evidence_by_part.get(part_id)
-            if evidence is not None:
-                explained |= evidence.crash_by_upstream.keys()
-        self._drop_evidence(explained, kept=held)
-
-    def _drop_evidence(self, upstreams: Set[str], kept: frozenset[str]) -> None:
-        """Drop crashes of upstreams from the evidence on all but kept parts."""
-        for part_id, evidence in list(self._evidence_by_part.items()):
-            if part_id in kept:
-                continue
-            for upstream in upstreams & evidence.crash_by_upstream.keys():
-                del evidence.crash_by_upstream[upstream]
-            if not evidence.crash_by_upstream:
-                del self._evidence_by_part[part_id]
-
 
 def _watched_part_ids(prompt: Prompt) -> tuple[str, ...]:
     return tuple(
--- a/src/shallotfold/_gateway/deciding/events.py
+++ b/src/shallotfold/_gateway/deciding/events.py
@@ -11,7 +11,7 @@
 from shallotfold._gateway.core.model import Prompt
 from shallotfold._gateway.core.model import Route
 from shallotfold._gateway.core.model import Upstream
-from shallotfold._gateway.deciding.crashing_prompts import CrashKnowledge
+from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
 from shallotfold._model.events import Event
 
 
--- a/src/shallotfold/_gateway/peers/crash_messages.py
+++ b/src/shallotfold/_gateway/peers/crash_messages.py
@@ -8,9 +8,9 @@
 
 import msgpack
 
-from shallotfold._gateway.deciding.crashing_prompts import CrashKnowledge
-from shallotfold._gateway.deciding.crashing_prompts import CrashReport
-from shallotfold._gateway.deciding.crashing_prompts import HoldReport
+from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
+from shallotfold._gateway.deciding.crash_knowledge import CrashReport
+from shallotfold._gateway.deciding.crash_knowledge import HoldReport
 
 # First field of the datagram; heartbeats begin with a number.
 MESSAGE_TYPE = "prompt_crashes"
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -24,7 +24,7 @@
 from shallotfold._gateway.core import decision_log
 from shallotfold._gateway.core.clocks import boot_s
 from shallotfold._gateway.core.periodic_task import PeriodicTask
-from shallotfold._gateway.deciding.crashing_prompts import CrashKnowledge
+from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
 from shallotfold._gateway.deciding.events import RequestLoad
 from shallotfold._gateway.peers.change_messages import MAX_MESSAGE_BYTES
 from shallotfold._gateway.peers.change_messages import UpstreamChanges
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -20,7 +20,7 @@
 from shallotfold._gateway.core.ports import DutyCalls
 from shallotfold._gateway.core.ports import WatchedStore
 from shallotfold._gateway.core.settings import GatewaySettings
-from shallotfold._gateway.deciding.crashing_prompts import CrashKnowledge
+from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
 from shallotfold._gateway.deciding.dispatcher import Dispatcher
 from shallotfold._gateway.deciding.events import PeerCrashesReceived
 from shallotfold._gateway.deciding.events import PeerLoadsReceived
--- a/tests/gateway/deciding/test_crashing_prompts.py
+++ b/tests/gateway/deciding/test_crashing_prompts.py
@@ -13,8 +13,8 @@
 from shallotfold._gateway.core.model import RouteKind
 from shallotfold._gateway.deciding import effects
 from shallotfold._gateway.deciding import events
+from shallotfold._gateway.deciding.crash_evidence import MAX_EVIDENCE_PARTS
 from shallotfold._gateway.deciding.crashing_prompts import HOLD_S
-from shallotfold._gateway.deciding.crashing_prompts import MAX_EVIDENCE_PARTS
 from shallotfold._gateway.deciding.crashing_prompts import MAX_REPORTS
 from shallotfold._gateway.deciding.crashing_prompts import TRIAL_AFTER_S
 from shallotfold._gateway.deciding.crashing_prompts import CrashingPrompts
@@ -432,7 +432,7 @@
     for _ in range(2):
         hosts.crash(hosts.a, "bad")
         for _ in range(MAX_EVIDENCE_PARTS // 2 + 10):
-            part_id = f"p{len(hosts.a._evidence_by_part)}-{hosts.now_s}"
+            part_id = f"p{len(hosts.a._evidence.by_part)}-{hosts.now_s}"
             hosts.now_s += 0.001
             hosts.a.record_crash(
                 "another/1", "writers", make_prompt_of(part_id), hosts.now_s
--- a/tests/gateway/peers/test_crash_messages.py
+++ b/tests/gateway/peers/test_crash_messages.py
@@ -5,9 +5,9 @@
 import msgpack
 import pytest
 
-from shallotfold._gateway.deciding.crashing_prompts import CrashKnowledge
-from shallotfold._gateway.deciding.crashing_prompts import CrashReport
-from shallotfold._gateway.deciding.crashing_prompts import HoldReport
+from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
+from shallotfold._gateway.deciding.crash_knowledge import CrashReport
+from shallotfold._gateway.deciding.crash_knowledge import HoldReport
 from shallotfold._gateway.peers.crash_messages import MESSAGE_TYPE
 from shallotfold._gateway.peers.crash_messages import decode_knowledge
 from shallotfold._gateway.peers.crash_messages import encode_knowledge
