Log when an upstream names a limit, and read what it names

A host now reads the limit, logs each change (upstream_limit) and counts the responses that name one. Values that are no decimal number are ignored and logged once; of several the lowest counts.

Errors that name no limit don't end one: what failed may stand in front of the upstream.

No decision changes.

--- a/src/shallotfold/_gateway/core/wire_names.py
+++ b/src/shallotfold/_gateway/core/wire_names.py
@@ -23,6 +23,8 @@
         upstream_load: Running and waiting requests and slots of the
             responding upstream.
         upstream_leaving: `1` on all responses of an upstream that is leaving.
+        upstream_limit: Requests a second that the responding upstream takes
+            from all hosts together; absent while it names no limit.
         last_event: Id of the last event that the caller received.
         model: Name of the requested model.
         token_counts: Prompt tokens and maximum number of output tokens.
@@ -39,6 +41,7 @@
     not_run: bytes
     upstream_load: bytes
     upstream_leaving: bytes
+    upstream_limit: bytes
     last_event: bytes
     model: bytes
     token_counts: bytes
--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -21,6 +21,8 @@
 from shallotfold._gateway.deciding.crashing_prompts import HoldChange
 from shallotfold._gateway.deciding.engine_set import EngineSet
 from shallotfold._gateway.deciding.engine_set import is_long
+from shallotfold._gateway.deciding.named_limits import LimitStatement
+from shallotfold._gateway.deciding.named_limits import NamedLimits
 from shallotfold._gateway.deciding.placement import Placement
 from shallotfold._gateway.deciding.retry_budget import FleetRetryBudget
 from shallotfold._model.events import Event
@@ -98,6 +100,7 @@
         placement: Chooses upstreams.
         budget: Bounds retries.
         crashing_prompts: Prompts that are held back.
+        limits: Limits that upstreams have named.
         upstreams_by_id: Upstreams that may get requests.
     """
 
@@ -105,6 +108,7 @@
         self.placement = placement
         self.budget = budget
         self.crashing_prompts = CrashingPrompts()
+        self.limits = NamedLimits()
         self.upstreams_by_id: Mapping[str, Upstream] = {}
         self._engines_by_service: dict[str, EngineSet] = {}
         self._open_requests: dict[int, _OpenRequest] = {}
@@ -119,6 +123,7 @@
             events.CallerDisconnected: self._on_caller_disconnected,
             events.LoadReported: self._on_load_reported,
             events.PauseRequested: self._on_pause_requested,
+            events.LimitStated: self._on_limit_stated,
             events.UpstreamsChanged: self._on_upstreams_changed,
             events.PeerLoadsReceived: self._on_peer_loads,
             events.PeerCrashesReceived: self._on_peer_crashes,
@@ -265,6 +270,18 @@
         )
         return []
 
+    def _on_limit_stated(self, event: events.LimitStated) -> Effects:
+        change = self.limits.record(
+            LimitStatement(
+                upstream=event.upstream.upstream_id,
+                started_ms=event.upstream.started_ms,
+                rate=event.rate,
+                sent_s=event.sent_s,
+                received_s=event.now_s,
+            )
+        )
+        return [effects.LogLimitChange(change=change)] if change else []
+
     def _on_upstreams_changed(self, event: events.UpstreamsChanged) -> Effects:
         self.upstreams_by_id = event.upstreams_by_id
         serving: dict[str, list[Upstream]] = {}
@@ -303,6 +320,7 @@
         self.placement.host_count = event.host_count
         self.crashing_prompts.host_count = event.host_count
         self.placement.loads.drop_expired(event.now_s)
+        self.limits.drop_expired(self.upstreams_by_id, event.now_s)
         due_effects = self._hold_effects(
             self.crashing_prompts.drop_expired(event.now_s)
         )
--- a/src/shallotfold/_gateway/deciding/effects.py
+++ b/src/shallotfold/_gateway/deciding/effects.py
@@ -4,6 +4,7 @@
 
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.deciding.crashing_prompts import HoldChange
+from shallotfold._gateway.deciding.named_limits import LimitChange
 
 
 @attrs.frozen(kw_only=True)
@@ -85,3 +86,10 @@
 @attrs.frozen(kw_only=True)
 class AnnounceCrashes(Effect):
     """Tell all peers at once what this host knows of crashing prompts."""
+
+
+@attrs.frozen(kw_only=True)
+class LogLimitChange(Effect):
+    """Log that the limit of an upstream is new, changed or ended."""
+
+    change: LimitChange
--- a/src/shallotfold/_gateway/deciding/events.py
+++ b/src/shallotfold/_gateway/deciding/events.py
@@ -127,6 +127,22 @@
     pause_s: float
 
 
+@attrs.frozen(kw_only=True)
+class LimitStated(Event):
+    """The head of a response said whether its upstream names a limit.
+
+    Attributes:
+        upstream: The upstream.
+        rate: Requests a second that it takes from all hosts together; infinite
+            without a limit.
+        sent_s: When the request was sent.
+    """
+
+    upstream: Upstream
+    rate: float
+    sent_s: float
+
+
 @attrs.frozen(kw_only=True)
 class UpstreamsChanged(Event):
     """The set of upstreams that may get requests changed."""
--- a/src/shallotfold/_gateway/serving/attempt.py
+++ b/src/shallotfold/_gateway/serving/attempt.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from shallotfold._gateway.core.clocks import boot_s
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.http.event_stream import EventSplitter
 from shallotfold._gateway.http.event_stream import StreamEvent
@@ -87,6 +88,7 @@
 
     Attributes:
         upstream: Destination of the request.
+        sent_s: When the request was sent, on the boot clock.
         send_handle: Handle of the send; `None` before it starts.
         status: Status of the response.
         reason: Reason phrase of the response.
@@ -98,6 +100,7 @@
 
     def __init__(self, handler: AttemptHandler, upstream: Upstream) -> None:
         self.upstream = upstream
+        self.sent_s = boot_s()
         self.send_handle: SendHandle | None = None
         self.status = 0
         self.reason = b""
@@ -116,6 +119,10 @@
                 return value
         return None
 
+    def header_values(self, name: bytes) -> list[bytes]:
+        """Return all values of a response header; `name` in lower case."""
+        return [value for n, value in self.headers if n.lower() == name]
+
     @property
     def end_marked(self) -> bool:
         """Whether the response marks its end itself."""
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -102,6 +102,7 @@
         self.shutdown_ends_s = math.inf
         self.host_count = 1
         self._invalid_pause_ids: set[str] = set()
+        self._invalid_limit_ids: set[str] = set()
         self.on_upstream_leaving: Callable[[Upstream], bool] = _ignore_leaving
         self.announce_crashes: Callable[[], None] = _announce_nothing
         self._usage = usage
@@ -122,6 +123,7 @@
             effects.Fail: self._fail,
             effects.LogHoldChange: self._log_hold_change,
             effects.AnnounceCrashes: self._announce_crashes,
+            effects.LogLimitChange: self._log_limit_change,
         }
 
     async def start(self, ip: str, port: int) -> None:
@@ -191,6 +193,7 @@
         )
         self.pool.retain_only(list(upstreams_by_id.values()))
         self._invalid_pause_ids &= upstreams_by_id.keys()
+        self._invalid_limit_ids &= upstreams_by_id.keys()
 
     # The connections call these.
 
@@ -260,6 +263,12 @@
         self._invalid_pause_ids.add(upstream.upstream_id)
         return is_first
 
+    def report_invalid_limit(self, upstream: Upstream) -> bool:
+        """Report an unusable limit; return whether it is the first."""
+        is_first = upstream.upstream_id not in self._invalid_limit_ids
+        self._invalid_limit_ids.add(upstream.upstream_id)
+        return is_first
+
     def report_leaving(self, upstream: Upstream) -> bool:
         """Report that an upstream is leaving; return whether that is new."""
         is_new = self.on_upstream_leaving(upstream)
@@ -327,6 +336,16 @@
             upstreams=change.upstreams or None,
         )
 
+    def _log_limit_change(self, effect: effects.LogLimitChange) -> None:
+        change = effect.change
+        decision_log.record(
+            "upstream_limit",
+            upstream=change.upstream,
+            per_second=_finite_or_none(change.rate),
+            previous_per_second=_finite_or_none(change.previous_rate),
+            peer=change.peer,
+        )
+
     def _announce_crashes(self, effect: effects.AnnounceCrashes) -> None:
         del effect
         self.announce_crashes()
@@ -392,3 +411,7 @@
                 connection.close()
             elif connection.request_timed_out(now_s):
                 connection.reject_timed_out_request()
+
+
+def _finite_or_none(rate: float) -> float | None:
+    return rate if math.isfinite(rate) else None
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -1,6 +1,7 @@
 """Relay a request to upstreams and its response back, byte for byte."""
 
 from http import HTTPStatus
+import math
 from typing import Protocol
 
 import attrs
@@ -28,6 +29,7 @@
 from shallotfold._gateway.serving.forwarding import GatewayHeaders
 from shallotfold._gateway.serving.forwarding import forwarded_request
 from shallotfold._gateway.serving.forwarding import forwarded_response_headers
+from shallotfold._gateway.serving.response_parsing import parse_named_rate
 from shallotfold._gateway.serving.response_parsing import parse_retry_after_s
 from shallotfold._gateway.serving.stream_response import StreamResponse
 from shallotfold._model.events import Event
@@ -75,6 +77,9 @@
     def report_invalid_pause(self, upstream: Upstream) -> bool:
         """Report an unusable Retry-After; return whether it is the first."""
 
+    def report_invalid_limit(self, upstream: Upstream) -> bool:
+        """Report an unusable limit; return whether it is the first."""
+
     def buffered_bytes(self) -> int:
         """Return the size of the buffered responses of all requests."""
 
@@ -239,6 +244,7 @@
                 upstream=attempt.upstream.upstream_id,
                 status=attempt.status,
             )
+        self._handle_limit(attempt)
         if attempt.status == HTTPStatus.SERVICE_UNAVAILABLE:
             self._handle_retry_after(attempt)
 
@@ -376,6 +382,33 @@
 
     # Helpers.
 
+    def _handle_limit(self, attempt: Attempt) -> None:
+        try:
+            rate = parse_named_rate(
+                attempt.header_values(self._gateway.names.upstream_limit)
+            )
+        except ValueError as error:
+            if self._gateway.report_invalid_limit(attempt.upstream):
+                self._log(
+                    "limit_ignored",
+                    upstream=attempt.upstream.upstream_id,
+                    reason=str(error),
+                )
+            return
+        if rate is None and attempt.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            # What failed may stand in front of the upstream.
+            return
+        if rate is not None:
+            self._gateway.metrics.count_upstream_signal("limit")
+        self._gateway.deliver(
+            events.LimitStated(
+                now_s=boot_s(),
+                upstream=attempt.upstream,
+                rate=math.inf if rate is None else rate,
+                sent_s=attempt.sent_s,
+            )
+        )
+
     def _handle_retry_after(self, attempt: Attempt) -> None:
         value = attempt.header(b"retry-after")
         if value is None:
--- a/src/shallotfold/_gateway/serving/response_parsing.py
+++ b/src/shallotfold/_gateway/serving/response_parsing.py
@@ -1,9 +1,14 @@
 """Parse what upstreams say about themselves in responses."""
 
+from collections.abc import Iterable
 import math
+import re
 
 # Bounds the effect of a mistaken value.
 MAX_PAUSE_S = 600.0
+# No upstream takes more, so a larger limit limits nothing.
+MAX_NAMED_RATE = 1e6
+_DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+", re.ASCII)
 
 
 def parse_retry_after_s(value: bytes) -> float:
@@ -28,3 +33,31 @@
             f"Retry-After {text[:40]!r} isn't a number of seconds; no pause"
         )
     return min(pause_s, MAX_PAUSE_S)
+
+
+def parse_named_rate(values: Iterable[bytes]) -> float | None:
+    """Return how many requests a second an upstream takes from all hosts.
+
+    Args:
+        values: Values of the header, each a decimal number or several
+            separated by commas; the lowest one counts.
+
+    Returns:
+        The rate, at most `MAX_NAMED_RATE`; `None`: no limit is named.
+
+    Raises:
+        ValueError: A limit is named that isn't a decimal number.
+    """
+    texts = [
+        text.strip()
+        for value in values
+        for text in value.decode("latin-1").split(",")
+    ]
+    if not texts:
+        return None
+    rates = [float(text) for text in texts if _DECIMAL_NUMBER.fullmatch(text)]
+    if not rates:
+        raise ValueError(
+            f"limit {texts[0][:40]!r} isn't a decimal number; it is ignored"
+        )
+    return min(*rates, MAX_NAMED_RATE)
--- a/src/shallotfold/platform/names.py
+++ b/src/shallotfold/platform/names.py
@@ -12,6 +12,7 @@
     not_run=b"not-executed",
     upstream_load=b"instance-load",
     upstream_leaving=b"server-leaving",
+    upstream_limit=b"server-limit",
     last_event=b"last-event-id",
     model=b"model-name",
     token_counts=b"token-counts",
