--- a/tests/gateway/crashing_engines.py
+++ b/tests/gateway/crashing_engines.py
@@ -142,6 +142,7 @@
         self, engine_id: str, head: bytes, writer: asyncio.StreamWriter
     ) -> None:
         request_id = get_header(head, "Attempt-Id")
+        extra_headers = self._on_arrival(engine_id, request_id)
         parts = get_header(head, "Prompt-Prefix").split(",")
         crashes = any(part.split(":")[0] == CRASHING_PART for part in parts)
         if crashes:
@@ -152,6 +153,7 @@
             "Content-Type: text/event-stream",
             f"Attempt-Id: {request_id}",
             "Response-Signature: s",
+            *extra_headers,
         ]
         writer.write("\r\n".join(lines).encode() + HEADER_END)
         if crashes:
@@ -166,3 +168,8 @@
             await writer.drain()
         writer.write(b"0\r\n\r\n")
         await writer.drain()
+
+    def _on_arrival(self, engine_id: str, request_id: str) -> list[str]:
+        """Return what the engine says of itself in its response."""
+        del engine_id, request_id
+        return []
--- a/tests/gateway/fleet_harness.py
+++ b/tests/gateway/fleet_harness.py
@@ -92,9 +92,11 @@
 
     _networks = itertools.count(1)
 
-    def __init__(self) -> None:
+    def __init__(
+        self, engine_type: type[CrashingEngines] = CrashingEngines
+    ) -> None:
         self.store = StoreService()
-        self.engines = CrashingEngines(self.store.standin)
+        self.engines = engine_type(self.store.standin)
         self.started_s_by_host: dict[int, float] = {}
         self.cut_off: set[int] = set()
         self._duties = DutyService()
@@ -293,6 +295,7 @@
     *,
     hosts: Sequence[int] = (0, 1, 2, 3),
     engine_count: int = 8,
+    engine_type: type[CrashingEngines] = CrashingEngines,
 ) -> FleetHarness:
     """Run a scenario on a fleet that has started."""
     # Several processes share the test's standard output and its signals.
@@ -300,7 +303,7 @@
     monkeypatch.setattr(decision_log, "flush", lambda: None)
     monkeypatch.setattr(reload_signal, "ignore", lambda _: None)
     previous_handler = signal.getsignal(signal.SIGHUP)
-    fleet = FleetHarness()
+    fleet = FleetHarness(engine_type)
 
     async def run() -> None:
         try:
