Keep all hosts together below the limits that upstreams name

What users saw: an upstream in need named how many requests a second it takes from all hosts together, and got several times as many.

Cause: nothing read the limit. The class of fault: what an upstream says to one host holds for all of them, and nobody acts on it, or each host alone.

Change: deciding/named_limits.py keeps the newest statement of each upstream; hosts tell each other changes at once and their own statements in each heartbeat. Every attempt takes a slot: retries, resumed streams too. Placement leaves out upstreams without a free slot. If all upstreams name limits, callers are refused with times that are spread as the limits allow. A rejection by a limited upstream is no failure.

--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -22,7 +22,6 @@
 from shallotfold._gateway.deciding.engine_set import EngineSet
 from shallotfold._gateway.deciding.engine_set import is_long
 from shallotfold._gateway.deciding.named_limits import LimitStatement
-from shallotfold._gateway.deciding.named_limits import NamedLimits
 from shallotfold._gateway.deciding.placement import Placement
 from shallotfold._gateway.deciding.retry_budget import FleetRetryBudget
 from shallotfold._model.events import Event
@@ -34,6 +33,8 @@
 # When all upstreams asked for a pause, callers return after the shortest one,
 # spread over this share of it.
 PAUSE_JITTER_SHARE = 0.5
+# The same share of the time after which limited upstreams take a request.
+RETURN_JITTER_SHARE = 0.2
 # Upstreams get this much less than the remaining time, so that a response which
 # they send at their deadline can still be forwarded.
 RESPONSE_TRANSIT_S = 0.03
@@ -100,7 +101,6 @@
         placement: Chooses upstreams.
         budget: Bounds retries.
         crashing_prompts: Prompts that are held back.
-        limits: Limits that upstreams have named.
         upstreams_by_id: Upstreams that may get requests.
     """
 
@@ -108,7 +108,6 @@
         self.placement = placement
         self.budget = budget
         self.crashing_prompts = CrashingPrompts()
-        self.limits = NamedLimits()
         self.upstreams_by_id: Mapping[str, Upstream] = {}
         self._engines_by_service: dict[str, EngineSet] = {}
         self._open_requests: dict[int, _OpenRequest] = {}
@@ -126,6 +125,7 @@
             events.LimitStated: self._on_limit_stated,
             events.UpstreamsChanged: self._on_upstreams_changed,
             events.PeerLoadsReceived: self._on_peer_loads,
+            events.PeerLimitsReceived: self._on_peer_limits,
             events.PeerCrashesReceived: self._on_peer_crashes,
             events.StoredHoldsRead: self._on_stored_holds,
             events.TimePassed: self._on_time_passed,
@@ -157,6 +157,7 @@
         )
         self._open_requests[event.request] = request
         self.budget.count_request(event.service, event.now_s)
+        self.placement.limits.shares.count_request(event.service)
         arrival_effects = self._send(request, event.now_s) or self._refuse(
             request, "no upstream has room", event.now_s
         )
@@ -179,7 +180,7 @@
             return []
         if event.wrong_upstream:
             self.placement.health.record_replaced(request.upstream)
-        else:
+        elif not self._is_limited(request.upstream):
             self._record_failure(request, event.now_s)
         self._end_attempt(request)
         return self._retry(request, event.now_s) or self._give_up(
@@ -271,16 +272,19 @@
         return []
 
     def _on_limit_stated(self, event: events.LimitStated) -> Effects:
-        change = self.limits.record(
+        change = self.placement.limits.record(
             LimitStatement(
                 upstream=event.upstream.upstream_id,
                 started_ms=event.upstream.started_ms,
                 rate=event.rate,
                 sent_s=event.sent_s,
                 received_s=event.now_s,
-            )
+            ),
+            event.now_s,
         )
-        return [effects.LogLimitChange(change=change)] if change else []
+        if change is None:
+            return []
+        return [effects.LogLimitChange(change=change), effects.AnnounceLimits()]
 
     def _on_upstreams_changed(self, event: events.UpstreamsChanged) -> Effects:
         self.upstreams_by_id = event.upstreams_by_id
@@ -301,8 +305,22 @@
         )
         for prefix_id, upstream in event.prefixes_sent:
             self.placement.prefixes.record(prefix_id, upstream, event.now_s)
+        self.placement.limits.shares.record_peer_demand(
+            event.peer, event.demand_by_service, event.now_s
+        )
         return []
 
+    def _on_peer_limits(self, event: events.PeerLimitsReceived) -> Effects:
+        changes = [
+            self.placement.limits.record(statement, event.now_s, event.peer)
+            for statement in event.statements
+        ]
+        return [
+            effects.LogLimitChange(change=change)
+            for change in changes
+            if change is not None
+        ]
+
     def _on_peer_crashes(self, event: events.PeerCrashesReceived) -> Effects:
         return self._hold_effects(
             self.crashing_prompts.merge(
@@ -320,7 +338,8 @@
         self.placement.host_count = event.host_count
         self.crashing_prompts.host_count = event.host_count
         self.placement.loads.drop_expired(event.now_s)
-        self.limits.drop_expired(self.upstreams_by_id, event.now_s)
+        self.placement.limits.clock_offset_s = event.clock_offset_s
+        self.placement.limits.update(self.upstreams_by_id, event.now_s)
         due_effects = self._hold_effects(
             self.crashing_prompts.drop_expired(event.now_s)
         )
@@ -358,6 +377,7 @@
             return []
         if self._is_too_busy(request, upstream):
             return self._refuse(request, "engines can't begin in time", now_s)
+        placement.limits.record_send(upstream)
         request.attempts += 1
         request.upstream = upstream.upstream_id
         request.tried_upstreams.add(upstream.upstream_id)
@@ -500,6 +520,18 @@
                 )
             ]
         engines = self._engines_by_service.get(request.service)
+        limited = self.placement.upstreams_if_all_limited(engines, now_s)
+        if limited:
+            limits = self.placement.limits
+            return_s = limits.book_return_s(request.service, limited, now_s)
+            return [
+                effects.Refuse(
+                    request=request.request,
+                    retry_after_s=MIN_RETRY_AFTER_S
+                    + return_s * (1.0 + RETURN_JITTER_SHARE * request.draw),
+                    reason="all upstreams named limits, which are reached",
+                )
+            ]
         pause_s = (
             self.placement.pause_remaining_s(engines, now_s) if engines else 0.0
         )
@@ -533,6 +565,12 @@
         if not health.pause_remaining_s(request.upstream, now_s):
             health.record_failure(request.upstream, now_s)
 
+    def _is_limited(self, upstream_id: str) -> bool:
+        upstream = self.upstreams_by_id.get(upstream_id)
+        return upstream is not None and self.placement.limits.is_limited(
+            upstream
+        )
+
     def _record_crash(self, request: _OpenRequest, now_s: float) -> Effects:
         """Record that the upstream of an open request may have ended."""
         upstream = self.upstreams_by_id.get(request.upstream)
--- a/src/shallotfold/_gateway/deciding/effects.py
+++ b/src/shallotfold/_gateway/deciding/effects.py
@@ -93,3 +93,8 @@
     """Log that the limit of an upstream is new, changed or ended."""
 
     change: LimitChange
+
+
+@attrs.frozen(kw_only=True)
+class AnnounceLimits(Effect):
+    """Tell all peers at once what responses here said about limits."""
--- a/src/shallotfold/_gateway/deciding/events.py
+++ b/src/shallotfold/_gateway/deciding/events.py
@@ -12,6 +12,7 @@
 from shallotfold._gateway.core.model import Route
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
+from shallotfold._gateway.deciding.named_limits import LimitStatement
 from shallotfold._model.events import Event
 
 
@@ -172,11 +173,21 @@
         loads_by_upstream: Load of its open requests by upstream id.
         prefixes_sent: Prompt prefixes that it sent lately: prefix id and
             upstream id of each.
+        demand_by_service: Requests a second of its callers.
     """
 
     peer: str
     loads_by_upstream: Mapping[str, RequestLoad]
     prefixes_sent: Sequence[tuple[str, str]] = ()
+    demand_by_service: Mapping[str, float] = attrs.field(factory=dict)
+
+
+@attrs.frozen(kw_only=True)
+class PeerLimitsReceived(Event):
+    """A peer told what responses to it said about limits of upstreams."""
+
+    peer: str
+    statements: Sequence[LimitStatement]
 
 
 @attrs.frozen(kw_only=True)
@@ -204,6 +215,8 @@
 
     Attributes:
         host_count: Number of hosts that are alive, this one included.
+        clock_offset_s: Time of day that the hosts agree on, minus `now_s`.
     """
 
     host_count: int = 1
+    clock_offset_s: float = 0.0
--- a/src/shallotfold/_gateway/deciding/named_limits.py
+++ b/src/shallotfold/_gateway/deciding/named_limits.py
@@ -6,7 +6,7 @@
 told, so that a statement is ordered by the time in which it was made.
 """
 
-from collections.abc import Iterable
+from collections.abc import Container
 import math
 
 import attrs
@@ -130,14 +130,23 @@
         own.sort(key=lambda statement: -statement.received_s)
         return own[:MAX_ANNOUNCED_LIMITS]
 
-    def drop_expired(self, registered: Iterable[str], now_s: float) -> None:
-        """Drop ended limits, and those of upstreams that are gone."""
-        kept = set(registered)
-        for upstream, known in list(self._known_by_upstream.items()):
-            statement = known.statement
-            is_old = now_s - statement.received_s > MEMORY_S
-            if is_old and (math.isinf(statement.rate) or upstream not in kept):
-                del self._known_by_upstream[upstream]
+    def drop_expired(
+        self, registered: Container[str], now_s: float
+    ) -> list[str]:
+        """Drop ended limits, and those of upstreams that are gone.
+
+        Returns:
+            The ids of the upstreams.
+        """
+        expired = [
+            upstream
+            for upstream, known in self._known_by_upstream.items()
+            if now_s - known.statement.received_s > MEMORY_S
+            and (math.isinf(known.statement.rate) or upstream not in registered)
+        ]
+        for upstream in expired:
+            del self._known_by_upstream[upstream]
+        return expired
 
     def __len__(self) -> int:
         """Return the number of upstreams that name a limit."""
--- a/src/shallotfold/_gateway/deciding/placement.py
+++ b/src/shallotfold/_gateway/deciding/placement.py
@@ -16,6 +16,7 @@
 from shallotfold._gateway.deciding.engine_set import is_long
 from shallotfold._gateway.deciding.prefill_rates import PrefillRates
 from shallotfold._gateway.deciding.upstream_health import UpstreamHealth
+from shallotfold._gateway.deciding.upstream_limits import UpstreamLimits
 from shallotfold._gateway.deciding.upstream_loads import UpstreamLoads
 
 # Costs are in prefill tokens: a delay costs the number of tokens whose prefill
@@ -124,6 +125,7 @@
             included.
         loads: Estimated loads.
         health: Failure ratios and ejections.
+        limits: Limits that upstreams have named.
         prefixes: Upstreams that cache shared prefixes.
         rates: Prefill rates of the engines.
     """
@@ -132,6 +134,7 @@
     host_count: int = 1
     loads: UpstreamLoads = attrs.field(factory=UpstreamLoads)
     health: UpstreamHealth = attrs.field(factory=UpstreamHealth)
+    limits: UpstreamLimits = attrs.field(factory=UpstreamLimits)
     prefixes: PrefixLocations = attrs.field(factory=PrefixLocations)
     rates: PrefillRates = attrs.field(factory=PrefillRates)
 
@@ -147,7 +150,8 @@
         """Return the upstream with the lowest cost that has capacity, if any.
 
         Ejected upstreams are used only when no other is left, those that asked
-        for a pause never.
+        for a pause never, and those that named a limit while this host's share
+        of it isn't used up.
 
         Args:
             engines: Upstreams of the service.
@@ -212,6 +216,23 @@
             default=0.0,
         )
 
+    def upstreams_if_all_limited(
+        self, engines: EngineSet | None, now_s: float
+    ) -> list[Upstream]:
+        """Return the upstreams that are there if all of them name limits.
+
+        Those that are paused don't count, unless all of them are.
+        """
+        if engines is None or not self.limits:
+            return []
+        present = [
+            upstream
+            for upstream in engines.by_id.values()
+            if not self.health.is_replaced(upstream.upstream_id)
+            and not self.health.pause_remaining_s(upstream.upstream_id, now_s)
+        ]
+        return present if all(map(self.limits.is_limited, present)) else []
+
     def expected_cached_tokens(
         self, engines: EngineSet, prompt: Prompt, now_s: float
     ) -> dict[str, int]:
@@ -253,6 +274,7 @@
             if not self.health.is_replaced(upstream.upstream_id)
             and not self.health.pause_remaining_s(upstream.upstream_id, now_s)
             and self._has_capacity(upstream)
+            and self.limits.may_send(upstream, now_s)
         ]
 
     def _available(
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -26,6 +26,7 @@
 from shallotfold._gateway.core.periodic_task import PeriodicTask
 from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
 from shallotfold._gateway.deciding.events import RequestLoad
+from shallotfold._gateway.deciding.named_limits import LimitStatement
 from shallotfold._gateway.peers.change_messages import MAX_MESSAGE_BYTES
 from shallotfold._gateway.peers.change_messages import UpstreamChanges
 from shallotfold._gateway.peers.change_messages import decode_changes
@@ -33,6 +34,11 @@
 from shallotfold._gateway.peers.crash_messages import encode_knowledge
 from shallotfold._gateway.peers.crash_messages import knowledge_fields
 from shallotfold._gateway.peers.crash_messages import read_knowledge
+from shallotfold._gateway.peers.limit_messages import decode_statements
+from shallotfold._gateway.peers.limit_messages import encode_statements
+from shallotfold._gateway.peers.limit_messages import read_demand
+from shallotfold._gateway.peers.limit_messages import read_statements
+from shallotfold._gateway.peers.limit_messages import statement_fields
 
 PROTOCOL_VERSION = 5
 _NUMBER = (int, float)
@@ -57,6 +63,8 @@
     int,
     _NUMBER,
     list,
+    list,
+    dict,
 )
 MIN_HEARTBEAT_INTERVAL_S = 0.4
 # The datagrams of all hosts grow with the square of their number, so each
@@ -98,6 +106,9 @@
 # An upstream that ends breaks several requests off; peers are told of all of
 # them in one message.
 CRASH_BATCH_DELAY_S = 0.01
+# An upstream may name another limit in each response; peers are told at most
+# this often besides the heartbeats.
+LIMIT_ANNOUNCEMENT_INTERVAL_S = 0.2
 
 
 class StoreAccess(enum.IntEnum):
@@ -138,6 +149,8 @@
         store_access: Whether it reaches the store.
         interval_s: Time between its heartbeats.
         crash_knowledge: What it knows of prompts under which upstreams end.
+        limit_statements: What responses to it said about limits of upstreams.
+        demand_by_service: Requests a second of its callers.
     """
 
     name: str
@@ -159,6 +172,8 @@
     store_access: StoreAccess = StoreAccess.UNKNOWN
     interval_s: float = MAX_HEARTBEAT_INTERVAL_S
     crash_knowledge: CrashKnowledge = attrs.field(factory=CrashKnowledge)
+    limit_statements: Sequence[LimitStatement] = ()
+    demand_by_service: Mapping[str, float] = attrs.field(factory=dict)
 
     @property
     def origin(self) -> str:
@@ -189,6 +204,8 @@
     leaving_started_ms_by_id: Mapping[str, int] = attrs.field(factory=dict)
     store_access: StoreAccess = StoreAccess.UNKNOWN
     crash_knowledge: CrashKnowledge = attrs.field(factory=CrashKnowledge)
+    limit_statements: Sequence[LimitStatement] = ()
+    demand_by_service: Mapping[str, float] = attrs.field(factory=dict)
 
 
 def heartbeat_interval_s(host_count: int) -> float:
@@ -371,6 +388,8 @@
                     int(local.store_access),
                     self.heartbeat_interval_s(),
                     knowledge_fields(local.crash_knowledge),
+                    statement_fields(local.limit_statements, boot_s()),
+                    local.demand_by_service,
                 )
             ),
         )
@@ -427,6 +446,12 @@
                 if len(fields) > 17
                 else CrashKnowledge()
             ),
+            limit_statements=(
+                read_statements(fields[18], now_s) if len(fields) > 18 else ()
+            ),
+            demand_by_service=(
+                read_demand(fields[19]) if len(fields) > 19 else {}
+            ),
         )
         return state, fields[12]
 
@@ -495,6 +520,7 @@
         on_state: Callable[[PeerState], None],
         on_changes: Callable[[UpstreamChanges], None],
         on_crashes: Callable[[str, CrashKnowledge], None],
+        on_limits: Callable[[str, Sequence[LimitStatement]], None],
     ) -> None:
         self._peers = peers
         self._port = port
@@ -503,7 +529,10 @@
         self._on_state = on_state
         self._on_changes = on_changes
         self._on_crashes = on_crashes
+        self._on_limits = on_limits
         self._crashes_timer: asyncio.TimerHandle | None = None
+        self._limits_timer: asyncio.TimerHandle | None = None
+        self._limits_sent_s = -math.inf
         self._transport: asyncio.DatagramTransport | None = None
         self._seeds_contacted_s = 0.0
         self._sender = PeriodicTask(
@@ -528,6 +557,8 @@
         await self._sender.close()
         if self._crashes_timer is not None:
             self._crashes_timer.cancel()
+        if self._limits_timer is not None:
+            self._limits_timer.cancel()
         if self._transport is not None:
             self.send_now()
             self._transport.close()
@@ -571,6 +602,25 @@
         for ip in self._peers.recipients(with_seeds=False):
             self._send(data, ip)
 
+    def announce_limits(self) -> None:
+        """Soon tell all known peers what responses here said about limits."""
+        if self._limits_timer is None:
+            earliest_s = self._limits_sent_s + LIMIT_ANNOUNCEMENT_INTERVAL_S
+            self._limits_timer = asyncio.get_running_loop().call_later(
+                max(0.0, earliest_s - boot_s()), self._send_limits
+            )
+
+    def _send_limits(self) -> None:
+        self._limits_timer = None
+        self._limits_sent_s = boot_s()
+        data = encode_statements(
+            self._peers.name,
+            self._make_state().limit_statements,
+            self._limits_sent_s,
+        )
+        for ip in self._peers.recipients(with_seeds=False):
+            self._send(data, ip)
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Handle a peer's datagram; send a heartbeat to new hosts it names."""
         try:
@@ -582,6 +632,10 @@
             if crashes is not None:
                 self._on_crashes(*crashes)
                 return
+            limits = decode_statements(data, boot_s())
+            if limits is not None:
+                self._on_limits(*limits)
+                return
             state, passed_on_ips = self._peers.decode(data, addr[0])
         except (
             ValueError,
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -23,8 +23,10 @@
 from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
 from shallotfold._gateway.deciding.dispatcher import Dispatcher
 from shallotfold._gateway.deciding.events import PeerCrashesReceived
+from shallotfold._gateway.deciding.events import PeerLimitsReceived
 from shallotfold._gateway.deciding.events import PeerLoadsReceived
 from shallotfold._gateway.deciding.events import StoredHoldsRead
+from shallotfold._gateway.deciding.named_limits import LimitStatement
 from shallotfold._gateway.deciding.placement import Placement
 from shallotfold._gateway.deciding.retry_budget import FleetRetryBudget
 from shallotfold._gateway.duties.duty_lease import DutyLease
@@ -103,6 +105,7 @@
             self._peers.agreed_time_s,
         )
         dispatcher.crashing_prompts.trial_draw = random.random()
+        dispatcher.placement.limits.shares.host = settings.host
         self._peer_link = PeerLink(
             self._peers,
             settings.peer_port,
@@ -111,8 +114,10 @@
             self._on_peer_state,
             self._on_peer_changes,
             self._on_peer_crashes,
+            self._on_peer_limits,
         )
         self._gateway.announce_crashes = self._peer_link.announce_crashes
+        self._gateway.announce_limits = self._peer_link.announce_limits
         self._followers = StoreFollowers(settings.host)
         # A new configuration is announced at once, for peers that get no
         # updates from the store.
@@ -383,6 +388,8 @@
             crash_knowledge=self._gateway.dispatcher.crashing_prompts.knowledge(
                 boot_s()
             ),
+            limit_statements=placement.limits.own_statements(),
+            demand_by_service=placement.limits.shares.announced_demand(),
         )
 
     def _on_peer_state(self, state: PeerState) -> None:
@@ -403,8 +410,11 @@
                 peer=state.name,
                 loads_by_upstream=state.loads_by_upstream,
                 prefixes_sent=state.prefixes_sent,
+                demand_by_service=state.demand_by_service,
             )
         )
+        if state.limit_statements:
+            self._on_peer_limits(state.name, state.limit_statements)
         if state.crash_knowledge:
             self._on_peer_crashes(state.name, state.crash_knowledge)
 
@@ -416,6 +426,16 @@
                 )
             )
 
+    def _on_peer_limits(
+        self, peer: str, statements: Sequence[LimitStatement]
+    ) -> None:
+        if peer != self._peers.name:
+            self._gateway.deliver(
+                PeerLimitsReceived(
+                    now_s=boot_s(), peer=peer, statements=statements
+                )
+            )
+
     def _on_stored_holds(self, holds: Sequence[tuple[str, ...]]) -> None:
         self._gateway.deliver(StoredHoldsRead(now_s=boot_s(), holds=holds))
 
@@ -454,6 +474,7 @@
             "upstream_connections_made": self._gateway.pool.connections_made,
             "store_era": self._store.era,
             "holds_duties": float(self._duty_lease.is_held),
+            "limited_upstreams": len(self._gateway.dispatcher.placement.limits),
             "held_prompts": len(
                 self._gateway.dispatcher.crashing_prompts.holds
             ),
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -83,6 +83,7 @@
         on_upstream_leaving: Called when an upstream says in a response that it
             is leaving; returns whether that is new.
         announce_crashes: Called when peers should learn of crashing prompts.
+        announce_limits: Called when peers should learn of upstreams' limits.
     """
 
     def __init__(
@@ -105,6 +106,7 @@
         self._invalid_limit_ids: set[str] = set()
         self.on_upstream_leaving: Callable[[Upstream], bool] = _ignore_leaving
         self.announce_crashes: Callable[[], None] = _announce_nothing
+        self.announce_limits: Callable[[], None] = _announce_nothing
         self._usage = usage
         self._agreed_time_s = agreed_time_s
         self._request_numbers = itertools.count(1)
@@ -124,6 +126,7 @@
             effects.LogHoldChange: self._log_hold_change,
             effects.AnnounceCrashes: self._announce_crashes,
             effects.LogLimitChange: self._log_limit_change,
+            effects.AnnounceLimits: self._announce_limits,
         }
 
     async def start(self, ip: str, port: int) -> None:
@@ -350,6 +353,10 @@
         del effect
         self.announce_crashes()
 
+    def _announce_limits(self, effect: effects.AnnounceLimits) -> None:
+        del effect
+        self.announce_limits()
+
     # Helpers.
 
     def _rejects_during_shutdown(self, timeout_s: float) -> bool:
@@ -396,7 +403,13 @@
 
     async def _tick(self) -> None:
         now_s = boot_s()
-        self.deliver(events.TimePassed(now_s=now_s, host_count=self.host_count))
+        self.deliver(
+            events.TimePassed(
+                now_s=now_s,
+                host_count=self.host_count,
+                clock_offset_s=self._agreed_time_s() - now_s,
+            )
+        )
         if now_s - self._last_sweep_s >= CONNECTION_SWEEP_INTERVAL_S:
             self._last_sweep_s = now_s
             self._sweep_connections()
--- a/tests/gateway/peers/test_peers.py
+++ b/tests/gateway/peers/test_peers.py
@@ -332,5 +332,6 @@
         lambda state: None,
         lambda changes: None,
         lambda peer, knowledge: None,
+        lambda peer, statements: None,
     )
     link.datagram_received(msgpack.packb(fields), ("10.0.0.9", 1))
