Explain requests that went elsewhere because of named limits

shallotfold explain names the limits that a host knew when it sent or refused a request; nothing showed before why a request didn't go to its usual upstream.

--- a/src/shallotfold/_operator/request_trace.py
+++ b/src/shallotfold/_operator/request_trace.py
@@ -36,6 +36,7 @@
         lost_dependencies: Store prefixes that it could not reach.
         failed_attempts: Failed attempts of all requests on this host so far.
         dropped_lines: Log lines that the host dropped so far.
+        limit_by_upstream: Requests a second that upstreams named.
     """
 
     configuration: int | None = None
@@ -43,6 +44,7 @@
     lost_dependencies: set[str] = attrs.field(factory=set)
     failed_attempts: int = 0
     dropped_lines: int = 0
+    limit_by_upstream: dict[str, float] = attrs.field(factory=dict)
 
     def apply_line(self, line: Line) -> None:
         """Update the view from a line of the host's log."""
@@ -56,8 +58,26 @@
             self.lost_dependencies.add(str(line.get("prefix")))
         elif decision == "dependency_regained":
             self.lost_dependencies.discard(str(line.get("prefix")))
+        elif decision == "upstream_limit":
+            upstream = str(line.get("upstream"))
+            self.limit_by_upstream.pop(upstream, None)
+            if line.get("per_second") is not None:
+                self.limit_by_upstream[upstream] = float(line["per_second"])
         elif decision in FAILED_ATTEMPT_DECISIONS:
             self.failed_attempts += 1
+        elif decision == "start":
+            self.limit_by_upstream.clear()
+
+    def describe_limits(self) -> str:
+        """Return the limits that upstreams named, as readable text."""
+        listed = ", ".join(
+            f"{upstream} {rate:g}"
+            for upstream, rate in sorted(self.limit_by_upstream.items())
+        )
+        return (
+            "upstreams named limits, in requests a second of all hosts "
+            f"together: {listed}"
+        )
 
 
 @attrs.frozen(kw_only=True)
@@ -173,7 +193,9 @@
             configurations.append((line["time"], line["version"]))
         if line.get("request_id") == request_id:
             view_at_line = attrs.evolve(
-                view, lost_dependencies=set(view.lost_dependencies)
+                view,
+                lost_dependencies=set(view.lost_dependencies),
+                limit_by_upstream=dict(view.limit_by_upstream),
             )
             steps.append(TraceStep(host=host, line=line, view=view_at_line))
     if not view_by_host:
@@ -226,7 +248,9 @@
         f"{step.host} refused it without running it: "
         f"{step.line.get('reason')}; retry after {retry_after_s:.2f} s"
     ]
-    if not trace.attempts_of(step.host):
+    if step.view.limit_by_upstream:
+        causes.append(step.view.describe_limits())
+    elif not trace.attempts_of(step.host):
         revision = step.view.upstreams_revision
         causes.append(
             "no attempt was made: check the upstreams at store revision "
@@ -235,6 +259,16 @@
     return causes
 
 
+def _explain_send(trace: RequestTrace, step: TraceStep) -> list[str]:
+    del trace
+    if not step.view.limit_by_upstream:
+        return []
+    return [
+        f"{step.host} sent it to {step.line.get('upstream')} while "
+        f"{step.view.describe_limits()}"
+    ]
+
+
 def _explain_failure(trace: RequestTrace, step: TraceStep) -> list[str]:
     attempts = trace.attempts_of(step.host)
     causes = [
@@ -288,6 +322,7 @@
 
 _EXPLANATIONS = {
     "reject": _explain_rejection,
+    "send": _explain_send,
     "refuse": _explain_refusal,
     "fail": _explain_failure,
     "done": _explain_done,
--- a/tests/operator/test_request_trace.py
+++ b/tests/operator/test_request_trace.py
@@ -94,6 +94,19 @@
     assert "store revision 77" in causes
 
 
+def test_limits_of_upstreams_are_named() -> None:
+    """Nothing showed why a request went to another upstream than usual."""
+    log = Log()
+    log.add("h1", "upstream_limit", upstream="u3", per_second=1.5)
+    log.add("h1", "upstream_limit", upstream="u4", per_second=2.0, peer="h2")
+    log.add("h1", "send", request_id="r1", upstream="u7", reason="rank=1")
+    log.add("h1", "upstream_limit", upstream="u4", previous_per_second=2.0)
+    log.add("h1", "refuse", request_id="r2", reason="x", retry_after_s=1.0)
+    assert "h1 sent it to u7 while upstreams named limits" in log.causes()
+    assert "u3 1.5, u4 2" in log.causes()
+    assert log.causes("r2").endswith("together: u3 1.5")
+
+
 @pytest.mark.parametrize(
     ("sends", "cause"),
     [(1, "estimated load of the upstream: pending=9"), (2, "at attempt 2")],
