Divide common allowances between hosts out of sight too

A host now counts all peers of the last 60 s, as for named limits, and as if they were 100 in its first three seconds.

--- a/src/shallotfold/_gateway/deciding/events.py
+++ b/src/shallotfold/_gateway/deciding/events.py
@@ -214,7 +214,7 @@
     """Time has passed; sent periodically while the process runs.
 
     Attributes:
-        host_count: Number of hosts that are alive, this one included.
+        host_count: Number of hosts that share what is allowed to all together.
         clock_offset_s: Time of day that the hosts agree on, minus `now_s`.
     """
 
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -26,6 +26,7 @@
 from shallotfold._gateway.core.periodic_task import PeriodicTask
 from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
 from shallotfold._gateway.deciding.events import RequestLoad
+from shallotfold._gateway.deciding.limit_shares import FORGET_AFTER_S
 from shallotfold._gateway.deciding.named_limits import LimitStatement
 from shallotfold._gateway.peers.change_messages import MAX_MESSAGE_BYTES
 from shallotfold._gateway.peers.change_messages import UpstreamChanges
@@ -90,8 +91,6 @@
 # A peer that was silent for longer than this has ended, or its counts come too
 # late for a report.
 PRESUMED_ENDED_AFTER_S = 20.0
-# A peer that was silent for this long is forgotten: it won't come back.
-FORGET_AFTER_S = 60.0
 # Seeds get heartbeats this often even when peers are known, so that the two
 # sides of a healed partition find each other.
 SEED_INTERVAL_S = 2.0
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -26,6 +26,7 @@
 from shallotfold._gateway.deciding.events import PeerLimitsReceived
 from shallotfold._gateway.deciding.events import PeerLoadsReceived
 from shallotfold._gateway.deciding.events import StoredHoldsRead
+from shallotfold._gateway.deciding.limit_shares import SETTLING_S
 from shallotfold._gateway.deciding.named_limits import LimitStatement
 from shallotfold._gateway.deciding.placement import Placement
 from shallotfold._gateway.deciding.retry_budget import FleetRetryBudget
@@ -55,6 +56,9 @@
 # Allocated for metrics pages in Prometheus' list of default ports.
 METRICS_PORT = 9464
 HOUSEKEEPING_INTERVAL_S = 0.1
+# A host that has just started hasn't heard all of its peers, and takes its part
+# of what is allowed to all hosts together as if they were so many.
+ASSUMED_HOSTS_AT_START = 100
 # Requests still open this long before the grace period ends are aborted.
 SHUTDOWN_MARGIN_S = 0.5
 
@@ -95,6 +99,7 @@
                 ratio=settings.retry_ratio,
                 extra=settings.retry_extra,
                 window_s=settings.retry_window_s,
+                host_count=ASSUMED_HOSTS_AT_START,
             ),
         )
         self._gateway = Gateway(
@@ -104,6 +109,8 @@
             self._metrics,
             self._peers.agreed_time_s,
         )
+        self._gateway.host_count = ASSUMED_HOSTS_AT_START
+        self._created_s = boot_s()
         dispatcher.crashing_prompts.trial_draw = random.random()
         dispatcher.placement.limits.shares.host = settings.host
         self._peer_link = PeerLink(
@@ -307,6 +314,7 @@
                 watcher.restart_watch()
 
     async def _run_housekeeping(self) -> None:
+        self._gateway.host_count = self._sharing_host_count()
         self._notice_restore()
         self._peers.acts_for_fleet = self._followers.update(self._peers.alive())
         for watcher in self._watchers:
@@ -323,6 +331,16 @@
     def _host_count(self) -> int:
         return len(self._peers.alive()) + 1
 
+    def _sharing_host_count(self) -> int:
+        """Return between how many hosts a common allowance is divided.
+
+        A silent peer may be cut off from this host only, and use its part.
+        """
+        known = len(self._peers.state_by_name) + 1
+        if boot_s() - self._created_s < SETTLING_S:
+            return max(known, ASSUMED_HOSTS_AT_START)
+        return known
+
     def _is_follower(self) -> bool:
         return self._followers.is_follower
 
@@ -403,7 +421,6 @@
             state.name, state.leaving_started_ms_by_id
         )
         self._duty_lease.record_peer_token(state.fencing_token)
-        self._gateway.host_count = self._host_count()
         self._gateway.deliver(
             PeerLoadsReceived(
                 now_s=boot_s(),
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -79,7 +79,8 @@
         shutdown_started_s: When a shutdown began, on the boot clock; `None`
             before.
         shutdown_ends_s: When the process ends after a shutdown began.
-        host_count: Number of hosts that share the fleet's retry budget.
+        host_count: Number of hosts that share what is allowed to all together:
+            retries and connections.
         on_upstream_leaving: Called when an upstream says in a response that it
             is leaving; returns whether that is new.
         announce_crashes: Called when peers should learn of crashing prompts.
