Let upstreams name limits in the soak

One upstream after the other names 0.4, 1.5 or 6 requests a second for 3 to 9 s; what undisturbed hosts send it is held against the rule.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -1,5 +1,6 @@
 """Check what callers and upstreams saw against the gateway's guarantees."""
 
+import bisect
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -33,6 +34,12 @@
 # Sound streams that may be held back by mistake.
 MAX_HELD_SOUND_SHARE = 0.02
 HELD_REASON = b"upstreams end under prompts"
+# From this time after an upstream first named a limit it gets in any window no
+# more than so many times what the limit allows, and so many requests more.
+LIMIT_CONTACT_S = 1.5
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5.0
 # The final response may be this much later than the route's timeout.
 TIMEOUT_SLACK_S = 0.75
 # A window is reported after its end by the correct time. Late reports come
@@ -201,6 +208,51 @@
     return violations
 
 
+def find_limit_violations(
+    outcomes: Iterable[Outcome],
+    runs: Runs,
+    disturbances: Iterable[tuple[int, float, float]],
+    cuts: Iterable[tuple[str, float, float]],
+) -> list[str]:
+    """Return lines for upstreams that got more than the limit that they named.
+
+    Args:
+        outcomes: Outcomes of all requests.
+        runs: Requests that reached upstreams, and the limits named.
+        disturbances: Spans (host, from, to) in which a host was disturbed.
+        cuts: Spans (upstream, from, to) in which connections to an upstream
+            were disturbed, so that requests may arrive late.
+    """
+    host_by_request = {o.request_id: o.host for o in outcomes}
+    disturbed_spans, cut_spans = list(disturbances), list(cuts)
+    violations = []
+    for limit in runs.limits:
+        arrived_s = sorted(
+            arrival.arrived_s
+            for arrival in runs.arrivals
+            if arrival.upstream_id == limit.upstream_id
+            and limit.from_s + LIMIT_CONTACT_S < arrival.arrived_s < limit.to_s
+            and not _overlaps(
+                disturbed_spans,
+                host_by_request.get(arrival.request_id),
+                arrival.arrived_s - LIMIT_CONTACT_S,
+                arrival.arrived_s,
+            )
+        )
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * limit.rate + LIMIT_EXTRA
+        for first, from_s in enumerate(arrived_s):
+            count = bisect.bisect(arrived_s, from_s + LIMIT_WINDOW_S) - first
+            if count > allowed and not _overlaps(
+                cut_spans, limit.upstream_id, from_s, from_s + LIMIT_WINDOW_S
+            ):
+                violations.append(
+                    f"{count} requests in {LIMIT_WINDOW_S:.0f} s reached "
+                    f"{limit.upstream_id}, which takes {limit.rate} a second"
+                )
+                break
+    return violations
+
+
 def _overlaps(
     spans: Iterable[tuple[Any, float, float]],
     subject: int | str | None,
--- a/benchmarks/soak/external_services.py
+++ b/benchmarks/soak/external_services.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 import json
+import math
 import random
 import re
 import time
@@ -229,6 +230,23 @@
     pause_s: float
 
 
+@attrs.define
+class NamedLimit:
+    """A time in which an upstream names a limit in its responses.
+
+    Attributes:
+        upstream_id: Id of the upstream.
+        rate: Requests a second that it takes from all hosts together.
+        from_s: When it begins, on the monotonic clock.
+        to_s: When it ends.
+    """
+
+    upstream_id: str
+    rate: float
+    from_s: float
+    to_s: float = math.inf
+
+
 @attrs.define
 class Runs:
     """Requests that reached upstreams.
@@ -241,6 +259,7 @@
         crashes_s: Times at which an upstream ended under a crashing prompt, on
             the monotonic clock.
         crashing_ids: Requests with such a prompt that reached an upstream.
+        limits: Limits that upstreams named.
     """
 
     starts_by_id: collections.Counter[str] = attrs.field(
@@ -251,6 +270,7 @@
     arrivals: list[Arrival] = attrs.field(factory=list)
     crashes_s: list[float] = attrs.field(factory=list)
     crashing_ids: list[str] = attrs.field(factory=list)
+    limits: list[NamedLimit] = attrs.field(factory=list)
 
 
 def _ignore_crash() -> None:
@@ -269,6 +289,18 @@
         self.started_ms = int(time.time() * 1000)
         self.on_crash: Callable[[], None] = _ignore_crash
         self._runs = runs
+        self._limit: NamedLimit | None = None
+
+    def name_limit(self, rate: float) -> None:
+        """Name a limit in all responses from now on."""
+        self._limit = NamedLimit(self.upstream_id, rate, time.monotonic())
+        self._runs.limits.append(self._limit)
+
+    def end_limit(self) -> None:
+        """Name no limit any longer."""
+        if self._limit is not None:
+            self._limit.to_s = time.monotonic()
+            self._limit = None
 
     async def handle(
         self, head: bytes, body: bytes, writer: asyncio.StreamWriter
@@ -286,6 +318,8 @@
             self._runs.leaving_arrivals.append(
                 LeavingArrival(request_id, self.upstream_id, self.started_ms)
             )
+        if self._limit is not None:
+            echo_header += f"\r\nServer-Limit: {self._limit.rate}"
         pause_s = self.pause_s if self.failing else 0.0
         self._runs.arrivals.append(
             Arrival(request_id, self.upstream_id, time.monotonic(), pause_s)
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -44,6 +44,8 @@
 ALL_FULL_SHARE = 0.5
 # An upstream that ended under a prompt is back after this time.
 CRASH_S = 1.0
+# Requests a second that upstreams name as their limits.
+NAMED_RATES = (0.4, 1.5, 6.0)
 
 
 def make_configuration(version: int) -> bytes:
@@ -143,6 +145,9 @@
         violations += checks.find_crash_violations(
             self._outcomes, self._runs, self._disturbed_spans
         )
+        violations += checks.find_limit_violations(
+            self._outcomes, self._runs, self._disturbed_spans, self._cut_spans
+        )
         violations += self._unexpected_exits
         statuses = collections.Counter(o.status for o in self._outcomes)
         return {
@@ -208,6 +213,8 @@
         self, upstream: UpstreamService, proxy: FaultyTcpProxy
     ) -> None:
         proxy.set_fault(Fault.NONE)
+        # What an upstream named ends with it.
+        upstream.end_limit()
         upstream.started_ms = int(time.time() * 1000)
         self._register(upstream, proxy)
 
@@ -272,6 +279,7 @@
             asyncio.create_task(self._inject_faults(end_s - 2.0, series))
             for series in range(2)
         ]
+        fault_tasks.append(asyncio.create_task(self._name_limits(end_s)))
         await asyncio.gather(*caller_tasks, *fault_tasks)
         # Requests reported as not run must not run later either.
         await asyncio.sleep(1.0)
@@ -308,6 +316,18 @@
             await rng.choice(injectors)(rng)
             await asyncio.sleep(rng.uniform(0.2, 1.5))
 
+    async def _name_limits(self, end_s: float) -> None:
+        """Let one upstream after the other name a limit."""
+        rng = random.Random(f"{self._seed}/limits")
+        while time.monotonic() < end_s:
+            upstream = rng.choice(self._upstreams)
+            upstream.name_limit(rng.choice(NAMED_RATES))
+            self._fault_counts["upstream limit"] += 1
+            limited_s = rng.uniform(3.0, 9.0)
+            await asyncio.sleep(min(limited_s, end_s - time.monotonic()))
+            upstream.end_limit()
+            await asyncio.sleep(rng.uniform(0.2, 1.5))
+
     async def _inject_host_fault(self, rng: random.Random) -> None:
         number = rng.randrange(len(self._ips))
         process = self._processes[number]
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -15,6 +15,7 @@
 from benchmarks.soak.external_services import DutyArrival
 from benchmarks.soak.external_services import DutyService
 from benchmarks.soak.external_services import LeavingArrival
+from benchmarks.soak.external_services import NamedLimit
 from benchmarks.soak.external_services import Runs
 
 SECONDS = "6"
@@ -126,6 +127,24 @@
     assert violation.startswith("1 of 2 sound streams")
 
 
+def test_requests_beyond_a_named_limit_are_found() -> None:
+    arrivals = [Arrival(f"r{n}", "u0", 12.0 + n / 10, 0.0) for n in range(9)]
+    outcomes = [make_outcome(request_id=a.request_id) for a in arrivals]
+
+    def find(rate: float, cut: str = "u1") -> list[str]:
+        runs = Runs(
+            arrivals=arrivals, limits=[NamedLimit("u0", rate, 10.0, 20.0)]
+        )
+        cuts = [(cut, 10.0, 13.0)]
+        return checks.find_limit_violations(outcomes, runs, [], cuts)
+
+    assert find(0.7) == []
+    assert find(0.5) == [
+        "9 requests in 4 s reached u0, which takes 0.5 a second"
+    ]
+    assert find(0.5, cut="u0") == []
+
+
 def find_duty_violations(*calls: tuple[str, int, float]) -> list[str]:
     duties = DutyService()
     duties.arrivals = [
