--- a/benchmarks/soak/external_services.py
+++ b/benchmarks/soak/external_services.py
@@ -286,6 +286,7 @@
         self.failing = False
         self.pause_s = 0.0
         self.leaving = False
+        self.ended = False
         self.started_ms = int(time.time() * 1000)
         self.on_crash: Callable[[], None] = _ignore_crash
         self._runs = runs
@@ -353,7 +354,8 @@
         if CRASHING_PART in get_header(head, "Prompt-Prefix"):
             self._runs.crashing_ids.append(request_id)
             await asyncio.sleep(EVENT_INTERVAL_S)
-            self._runs.crashes_s.append(time.monotonic())
+            if not self.ended:
+                self._runs.crashes_s.append(time.monotonic())
             self.on_crash()
             return
         last_event_id = int(get_header(head, "Last-Event-Id") or 0)
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -204,6 +204,10 @@
 
     def _crash(self, upstream: UpstreamService, proxy: FaultyTcpProxy) -> None:
         """Let an upstream end; it starts again under its id."""
+        if upstream.ended:
+            # Another request with the part was open there.
+            return
+        upstream.ended = True
         proxy.set_fault(Fault.RESET)
         asyncio.get_running_loop().call_later(
             CRASH_S, self._end_crash, upstream, proxy
@@ -213,6 +217,7 @@
         self, upstream: UpstreamService, proxy: FaultyTcpProxy
     ) -> None:
         proxy.set_fault(Fault.NONE)
+        upstream.ended = False
         # What an upstream named ends with it.
         upstream.end_limit()
         upstream.started_ms = int(time.time() * 1000)
