--- a/src/shallotfold/_gateway/deciding/upstream_limits.py
+++ b/src/shallotfold/_gateway/deciding/upstream_limits.py
@@ -9,6 +9,7 @@
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.deciding.limit_permits import MIN_RATE_PER_S
 from shallotfold._gateway.deciding.limit_permits import LimitPermits
+from shallotfold._gateway.deciding.limit_shares import SETTLING_S
 from shallotfold._gateway.deciding.limit_shares import LimitShares
 from shallotfold._gateway.deciding.limit_shares import Share
 from shallotfold._gateway.deciding.named_limits import LimitChange
@@ -98,7 +99,8 @@
             max(self._named.rate_of(u), MIN_RATE_PER_S) for u in upstreams
         )
         if not rate:
-            return MAX_RETURN_S
+            # This host has just started.
+            return SETTLING_S
         last_s = max(now_s, self._last_return_s_by_service.get(service, now_s))
         return_s = min(last_s + 1.0 / rate, now_s + MAX_RETURN_S)
         self._last_return_s_by_service[service] = return_s
--- a/tests/gateway/deciding/test_upstream_limits.py
+++ b/tests/gateway/deciding/test_upstream_limits.py
@@ -96,6 +96,15 @@
     assert max(delays_s) <= 1.5 * MAX_RETURN_S
 
 
+def test_host_that_has_just_started_tells_callers_when_it_has_a_share() -> None:
+    harness = DispatcherHarness(make_upstream("u0"))
+    tick(harness)
+    name_limit(harness, "u0", 5.0)
+    (refusal,) = harness.arrive(1, CALL)
+    assert isinstance(refusal, effects.Refuse)
+    assert SETTLING_S <= refusal.retry_after_s <= SETTLING_S + 1.0
+
+
 def test_rejection_at_the_limit_is_no_failure_of_the_upstream() -> None:
     harness = settled("u0")
     name_limit(harness, "u0", 5.0)
