Attribute a crash to the start of the upstream that got the request

A request that was sent to an upstream after its end, while its front resets connections, and broke off after the upstream had started again counted as a crash of the new start, since the start was looked up when the attempt broke. So sound parts gathered crashes that never were, and hid the real ones.

The start is now kept with the attempt. The new test failed before (u0/2 instead of u0/1).

--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -79,6 +79,7 @@
     draw: float
     attempts: int = 0
     upstream: str = ""
+    upstream_started_ms: int = 0
     sent_s: float = 0.0
     expected_s: float = 0.0
     pending_tokens: int = 0
@@ -380,6 +381,7 @@
         placement.limits.record_send(upstream)
         request.attempts += 1
         request.upstream = upstream.upstream_id
+        request.upstream_started_ms = upstream.started_ms
         request.tried_upstreams.add(upstream.upstream_id)
         request.sent_s = now_s
         request.last_progress_s = None
@@ -583,7 +585,8 @@
             prompt = Prompt()
         return self._hold_effects(
             self.crashing_prompts.record_crash(
-                f"{upstream.upstream_id}/{upstream.started_ms}",
+                # It may have started again since the request was sent.
+                f"{request.upstream}/{request.upstream_started_ms}",
                 request.service,
                 prompt,
                 now_s,
--- a/tests/gateway/deciding/test_crashing_prompts.py
+++ b/tests/gateway/deciding/test_crashing_prompts.py
@@ -3,6 +3,7 @@
 import itertools
 import math
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -227,6 +228,27 @@
     assert not harness.dispatcher.crashing_prompts.holds
 
 
+def test_crash_counts_under_the_start_that_got_the_request() -> None:
+    """Requests sent to an ended upstream looked like crashes of its successor.
+
+    They broke off after it had started again, so that sound parts had as many
+    crashes as the one that ended it.
+    """
+    first, second = (
+        attrs.evolve(make_upstream("u0"), started_ms=start) for start in (1, 2)
+    )
+    harness = DispatcherHarness(first)
+    harness.arrive(1, ONCE, prompt=make_prompt_of("s1"))
+    harness.change_upstreams(second)
+    harness.feed(
+        events.AttemptBroken(
+            now_s=harness.now_s, request=1, response_started=False
+        )
+    )
+    knowledge = harness.dispatcher.crashing_prompts.knowledge(harness.now_s)
+    assert [report.upstream for report in knowledge.reports] == ["u0/1"]
+
+
 class TwoHosts:
     """What two hosts know, with a clock that both follow."""
 
