Treat a limit of a new start as news; bound what peers send

An upstream that started again and named the limit that it had named before was no change, so that peers learned of it with the next heartbeat only; the new test failed before. Limits and demands of peers beyond a million a second are refused: the number of a slot would overflow. Reports of unusable headers and the count of requests in a window have one copy each.

--- a/src/shallotfold/_gateway/deciding/named_limits.py
+++ b/src/shallotfold/_gateway/deciding/named_limits.py
@@ -17,6 +17,8 @@
 # has ended. A limit is kept for as long while its upstream isn't registered:
 # registrations lapse while the store is away.
 MEMORY_S = 30.0
+# No upstream takes more, so a larger limit limits nothing.
+MAX_NAMED_RATE = 1e6
 # Statements in one message to peers; the newest come first.
 MAX_ANNOUNCED_LIMITS = 32
 
@@ -99,7 +101,9 @@
             return None
         if known is not None and not statement.supersedes(known.statement):
             return None
-        previous_rate = known.statement.rate if known else math.inf
+        previous_rate = math.inf
+        if known and known.statement.started_ms == statement.started_ms:
+            previous_rate = known.statement.rate
         self._known_by_upstream[statement.upstream] = _Known(
             statement, is_own=peer is None
         )
--- a/src/shallotfold/_gateway/peers/limit_messages.py
+++ b/src/shallotfold/_gateway/peers/limit_messages.py
@@ -10,6 +10,7 @@
 
 import msgpack
 
+from shallotfold._gateway.deciding.named_limits import MAX_NAMED_RATE
 from shallotfold._gateway.deciding.named_limits import LimitStatement
 
 # First field of the datagram; heartbeats begin with a number.
@@ -98,7 +99,7 @@
 
 def _rate(value: Any) -> float:
     rate = float(value)
-    if not 0.0 <= rate < math.inf:
+    if not 0.0 <= rate <= MAX_NAMED_RATE:
         raise ValueError(f"{rate} isn't a rate")
     return rate
 
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -103,8 +103,7 @@
         self.shutdown_started_s: float | None = None
         self.shutdown_ends_s = math.inf
         self.host_count = 1
-        self._invalid_pause_ids: set[str] = set()
-        self._invalid_limit_ids: set[str] = set()
+        self._invalid_signals: set[tuple[str, str]] = set()
         self.on_upstream_leaving: Callable[[Upstream], bool] = _ignore_leaving
         self.announce_crashes: Callable[[], None] = _announce_nothing
         self.announce_limits: Callable[[], None] = _announce_nothing
@@ -196,8 +195,11 @@
             )
         )
         self.pool.retain_only(list(upstreams_by_id.values()))
-        self._invalid_pause_ids &= upstreams_by_id.keys()
-        self._invalid_limit_ids &= upstreams_by_id.keys()
+        self._invalid_signals = {
+            reported
+            for reported in self._invalid_signals
+            if reported[0] in upstreams_by_id
+        }
 
     # The connections call these.
 
@@ -261,16 +263,11 @@
 
     # The relays call these.
 
-    def report_invalid_pause(self, upstream: Upstream) -> bool:
-        """Report an unusable Retry-After; return whether it is the first."""
-        is_first = upstream.upstream_id not in self._invalid_pause_ids
-        self._invalid_pause_ids.add(upstream.upstream_id)
-        return is_first
-
-    def report_invalid_limit(self, upstream: Upstream) -> bool:
-        """Report an unusable limit; return whether it is the first."""
-        is_first = upstream.upstream_id not in self._invalid_limit_ids
-        self._invalid_limit_ids.add(upstream.upstream_id)
+    def report_invalid_signal(self, upstream: Upstream, signal: str) -> bool:
+        """Report an unusable header; return whether it is the first."""
+        reported = (upstream.upstream_id, signal)
+        is_first = reported not in self._invalid_signals
+        self._invalid_signals.add(reported)
         return is_first
 
     def report_leaving(self, upstream: Upstream) -> bool:
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -74,11 +74,8 @@
     def report_leaving(self, upstream: Upstream) -> bool:
         """Report that an upstream is leaving; return whether that is new."""
 
-    def report_invalid_pause(self, upstream: Upstream) -> bool:
-        """Report an unusable Retry-After; return whether it is the first."""
-
-    def report_invalid_limit(self, upstream: Upstream) -> bool:
-        """Report an unusable limit; return whether it is the first."""
+    def report_invalid_signal(self, upstream: Upstream, signal: str) -> bool:
+        """Report an unusable header; return whether it is the first."""
 
     def buffered_bytes(self) -> int:
         """Return the size of the buffered responses of all requests."""
@@ -388,7 +385,7 @@
                 attempt.header_values(self._gateway.names.upstream_limit)
             )
         except ValueError as error:
-            if self._gateway.report_invalid_limit(attempt.upstream):
+            if self._gateway.report_invalid_signal(attempt.upstream, "limit"):
                 self._log(
                     "limit_ignored",
                     upstream=attempt.upstream.upstream_id,
@@ -416,7 +413,7 @@
         try:
             pause_s = parse_retry_after_s(value)
         except ValueError as error:
-            if self._gateway.report_invalid_pause(attempt.upstream):
+            if self._gateway.report_invalid_signal(attempt.upstream, "pause"):
                 self._log(
                     "pause_ignored",
                     upstream=attempt.upstream.upstream_id,
--- a/src/shallotfold/_gateway/serving/response_parsing.py
+++ b/src/shallotfold/_gateway/serving/response_parsing.py
@@ -4,10 +4,10 @@
 import math
 import re
 
+from shallotfold._gateway.deciding.named_limits import MAX_NAMED_RATE
+
 # Bounds the effect of a mistaken value.
 MAX_PAUSE_S = 600.0
-# No upstream takes more, so a larger limit limits nothing.
-MAX_NAMED_RATE = 1e6
 _DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+", re.ASCII)
 
 
--- a/tests/gateway/deciding/limit_simulation.py
+++ b/tests/gateway/deciding/limit_simulation.py
@@ -19,6 +19,8 @@
 from shallotfold._gateway.peers.peers import heartbeat_interval_s
 from tests.gateway.factories import SERVICE
 from tests.gateway.factories import make_upstream
+from tests.gateway.limited_engines import allowed_in_window
+from tests.gateway.limited_engines import most_in_window
 
 DATAGRAM_DELAY_S = (0.001, 0.03)
 LOST_SHARE = 0.02
@@ -121,23 +123,13 @@
         for host in self._hosts.values():
             host.weight = weight_of(host.number)
 
-    def most_in_window(self, upstream: str, from_s: float) -> int:
-        """Return the largest number of arrivals in any four seconds."""
-        times_s = sorted(
-            t for t in self.arrivals_s.get(upstream, ()) if t >= from_s
-        )
-        most = first = 0
-        for last, at_s in enumerate(times_s):
-            while times_s[first] <= at_s - 4.0:
-                first += 1
-            most = max(most, last - first + 1)
-        return most
-
     def check(self, rate: float, from_s: float) -> None:
         """Check the stated rule for all upstreams that name this limit."""
         for upstream in self.rates:
-            most = self.most_in_window(upstream, from_s)
-            assert most <= 1.5 * 4.0 * rate + 5.0, (upstream, rate, most)
+            most = most_in_window(
+                [t for t in self.arrivals_s.get(upstream, ()) if t >= from_s]
+            )
+            assert most <= allowed_in_window(rate), (upstream, rate, most)
 
     def _at(self, at_s: float, action: Any, *arguments: Any) -> None:
         heapq.heappush(
--- a/tests/gateway/deciding/test_named_limits.py
+++ b/tests/gateway/deciding/test_named_limits.py
@@ -97,6 +97,15 @@
     assert limits.rate_of(restarted) == NO_LIMIT
 
 
+def test_limit_of_a_new_start_is_news_also_if_it_is_the_same() -> None:
+    """Peers learned of it only with the next heartbeat."""
+    limits = NamedLimits()
+    limits.record(statement(2.0, 1.0, 1.1, started_ms=5))
+    change = limits.record(statement(2.0, 2.0, 2.1, started_ms=6))
+    assert change is not None
+    assert change.previous_rate == NO_LIMIT
+
+
 def test_statement_about_an_earlier_start_is_ignored() -> None:
     limits = NamedLimits()
     limits.record(statement(2.0, 1.0, 1.1, started_ms=5))
