Stop announcing the demand of services without callers

The announced demand of a service shrinks with each period but was never dropped, so that each service that was ever configured made all heartbeats longer. The new test failed before.

--- a/src/shallotfold/_gateway/deciding/limit_shares.py
+++ b/src/shallotfold/_gateway/deciding/limit_shares.py
@@ -20,6 +20,8 @@
 NEWEST_WEIGHT = 0.4
 # Every host gets a share, so that its first callers are served too.
 BASE_DEMAND_PER_S = 0.05
+# A demand below this isn't announced; it matters less than the one above.
+MIN_ANNOUNCED_PER_S = 0.01
 # A host that has just started doesn't know its peers yet.
 SETTLING_S = 3.0
 # A peer that is silent may be cut off from this host only and still send, so
@@ -131,6 +133,11 @@
             + NEWEST_WEIGHT * counts.get(service, 0) / period_s
             for service in counts.keys() | self._announced.keys()
         }
+        measured = {
+            service: demand
+            for service, demand in measured.items()
+            if demand >= MIN_ANNOUNCED_PER_S
+        }
         self._in_force = self._announced
         if self._is_in_touch(now_s):
             self._announced = measured
--- a/tests/gateway/deciding/test_limit_shares.py
+++ b/tests/gateway/deciding/test_limit_shares.py
@@ -82,6 +82,15 @@
         assert sum(fleet.widths()) <= 1.0 + 1e-9
 
 
+def test_service_without_callers_is_not_announced_for_ever() -> None:
+    """Each service that was ever configured made all heartbeats longer."""
+    fleet = Fleet(2)
+    fleet.run_period({0: 100})
+    for _ in range(40):
+        fleet.run_period({})
+    assert fleet.hosts[0].announced_demand() == {}
+
+
 def test_silent_peer_keeps_its_share_until_it_is_forgotten() -> None:
     fleet = Fleet(2)
     for _ in range(12):
