--- a/src/shallotfold/_gateway/deciding/limit_shares.py
+++ b/src/shallotfold/_gateway/deciding/limit_shares.py
@@ -13,8 +13,8 @@
 # Demand is announced for this long before it changes; at least one heartbeat
 # falls into it.
 DEMAND_PERIOD_S = 2.0
-# A peer goes by its previous announcement until its period is over, and its
-# next heartbeat may come as late as another period; one more may be lost.
+# A peer still uses its previous demand for a whole period after it announced a
+# new one. Its next heartbeat may take as long again, and one may be lost.
 PREVIOUS_DEMAND_VALIDITY_S = 3.0 * DEMAND_PERIOD_S
 # Weight of the newest period in the demand that is announced.
 NEWEST_WEIGHT = 0.4
