Log by which fingerprint equal requests can be found

The log couldn't tell whether the servers of the incident ended under one request that came again or under several: `send` names the route and the workspace, not the path or the body. The fingerprint is a digest of method, host, path with query, workspace and body; of the declared prompt if there is no body. 128 bits, since it will be compared between hosts. No decision depends on it yet.

--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -32,6 +32,7 @@
 from shallotfold._gateway.serving.relay import Relay
 from shallotfold._gateway.serving.request_parsing import parse_deadline_s
 from shallotfold._gateway.serving.request_parsing import parse_prompt
+from shallotfold._gateway.serving.request_parsing import request_fingerprint
 from shallotfold._gateway.serving.route_table import RouteTable
 from shallotfold._gateway.serving.route_table import choose_service
 from shallotfold._model.events import Event
@@ -224,7 +225,13 @@
         now_s = boot_s()
         route = admission.route
         request_number = next(self._request_numbers)
-        relay = Relay(self, request_number, request, connection, admission)
+        workspace = admission.workspace
+        fingerprint = request_fingerprint(
+            request, self.names, workspace.name if workspace else None
+        )
+        relay = Relay(
+            self, request_number, request, connection, admission, fingerprint
+        )
         self._relay_by_request[request_number] = relay
         deadline_s = parse_deadline_s(request, self.names, DEFAULT_DEADLINE_S)
         self.deliver(
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -94,7 +94,18 @@
         request: IncomingRequest,
         connection: CallerConnection,
         admission: Admission,
+        fingerprint: str,
     ) -> None:
+        """Make the relay of a request.
+
+        Args:
+            gateway: The gateway that it belongs to.
+            request_number: Number of the request on this host.
+            request: The request.
+            connection: Connection of its caller.
+            admission: Its route, workspace and rank.
+            fingerprint: Digest that equal requests share, for the log.
+        """
         self.request_number = request_number
         self.workspace = admission.workspace
         self._gateway = gateway
@@ -102,6 +113,7 @@
         self._connection = connection
         self._route = admission.route
         self._rank = admission.rank
+        self._fingerprint = fingerprint
         self._arrived_s = boot_s()
         names = gateway.names
         self._request_id = find_header(request.headers, names.request_id) or b""
@@ -127,6 +139,7 @@
             allowed_ms=round(effect.allowed_s * _MS_PER_S),
             reason=effect.reason,
             parts=effect.shared_part_ids or None,
+            fingerprint=self._fingerprint,
         )
         attempt = Attempt(self, effect.upstream)
         self._attempt = attempt
--- a/src/shallotfold/_gateway/serving/request_parsing.py
+++ b/src/shallotfold/_gateway/serving/request_parsing.py
@@ -1,4 +1,6 @@
-"""Parse the headers that declare a request's deadline and prompt."""
+"""Parse what a request declares, and identify equal requests."""
+
+import hashlib
 
 from shallotfold._gateway.core.model import Prompt
 from shallotfold._gateway.core.model import PromptPart
@@ -7,6 +9,7 @@
 from shallotfold._gateway.http.messages import find_header
 
 _MS_PER_S = 1000.0
+FINGERPRINT_BYTES = 16
 
 
 def parse_deadline_s(
@@ -36,6 +39,40 @@
     )
 
 
+def request_fingerprint(
+    request: IncomingRequest, names: HeaderNames, workspace: str | None
+) -> str:
+    """Return a digest that equal requests of one workspace share.
+
+    Headers differ between repeats of a request, so that they don't count. Only
+    the declared prompt does if there is no body that could have it.
+
+    Args:
+        request: The request.
+        names: Header names of the platform.
+        workspace: Name of the caller's workspace; `None` on public routes.
+    """
+    host = find_header(request.headers, b"host") or b""
+    fields = [
+        request.method,
+        host.lower(),
+        request.target,
+        (workspace or "").encode(),
+        request.body,
+    ]
+    if not request.body:
+        fields += [
+            find_header(request.headers, names.model) or b"",
+            find_header(request.headers, names.prompt_parts) or b"",
+        ]
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for field in fields:
+        # Without its length, the end of a field could pass for the next one.
+        digest.update(b"%d:" % len(field))
+        digest.update(field)
+    return digest.hexdigest()
+
+
 def _parse_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for entry in value.decode("latin-1").split(","):
