--- a/tests/gateway/crashing_engines.py
+++ b/tests/gateway/crashing_engines.py
@@ -26,7 +26,7 @@
 
 @attrs.frozen
 class CrashingArrival:
-    """A request with the crashing part that reached an engine.
+    """A crashing request that reached an engine.
 
     Attributes:
         request_id: Its id.
@@ -44,12 +44,13 @@
     Attributes:
         store: Where the engines register.
         crashes_s: Times at which engines ended, on the monotonic clock.
-        arrivals: Requests with the crashing part that reached engines.
+        arrivals: Crashing requests that reached engines.
     """
 
     store: StoreStandIn
     crashes_s: list[float] = attrs.field(factory=list)
     arrivals: list[CrashingArrival] = attrs.field(factory=list)
+    _port_by_id: dict[str, int] = attrs.field(factory=dict)
     _numbers: "itertools.count[int]" = attrs.field(factory=itertools.count)
     _servers: "dict[str, asyncio.Server]" = attrs.field(factory=dict)
     _writers_by_id: dict[str, set[asyncio.StreamWriter]] = attrs.field(
@@ -73,11 +74,13 @@
         for engine_id in list(self._servers):
             self._crash(engine_id)
 
-    def late_arrivals(self, allowed_s: float) -> list[CrashingArrival]:
-        """Return arrivals later than `allowed_s` after the fifth crash."""
-        if len(self.crashes_s) < 5:
+    def late_arrivals(
+        self, allowed_s: float, *, crash: int = 5
+    ) -> list[CrashingArrival]:
+        """Return arrivals later than `allowed_s` after the n-th crash."""
+        if len(self.crashes_s) < crash:
             return []
-        from_s = sorted(self.crashes_s)[4] + allowed_s
+        from_s = sorted(self.crashes_s)[crash - 1] + allowed_s
         return [a for a in self.arrivals if a.arrived_s > from_s]
 
     async def _start_engine(self) -> None:
@@ -90,6 +93,7 @@
         )
         self._servers[engine_id] = server
         port = server.sockets[0].getsockname()[1]
+        self._port_by_id[engine_id] = port
         self.store.put(
             f"{names.UPSTREAMS_PREFIX}{engine_id}",
             make_registration(
--- a/tests/gateway/fleet_harness.py
+++ b/tests/gateway/fleet_harness.py
@@ -51,7 +51,38 @@
             "MaxAttempts": 2,
             "StreamResumption": True,
             "SessionAffinity": True,
-        }
+        },
+        {
+            "Name": "look",
+            "Host": "shop.example",
+            "PathPrefix": "/look/",
+            "Kind": "idempotent",
+            "TimeoutMs": int(REQUEST_TIMEOUT_S * 1000),
+            "TargetLatencyMs": 400,
+            "Service": SERVICE,
+            "MaxAttempts": 2,
+        },
+        {
+            "Name": "book",
+            "Host": "shop.example",
+            "PathPrefix": "/book/",
+            "Kind": "non_idempotent",
+            "TimeoutMs": int(REQUEST_TIMEOUT_S * 1000),
+            "TargetLatencyMs": 400,
+            "Service": SERVICE,
+            "MaxAttempts": 1,
+        },
+        {
+            "Name": "news",
+            "Host": "news.example",
+            "PathPrefix": "/look/",
+            "Kind": "idempotent",
+            "TimeoutMs": int(REQUEST_TIMEOUT_S * 1000),
+            "TargetLatencyMs": 400,
+            "Service": SERVICE,
+            "MaxAttempts": 2,
+            "Public": True,
+        },
     ],
     "Services": [{"Name": SERVICE, "ConnectionLimit": 500}],
     "Limits": {},
@@ -80,6 +111,28 @@
     retry_after_s: float = 0.0
 
 
+@attrs.frozen(kw_only=True)
+class PlainRequest:
+    """A request without a prompt.
+
+    Attributes:
+        target: Its path and query.
+        method: Its method.
+        body: Its body; empty: none.
+        is_public: Whether it has no key and goes to the public route.
+    """
+
+    target: str
+    method: str = "GET"
+    body: bytes = b""
+    is_public: bool = False
+
+    @property
+    def host_name(self) -> str:
+        """Name of the host in its URL."""
+        return "news.example" if self.is_public else "shop.example"
+
+
 class FleetHarness:
     """Gateways on loopback addresses of their own.
 
@@ -88,6 +141,7 @@
         store: The platform's store.
         started_s_by_host: Start of each host that runs, on the monotonic clock.
         cut_off: Numbers of the hosts whose datagrams are lost.
+        datagram_loss: Share of all datagrams that is lost.
     """
 
     _networks = itertools.count(1)
@@ -99,6 +153,8 @@
         self.engines = engine_type(self.store.standin)
         self.started_s_by_host: dict[int, float] = {}
         self.cut_off: set[int] = set()
+        self.datagram_loss = 0.0
+        self._loss_rng = random.Random(2)
         self._duties = DutyService()
         self._network = (
             f"127.{20 + os.getpid() % 200}.{next(self._networks) % 250}"
@@ -162,6 +218,27 @@
             "Connection: close",
             "Content-Length: 0",
         ]
+        return await self._exchange(host, request_id, lines, b"")
+
+    async def send_plain(self, host: int, request: "PlainRequest") -> Answer:
+        """Send a request without a prompt."""
+        request_id = f"{next(self._request_numbers):016x}"
+        lines = [
+            f"{request.method} {request.target} HTTP/1.1",
+            f"Host: {request.host_name}",
+            f"Attempt-Id: {request_id}",
+            "Deadline-Remaining: 2000",
+            "Connection: close",
+        ]
+        if not request.is_public:
+            lines.append("X-Api-Key: right")
+        if request.body:
+            lines.append(f"Content-Length: {len(request.body)}")
+        return await self._exchange(host, request_id, lines, request.body)
+
+    async def _exchange(
+        self, host: int, request_id: str, lines: Sequence[str], body: bytes
+    ) -> Answer:
         sent_s = time.monotonic()
         response = b""
         try:
@@ -169,7 +246,7 @@
                 reader, writer = await asyncio.open_connection(
                     self._ip(host), CALLER_PORT
                 )
-                writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+                writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
                 while block := await reader.read(65536):
                     response += block
                 writer.close()
@@ -213,7 +290,8 @@
 
         def send_unless_cut(data: bytes, to_ip: str) -> None:
             to_host = int(to_ip.rsplit(".", 1)[1]) - 1
-            if not {host, to_host} & self.cut_off:
+            is_lost = self._loss_rng.random() < self.datagram_loss
+            if not is_lost and not {host, to_host} & self.cut_off:
                 send(data, to_ip)
 
         setattr(process._peer_link, "_send", send_unless_cut)  # noqa: B010
@@ -230,15 +308,18 @@
     if not head:
         return Answer(request_id=request_id, host=host, sent_s=sent_s)
     retry_after = 0.0
+    complete = body.endswith(b"0\r\n\r\n")
     for line in head.lower().split(b"\r\n"):
         if line.startswith(b"retry-after:"):
             retry_after = float(line.partition(b":")[2])
+        elif line.startswith(b"content-length:"):
+            complete = len(body) == int(line.partition(b":")[2])
     return Answer(
         request_id=request_id,
         host=host,
         sent_s=sent_s,
         status=int(head.split(b" ", 2)[1]),
-        complete=body.endswith(b"0\r\n\r\n"),
+        complete=complete,
         retry_after_s=retry_after,
     )
 
@@ -289,6 +370,25 @@
         self.answers.append(await self._fleet.send(host, *parts))
 
 
+class PlainLoad(Load):
+    """Callers whose requests have no prompt."""
+
+    def __init__(
+        self,
+        fleet: FleetHarness,
+        hosts: Sequence[int],
+        interval_s: float,
+        choose_request: Callable[[random.Random], PlainRequest],
+    ) -> None:
+        super().__init__(fleet, hosts, interval_s, lambda _: ())
+        self._choose_request = choose_request
+
+    async def _send_one(self) -> None:
+        request = self._choose_request(self._rng)
+        host = self._rng.choice(self.hosts)
+        self.answers.append(await self._fleet.send_plain(host, request))
+
+
 def run_fleet(
     monkeypatch: pytest.MonkeyPatch,
     scenario: Callable[[FleetHarness], Awaitable[None]],
