Rename what is known of crashing prompts to traits of requests

Only names change: parts of prompts that requests have in common become traits, CrashingPrompts becomes CrashingRequests, PromptHold becomes RequestHold.

--- a/src/shallotfold/_gateway/deciding/crash_evidence.py
+++ b/src/shallotfold/_gateway/deciding/crash_evidence.py
@@ -14,7 +14,7 @@
 # A prompt ends an upstream that begins to answer it, so that one whose answer
 # has already come in part is less likely the cause.
 BEGUN_ANSWER_WEIGHT = 0.5
-MAX_EVIDENCE_PARTS = 512
+MAX_EVIDENCE_TRAITS = 512
 
 
 @attrs.define
@@ -34,7 +34,7 @@
 
 
 @attrs.define
-class PartEvidence:
+class TraitEvidence:
     """Upstreams that ended under a part since it was last answered."""
 
     crash_by_upstream: dict[str, _Crash] = attrs.field(factory=dict)
@@ -62,11 +62,11 @@
     """Upstreams that ended, and under which parts of prompts.
 
     Attributes:
-        by_part: Evidence on each part; parts without crashes for the longest
+        by_trait: Evidence on each part; parts without crashes for the longest
             time are first.
     """
 
-    by_part: dict[str, PartEvidence] = attrs.field(factory=dict)
+    by_trait: dict[str, TraitEvidence] = attrs.field(factory=dict)
     _crashed_s_by_upstream: dict[str, float] = attrs.field(factory=dict)
 
     def has_ended_before(self, upstream: str, sent_s: float) -> bool:
@@ -95,7 +95,7 @@
         self,
         upstream: str,
         crashed_s: float,
-        part_ids: tuple[str, ...],
+        traits: tuple[str, ...],
         service: str,
         *,
         answer_begun: bool,
@@ -105,15 +105,15 @@
         Args:
             upstream: Id and start of the upstream.
             crashed_s: When it ended, on the boot clock.
-            part_ids: Parts of the request that may be the cause.
+            traits: Parts of the request that may be the cause.
             service: Its service; empty: the request was a peer's.
             answer_begun: Whether part of the answer had come.
         """
         weight = BEGUN_ANSWER_WEIGHT if answer_begun else 1.0
-        for part_id in part_ids:
-            companions = frozenset(part_ids) - {part_id}
-            evidence = self.by_part.pop(part_id, None) or PartEvidence()
-            self.by_part[part_id] = evidence
+        for trait in traits:
+            companions = frozenset(traits) - {trait}
+            evidence = self.by_trait.pop(trait, None) or TraitEvidence()
+            self.by_trait[trait] = evidence
             evidence.service = evidence.service or service
             crash = evidence.crash_by_upstream.get(upstream)
             if crash is None:
@@ -123,8 +123,8 @@
             else:
                 crash.companions &= companions
                 crash.weight = max(crash.weight, weight)
-        while len(self.by_part) > MAX_EVIDENCE_PARTS:
-            del self.by_part[next(iter(self.by_part))]
+        while len(self.by_trait) > MAX_EVIDENCE_TRAITS:
+            del self.by_trait[next(iter(self.by_trait))]
 
     def drop_before(self, oldest_s: float) -> None:
         """Drop the crashes up to a time."""
@@ -138,32 +138,32 @@
                 del self._crashed_s_by_upstream[upstream]
             self._drop(old, kept=frozenset())
 
-    def is_covered(self, part_id: str, evidence: PartEvidence) -> bool:
+    def is_covered(self, trait: str, evidence: TraitEvidence) -> bool:
         """Whether the same upstreams ended under a part of other prompts."""
         upstreams = evidence.crash_by_upstream.keys()
         companions = evidence.companions()
         return any(
-            other_id != part_id
+            other_id != trait
             and other_id not in companions
             and upstreams <= other.crash_by_upstream.keys()
-            for other_id, other in self.by_part.items()
+            for other_id, other in self.by_trait.items()
         )
 
     def explain(self, held: frozenset[str]) -> None:
         """Drop the crashes under held prompts from the evidence on others."""
         explained: set[str] = set()
-        for part_id in held:
-            evidence = self.by_part.get(part_id)
+        for trait in held:
+            evidence = self.by_trait.get(trait)
             if evidence is not None:
                 explained |= evidence.crash_by_upstream.keys()
         self._drop(explained, kept=held)
 
     def _drop(self, upstreams: Set[str], kept: frozenset[str]) -> None:
         """Drop crashes of upstreams from the evidence on all but kept parts."""
-        for part_id, evidence in list(self.by_part.items()):
-            if part_id in kept:
+        for trait, evidence in list(self.by_trait.items()):
+            if trait in kept:
                 continue
             for upstream in upstreams & evidence.crash_by_upstream.keys():
                 del evidence.crash_by_upstream[upstream]
             if not evidence.crash_by_upstream:
-                del self.by_part[part_id]
+                del self.by_trait[trait]
--- a/src/shallotfold/_gateway/deciding/crash_knowledge.py
+++ b/src/shallotfold/_gateway/deciding/crash_knowledge.py
@@ -13,13 +13,14 @@
     Attributes:
         upstream: Id and start of the upstream.
         age_s: How long ago that was.
-        part_ids: Parts of the request's prompt that aren't known to be sound.
+        traits: Traits of the request that aren't known to be sound: so far,
+            shared parts of its prompt.
         answer_begun: Whether part of the answer had come.
     """
 
     upstream: str
     age_s: float
-    part_ids: tuple[str, ...]
+    traits: tuple[str, ...]
     answer_begun: bool
 
 
@@ -28,13 +29,13 @@
     """Prompts that a host holds back.
 
     Attributes:
-        part_ids: Prompts with all of these parts are held back.
+        traits: Prompts with all of these parts are held back.
         age_s: How long they have been.
         stored: Whether the platform's store has it.
         tried: Whether a request was let through as a trial.
     """
 
-    part_ids: tuple[str, ...]
+    traits: tuple[str, ...]
     age_s: float
     stored: bool
     tried: bool
@@ -47,14 +48,14 @@
     Attributes:
         reports: Upstreams that ended under its own requests.
         holds: Prompts that it holds back.
-        answer_ages_s_by_part: How long ago parts that its peers suspect were
+        answer_ages_s_by_trait: How long ago parts that its peers suspect were
             part of an answered prompt.
     """
 
     reports: Sequence[CrashReport] = ()
     holds: Sequence[HoldReport] = ()
-    answer_ages_s_by_part: Mapping[str, float] = attrs.field(factory=dict)
+    answer_ages_s_by_trait: Mapping[str, float] = attrs.field(factory=dict)
 
     def __bool__(self) -> bool:
         """Whether there is anything to tell."""
-        return bool(self.reports or self.holds or self.answer_ages_s_by_part)
+        return bool(self.reports or self.holds or self.answer_ages_s_by_trait)
--- a/src/shallotfold/_gateway/deciding/crashing_prompts.py
+++ b/src/shallotfold/_gateway/deciding/crashing_requests.py
@@ -15,9 +15,9 @@
 import attrs
 
 from shallotfold._gateway.core.model import Prompt
-from shallotfold._gateway.deciding.crash_evidence import MAX_EVIDENCE_PARTS
+from shallotfold._gateway.deciding.crash_evidence import MAX_EVIDENCE_TRAITS
 from shallotfold._gateway.deciding.crash_evidence import CrashEvidence
-from shallotfold._gateway.deciding.crash_evidence import PartEvidence
+from shallotfold._gateway.deciding.crash_evidence import TraitEvidence
 from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
 from shallotfold._gateway.deciding.crash_knowledge import CrashReport
 from shallotfold._gateway.deciding.crash_knowledge import HoldReport
@@ -54,11 +54,11 @@
 
 
 @attrs.define
-class PromptHold:
+class RequestHold:
     """Prompts that are held back.
 
     Attributes:
-        part_ids: Prompts with all of these parts. There are several as long as
+        traits: Prompts with all of these parts. There are several as long as
             it isn't known which of them ends upstreams.
         held_s: Since when, on the boot clock.
         stored: Whether the platform's store has it.
@@ -66,7 +66,7 @@
         decided_here: Whether this host decided it.
     """
 
-    part_ids: frozenset[str]
+    traits: frozenset[str]
     held_s: float
     stored: bool = False
     tried: bool = False
@@ -84,13 +84,13 @@
 
     Attributes:
         decision: `prompt_held`, `hold_narrowed` or `prompt_released`.
-        part_ids: Its parts, before the change if it ended.
+        traits: Its parts, before the change if it ended.
         reason: What led to it.
         upstreams: Upstreams that ended under its parts, if this host decided.
     """
 
     decision: str
-    part_ids: tuple[str, ...]
+    traits: tuple[str, ...]
     reason: str
     upstreams: tuple[str, ...] = ()
 
@@ -99,12 +99,12 @@
 class _OwnReport:
     upstream: str
     crashed_s: float
-    part_ids: tuple[str, ...]
+    traits: tuple[str, ...]
     answer_begun: bool
 
 
 @attrs.define
-class CrashingPrompts:
+class CrashingRequests:
     """What this host knows of prompts under which upstreams end.
 
     Attributes:
@@ -114,30 +114,30 @@
         trial_draw: Random number of this host, 0 to 1, that spreads trials.
     """
 
-    holds: dict[frozenset[str], PromptHold] = attrs.field(factory=dict)
+    holds: dict[frozenset[str], RequestHold] = attrs.field(factory=dict)
     has_news: bool = False
     host_count: int = 1
     trial_draw: float = 0.0
-    _answered_s_by_part: dict[str, float] = attrs.field(factory=dict)
+    _answered_s_by_trait: dict[str, float] = attrs.field(factory=dict)
     _recent_answers_s_by_service: dict[str, list[float]] = attrs.field(
         factory=dict
     )
     _evidence: CrashEvidence = attrs.field(factory=CrashEvidence)
     _own_reports: list[_OwnReport] = attrs.field(factory=list)
-    _suspected_s_by_part: dict[str, float] = attrs.field(factory=dict)
-    _held_before_s_by_part: dict[str, float] = attrs.field(factory=dict)
+    _suspected_s_by_trait: dict[str, float] = attrs.field(factory=dict)
+    _held_before_s_by_trait: dict[str, float] = attrs.field(factory=dict)
 
-    def hold_on(self, prompt: Prompt, now_s: float) -> PromptHold | None:
+    def hold_on(self, prompt: Prompt, now_s: float) -> RequestHold | None:
         """Return the hold that a prompt falls under, if any."""
         if not self.holds:
             return None
-        part_ids = set(prompt.shared_part_ids)
+        traits = set(prompt.shared_part_ids)
         for hold in self.holds.values():
-            if hold.part_ids <= part_ids and now_s < hold.ends_s:
+            if hold.traits <= traits and now_s < hold.ends_s:
                 return hold
         return None
 
-    def try_trial(self, hold: PromptHold, now_s: float) -> bool:
+    def try_trial(self, hold: RequestHold, now_s: float) -> bool:
         """Return whether a request may be let through; only one is."""
         spread_s = TRIAL_SPREAD_S_PER_HOST * self.host_count
         if (
@@ -155,13 +155,13 @@
         self, service: str, prompt: Prompt, now_s: float
     ) -> list[HoldChange]:
         """Record that a prompt was answered, or for long enough."""
-        part_ids = _watched_part_ids(prompt)
-        if not part_ids:
+        traits = _watched_traits(prompt)
+        if not traits:
             return []
         recent_s = self._recent_answers_s_by_service.setdefault(service, [])
         recent_s.append(now_s)
         del recent_s[:-MIN_RECENT_ANSWERS]
-        return self._record_sound(dict.fromkeys(part_ids, now_s), "answered")
+        return self._record_sound(dict.fromkeys(traits, now_s), "answered")
 
     def record_crash(
         self,
@@ -190,22 +190,22 @@
         report = _OwnReport(
             upstream,
             now_s,
-            self._unsound(_watched_part_ids(prompt), now_s),
+            self._unsound(_watched_traits(prompt), now_s),
             answer_begun,
         )
-        if not report.part_ids:
+        if not report.traits:
             return []
         self._evidence.add(
             report.upstream,
             now_s,
-            report.part_ids,
+            report.traits,
             service,
             answer_begun=answer_begun,
         )
         self._own_reports.append(report)
         del self._own_reports[:-MAX_REPORTS]
         self.has_news = True
-        return self._decide(report.part_ids, now_s)
+        return self._decide(report.traits, now_s)
 
     # What others saw.
 
@@ -215,17 +215,17 @@
         """Merge what a peer told, which may be old news."""
         changes = self._record_sound(
             {
-                part_id: now_s - age_s
-                for part_id, age_s in knowledge.answer_ages_s_by_part.items()
+                trait: now_s - age_s
+                for trait, age_s in knowledge.answer_ages_s_by_trait.items()
             },
             f"answered at {peer}",
         )
         for hold in knowledge.holds:
             changes += self._adopt(hold, now_s, f"held at {peer}")
-        new_part_ids: set[str] = set()
+        new_traits: set[str] = set()
         for report in knowledge.reports:
-            self._note_suspected(report.part_ids, now_s)
-            unsound = self._unsound(report.part_ids, now_s)
+            self._note_suspected(report.traits, now_s)
+            unsound = self._unsound(report.traits, now_s)
             crashed_s = now_s - report.age_s
             if (
                 report.age_s < EVIDENCE_LIFETIME_S
@@ -238,26 +238,26 @@
                     "",
                     answer_begun=report.answer_begun,
                 )
-                new_part_ids.update(unsound)
-        return changes + self._decide(new_part_ids, now_s)
+                new_traits.update(unsound)
+        return changes + self._decide(new_traits, now_s)
 
     def load(
         self, stored_holds: Iterable[Sequence[str]], now_s: float
     ) -> list[HoldChange]:
         """Adopt the holds that the platform's store has."""
         changes = []
-        for part_ids in stored_holds:
+        for traits in stored_holds:
             # The time of day when it was stored may come from a wrong clock.
-            hold = HoldReport(tuple(part_ids), 0.0, stored=True, tried=True)
+            hold = HoldReport(tuple(traits), 0.0, stored=True, tried=True)
             changes += self._adopt(hold, now_s, "held in the store")
         return changes
 
     def knowledge(self, now_s: float) -> CrashKnowledge:
         """Return what peers should know."""
         suspected = [
-            part_id
-            for part_id, at_s in self._suspected_s_by_part.items()
-            if now_s - at_s < ANNOUNCED_S and self._is_sound(part_id, now_s)
+            trait
+            for trait, at_s in self._suspected_s_by_trait.items()
+            if now_s - at_s < ANNOUNCED_S and self._is_sound(trait, now_s)
         ]
         return CrashKnowledge(
             reports=[
@@ -269,20 +269,20 @@
                 )
                 for report in self._own_reports
                 if now_s - report.crashed_s < ANNOUNCED_S
-                and (unsound := self._unsound(report.part_ids, now_s))
+                and (unsound := self._unsound(report.traits, now_s))
             ],
             holds=[
                 HoldReport(
-                    tuple(sorted(hold.part_ids)),
+                    tuple(sorted(hold.traits)),
                     now_s - hold.held_s,
                     hold.stored,
                     hold.tried,
                 )
                 for hold in self.holds.values()
             ],
-            answer_ages_s_by_part={
-                part_id: now_s - self._answered_s_by_part[part_id]
-                for part_id in suspected[-MAX_ANNOUNCED_ANSWERS:]
+            answer_ages_s_by_trait={
+                trait: now_s - self._answered_s_by_trait[trait]
+                for trait in suspected[-MAX_ANNOUNCED_ANSWERS:]
             },
         )
 
@@ -296,79 +296,75 @@
         for hold in list(self.holds.values()):
             if now_s >= hold.ends_s:
                 changes.append(self._release(hold, "time is over"))
-                self._held_before_s_by_part |= dict.fromkeys(
-                    hold.part_ids, now_s
+                self._held_before_s_by_trait |= dict.fromkeys(
+                    hold.traits, now_s
                 )
-        while len(self._held_before_s_by_part) > MAX_EVIDENCE_PARTS:
-            oldest = next(iter(self._held_before_s_by_part))
-            del self._held_before_s_by_part[oldest]
+        while len(self._held_before_s_by_trait) > MAX_EVIDENCE_TRAITS:
+            oldest = next(iter(self._held_before_s_by_trait))
+            del self._held_before_s_by_trait[oldest]
         return changes
 
     # Helpers.
 
-    def _is_sound(self, part_id: str, now_s: float) -> bool:
-        answered_s = self._answered_s_by_part.get(part_id)
+    def _is_sound(self, trait: str, now_s: float) -> bool:
+        answered_s = self._answered_s_by_trait.get(trait)
         return (
             answered_s is not None and now_s - answered_s < SOUND_AFTER_ANSWER_S
         )
 
-    def _unsound(
-        self, part_ids: Iterable[str], now_s: float
-    ) -> tuple[str, ...]:
-        return tuple(p for p in part_ids if not self._is_sound(p, now_s))
+    def _unsound(self, traits: Iterable[str], now_s: float) -> tuple[str, ...]:
+        return tuple(p for p in traits if not self._is_sound(p, now_s))
 
     def _record_sound(
-        self, answered_s_by_part: Mapping[str, float], reason: str
+        self, answered_s_by_trait: Mapping[str, float], reason: str
     ) -> list[HoldChange]:
         changes: list[HoldChange] = []
-        for part_id, answered_s in answered_s_by_part.items():
-            known_s = self._answered_s_by_part.pop(part_id, answered_s)
-            self._answered_s_by_part[part_id] = max(known_s, answered_s)
-            self._evidence.by_part.pop(part_id, None)
-            self._held_before_s_by_part.pop(part_id, None)
+        for trait, answered_s in answered_s_by_trait.items():
+            known_s = self._answered_s_by_trait.pop(trait, answered_s)
+            self._answered_s_by_trait[trait] = max(known_s, answered_s)
+            self._evidence.by_trait.pop(trait, None)
+            self._held_before_s_by_trait.pop(trait, None)
             for hold in list(self.holds.values()):
                 if (
-                    part_id in hold.part_ids
+                    trait in hold.traits
                     and answered_s > hold.held_s - SOUND_AFTER_ANSWER_S
                 ):
-                    changes.append(self._narrow(hold, part_id, reason))
-        while len(self._answered_s_by_part) > MAX_SOUND_PARTS:
-            del self._answered_s_by_part[next(iter(self._answered_s_by_part))]
+                    changes.append(self._narrow(hold, trait, reason))
+        while len(self._answered_s_by_trait) > MAX_SOUND_PARTS:
+            del self._answered_s_by_trait[next(iter(self._answered_s_by_trait))]
         return changes
 
-    def _narrow(
-        self, hold: PromptHold, part_id: str, reason: str
-    ) -> HoldChange:
+    def _narrow(self, hold: RequestHold, trait: str, reason: str) -> HoldChange:
         """Leave a part that is sound out of a hold."""
         # Peers must know that it is sound.
-        self._note_suspected((part_id,), self._answered_s_by_part[part_id])
+        self._note_suspected((trait,), self._answered_s_by_trait[trait])
         self.has_news = True
-        if len(hold.part_ids) == 1:
+        if len(hold.traits) == 1:
             return self._release(hold, reason)
-        del self.holds[hold.part_ids]
-        hold.part_ids -= {part_id}
+        del self.holds[hold.traits]
+        hold.traits -= {trait}
         hold.stored = False
         self._put(hold)
         return HoldChange(
             decision="hold_narrowed",
-            part_ids=tuple(sorted(hold.part_ids)),
+            traits=tuple(sorted(hold.traits)),
             reason=reason,
         )
 
-    def _release(self, hold: PromptHold, reason: str) -> HoldChange:
-        self.holds.pop(hold.part_ids, None)
+    def _release(self, hold: RequestHold, reason: str) -> HoldChange:
+        self.holds.pop(hold.traits, None)
         return HoldChange(
             decision="prompt_released",
-            part_ids=tuple(sorted(hold.part_ids)),
+            traits=tuple(sorted(hold.traits)),
             reason=reason,
         )
 
-    def _put(self, hold: PromptHold) -> None:
+    def _put(self, hold: RequestHold) -> None:
         """Add a hold, and drop those of prompts that it covers."""
         for other in list(self.holds.values()):
-            if hold.part_ids < other.part_ids:
-                del self.holds[other.part_ids]
-        self.holds[hold.part_ids] = hold
+            if hold.traits < other.traits:
+                del self.holds[other.traits]
+        self.holds[hold.traits] = hold
         while len(self.holds) > MAX_HOLDS:
             del self.holds[next(iter(self.holds))]
 
@@ -376,85 +372,83 @@
         self, report: HoldReport, now_s: float, reason: str
     ) -> list[HoldChange]:
         held_s = now_s - report.age_s
-        if not report.part_ids or now_s >= held_s + HOLD_S:
+        if not report.traits or now_s >= held_s + HOLD_S:
             return []
-        self._note_suspected(report.part_ids, now_s)
-        part_ids = frozenset(
-            part_id
-            for part_id in report.part_ids
-            if self._answered_s_by_part.get(part_id, -SOUND_AFTER_ANSWER_S)
+        self._note_suspected(report.traits, now_s)
+        traits = frozenset(
+            trait
+            for trait in report.traits
+            if self._answered_s_by_trait.get(trait, -SOUND_AFTER_ANSWER_S)
             <= held_s - SOUND_AFTER_ANSWER_S
         )
-        is_same = len(part_ids) == len(report.part_ids)
+        is_same = len(traits) == len(report.traits)
         if not is_same:
             self.has_news = True
-        if not part_ids:
+        if not traits:
             return []
-        known = self.holds.get(part_ids)
+        known = self.holds.get(traits)
         if known is not None:
             known.held_s = min(known.held_s, held_s)
             known.stored |= report.stored and is_same
             known.tried |= report.tried
             return []
-        if any(other <= part_ids for other in self.holds):
+        if any(other <= traits for other in self.holds):
             return []
         self._put(
-            PromptHold(
-                part_ids,
+            RequestHold(
+                traits,
                 held_s,
                 stored=report.stored and is_same,
                 tried=report.tried,
             )
         )
-        self._evidence.explain(part_ids)
+        self._evidence.explain(traits)
         return [
             HoldChange(
                 decision="prompt_held",
-                part_ids=tuple(sorted(part_ids)),
+                traits=tuple(sorted(traits)),
                 reason=reason,
             )
         ]
 
-    def _note_suspected(self, part_ids: Iterable[str], now_s: float) -> None:
-        for part_id in part_ids:
-            self._suspected_s_by_part.pop(part_id, None)
-            self._suspected_s_by_part[part_id] = now_s
-        while len(self._suspected_s_by_part) > MAX_EVIDENCE_PARTS:
-            oldest = next(iter(self._suspected_s_by_part))
-            del self._suspected_s_by_part[oldest]
+    def _note_suspected(self, traits: Iterable[str], now_s: float) -> None:
+        for trait in traits:
+            self._suspected_s_by_trait.pop(trait, None)
+            self._suspected_s_by_trait[trait] = now_s
+        while len(self._suspected_s_by_trait) > MAX_EVIDENCE_TRAITS:
+            oldest = next(iter(self._suspected_s_by_trait))
+            del self._suspected_s_by_trait[oldest]
 
-    def _decide(
-        self, part_ids: Iterable[str], now_s: float
-    ) -> list[HoldChange]:
+    def _decide(self, traits: Iterable[str], now_s: float) -> list[HoldChange]:
         """Hold parts back under which enough upstreams ended.
 
         The part with the most crashes comes first: it explains those of other
         parts.
         """
         changes: list[HoldChange] = []
-        for held_part_ids in self.holds:
-            self._evidence.explain(held_part_ids)
+        for held_traits in self.holds:
+            self._evidence.explain(held_traits)
         counts = {
-            part_id: evidence.crash_count()
-            for part_id in part_ids
-            if (evidence := self._evidence.by_part.get(part_id)) is not None
+            trait: evidence.crash_count()
+            for trait in traits
+            if (evidence := self._evidence.by_trait.get(trait)) is not None
         }
-        for part_id in sorted(counts, key=lambda p: (-counts[p], p)):
-            evidence = self._evidence.by_part.get(part_id)
+        for trait in sorted(counts, key=lambda p: (-counts[p], p)):
+            evidence = self._evidence.by_trait.get(trait)
             if evidence is None or not self._is_conclusive(
-                part_id, evidence, now_s
+                trait, evidence, now_s
             ):
                 continue
-            held = evidence.companions() | {part_id}
+            held = evidence.companions() | {trait}
             held = frozenset(self._unsound(held, now_s))
             if any(hold <= held for hold in self.holds):
                 continue
-            self._put(PromptHold(held, now_s, decided_here=True))
+            self._put(RequestHold(held, now_s, decided_here=True))
             self.has_news = True
             changes.append(
                 HoldChange(
                     decision="prompt_held",
-                    part_ids=tuple(sorted(held)),
+                    traits=tuple(sorted(held)),
                     reason="upstreams ended under it",
                     upstreams=tuple(evidence.crash_by_upstream),
                 )
@@ -463,7 +457,7 @@
         return changes
 
     def _is_conclusive(
-        self, part_id: str, evidence: PartEvidence, now_s: float
+        self, trait: str, evidence: TraitEvidence, now_s: float
     ) -> bool:
         # Only a host that had such a request itself can compare it with others
         # of the service.
@@ -476,25 +470,25 @@
             or now_s - recent_s[0] > RECENT_ANSWER_S
         ):
             needed = CRASHES_TO_HOLD_WITHOUT_ANSWERS
-        elif self._was_held(part_id, now_s):
+        elif self._was_held(trait, now_s):
             needed = CRASHES_TO_HOLD_AGAIN
         else:
             needed = CRASHES_TO_HOLD
         return count >= needed and not self._evidence.is_covered(
-            part_id, evidence
+            trait, evidence
         )
 
-    def _was_held(self, part_id: str, now_s: float) -> bool:
-        held_before_s = self._held_before_s_by_part.get(part_id)
+    def _was_held(self, trait: str, now_s: float) -> bool:
+        held_before_s = self._held_before_s_by_trait.get(trait)
         return (
             held_before_s is not None
             and now_s - held_before_s < REMEMBERED_HOLD_S
         )
 
 
-def _watched_part_ids(prompt: Prompt) -> tuple[str, ...]:
+def _watched_traits(prompt: Prompt) -> tuple[str, ...]:
     return tuple(
-        part_id
-        for part_id in prompt.shared_part_ids[:MAX_WATCHED_PARTS]
-        if len(part_id) <= MAX_PART_ID_CHARACTERS
+        trait
+        for trait in prompt.shared_part_ids[:MAX_WATCHED_PARTS]
+        if len(trait) <= MAX_PART_ID_CHARACTERS
     )
--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -17,8 +17,8 @@
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.deciding import effects
 from shallotfold._gateway.deciding import events
-from shallotfold._gateway.deciding.crashing_prompts import CrashingPrompts
-from shallotfold._gateway.deciding.crashing_prompts import HoldChange
+from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
+from shallotfold._gateway.deciding.crashing_requests import HoldChange
 from shallotfold._gateway.deciding.engine_set import EngineSet
 from shallotfold._gateway.deciding.engine_set import is_long
 from shallotfold._gateway.deciding.named_limits import LimitStatement
@@ -101,14 +101,14 @@
     Attributes:
         placement: Chooses upstreams.
         budget: Bounds retries.
-        crashing_prompts: Prompts that are held back.
+        crashing_requests: Prompts that are held back.
         upstreams_by_id: Upstreams that may get requests.
     """
 
     def __init__(self, placement: Placement, budget: FleetRetryBudget) -> None:
         self.placement = placement
         self.budget = budget
-        self.crashing_prompts = CrashingPrompts()
+        self.crashing_requests = CrashingRequests()
         self.upstreams_by_id: Mapping[str, Upstream] = {}
         self._engines_by_service: dict[str, EngineSet] = {}
         self._open_requests: dict[int, _OpenRequest] = {}
@@ -324,25 +324,25 @@
 
     def _on_peer_crashes(self, event: events.PeerCrashesReceived) -> Effects:
         return self._hold_effects(
-            self.crashing_prompts.merge(
+            self.crashing_requests.merge(
                 event.peer, event.knowledge, event.now_s
             )
         )
 
     def _on_stored_holds(self, event: events.StoredHoldsRead) -> Effects:
         return self._hold_effects(
-            self.crashing_prompts.load(event.holds, event.now_s)
+            self.crashing_requests.load(event.holds, event.now_s)
         )
 
     def _on_time_passed(self, event: events.TimePassed) -> Effects:
         self.budget.host_count = event.host_count
         self.placement.host_count = event.host_count
-        self.crashing_prompts.host_count = event.host_count
+        self.crashing_requests.host_count = event.host_count
         self.placement.loads.drop_expired(event.now_s)
         self.placement.limits.clock_offset_s = event.clock_offset_s
         self.placement.limits.update(self.upstreams_by_id, event.now_s)
         due_effects = self._hold_effects(
-            self.crashing_prompts.drop_expired(event.now_s)
+            self.crashing_requests.drop_expired(event.now_s)
         )
         for request in list(self._open_requests.values()):
             if event.now_s >= request.deadline_s:
@@ -417,10 +417,10 @@
         ]
 
     def _is_held(self, request: _OpenRequest, now_s: float) -> bool:
-        hold = self.crashing_prompts.hold_on(request.prompt, now_s)
+        hold = self.crashing_requests.hold_on(request.prompt, now_s)
         if hold is None:
             return False
-        is_trial = not request.attempts and self.crashing_prompts.try_trial(
+        is_trial = not request.attempts and self.crashing_requests.try_trial(
             hold, now_s
         )
         return not is_trial
@@ -509,7 +509,7 @@
         self, request: _OpenRequest, reason: str, now_s: float
     ) -> Effects:
         self._open_requests.pop(request.request, None)
-        hold = self.crashing_prompts.hold_on(request.prompt, now_s)
+        hold = self.crashing_requests.hold_on(request.prompt, now_s)
         if hold is not None:
             hold_s = hold.ends_s - now_s
             return [
@@ -518,7 +518,7 @@
                     retry_after_s=hold_s
                     * (1.0 + HOLD_JITTER_SHARE * request.draw),
                     reason="upstreams end under prompts with part "
-                    + " and ".join(sorted(hold.part_ids)),
+                    + " and ".join(sorted(hold.traits)),
                 )
             ]
         engines = self._engines_by_service.get(request.service)
@@ -584,7 +584,7 @@
             # It isn't the cause, but tells when the upstream ended.
             prompt = Prompt()
         return self._hold_effects(
-            self.crashing_prompts.record_crash(
+            self.crashing_requests.record_crash(
                 # It may have started again since the request was sent.
                 f"{request.upstream}/{request.upstream_started_ms}",
                 request.service,
@@ -598,7 +598,7 @@
     def _record_sound(self, request: _OpenRequest, now_s: float) -> Effects:
         request.is_sound = True
         return self._hold_effects(
-            self.crashing_prompts.record_answer(
+            self.crashing_requests.record_answer(
                 request.service, request.prompt, now_s
             )
         )
@@ -611,8 +611,8 @@
         hold_effects: Effects = [
             effects.LogHoldChange(change=change) for change in changes
         ]
-        if self.crashing_prompts.has_news:
-            self.crashing_prompts.has_news = False
+        if self.crashing_requests.has_news:
+            self.crashing_requests.has_news = False
             hold_effects.append(effects.AnnounceCrashes())
         return hold_effects
 
--- a/src/shallotfold/_gateway/deciding/effects.py
+++ b/src/shallotfold/_gateway/deciding/effects.py
@@ -3,7 +3,7 @@
 import attrs
 
 from shallotfold._gateway.core.model import Upstream
-from shallotfold._gateway.deciding.crashing_prompts import HoldChange
+from shallotfold._gateway.deciding.crashing_requests import HoldChange
 from shallotfold._gateway.deciding.named_limits import LimitChange
 
 
--- a/src/shallotfold/_gateway/following/stored_holds.py
+++ b/src/shallotfold/_gateway/following/stored_holds.py
@@ -16,8 +16,8 @@
 from shallotfold._gateway.core.clocks import boot_s
 from shallotfold._gateway.core.periodic_task import PeriodicTask
 from shallotfold._gateway.core.ports import WatchedStore
-from shallotfold._gateway.deciding.crashing_prompts import CrashingPrompts
-from shallotfold._gateway.deciding.crashing_prompts import PromptHold
+from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
+from shallotfold._gateway.deciding.crashing_requests import RequestHold
 from shallotfold._services.ports import StoredValue
 
 HOLDS_PREFIX = "shallotfold/held-prompts/"
@@ -39,7 +39,7 @@
     def __init__(
         self,
         store: WatchedStore,
-        prompts: CrashingPrompts,
+        prompts: CrashingRequests,
         on_read: Callable[[Sequence[tuple[str, ...]]], None],
         is_follower: Callable[[], bool],
         is_isolated: Callable[[], bool],
@@ -111,7 +111,7 @@
             0.0 if self._must_read and not self._retry_s else CHECK_INTERVAL_S
         )
 
-    def _should_store(self, hold: PromptHold, now_s: float) -> bool:
+    def _should_store(self, hold: RequestHold, now_s: float) -> bool:
         if hold.stored or hold.ends_s - now_s < MIN_LEASE_S:
             return False
         if hold.decided_here:
@@ -119,26 +119,26 @@
         age_s = now_s - hold.held_s
         return self._is_follower() and age_s > self._others_store_after_s
 
-    async def _write(self, hold: PromptHold) -> None:
+    async def _write(self, hold: RequestHold) -> None:
         """Store a hold for as long as it lasts."""
-        part_ids = sorted(hold.part_ids)
+        traits = sorted(hold.traits)
         lease = await self._store.grant_lease(hold.ends_s - boot_s())
         try:
             await self._store.compare_and_swap(
-                _key(part_ids),
+                _key(traits),
                 0,
-                json.dumps({"parts": part_ids}).encode(),
+                json.dumps({"parts": traits}).encode(),
                 lease.lease_id,
             )
         except StoreConflictError:
             # Another host has stored it.
             await self._store.revoke_lease(lease.lease_id)
         hold.stored = True
-        decision_log.record("hold_stored", parts=part_ids)
+        decision_log.record("hold_stored", parts=traits)
 
 
-def _key(part_ids: Sequence[str]) -> str:
-    digest = hashlib.blake2b(json.dumps(part_ids).encode(), digest_size=16)
+def _key(traits: Sequence[str]) -> str:
+    digest = hashlib.blake2b(json.dumps(traits).encode(), digest_size=16)
     return HOLDS_PREFIX + digest.hexdigest()
 
 
@@ -147,7 +147,7 @@
     for value in values:
         try:
             parts = json.loads(value.value)["parts"]
-            holds.append(tuple(str(part_id) for part_id in parts))
+            holds.append(tuple(str(trait) for trait in parts))
         except (ValueError, TypeError, LookupError) as error:
             decision_log.record(
                 "stored_hold_ignored", key=value.key, error=str(error)
--- a/src/shallotfold/_gateway/peers/crash_messages.py
+++ b/src/shallotfold/_gateway/peers/crash_messages.py
@@ -23,16 +23,16 @@
             (
                 report.upstream,
                 report.age_s,
-                report.part_ids,
+                report.traits,
                 report.answer_begun,
             )
             for report in knowledge.reports
         ],
         [
-            (hold.part_ids, hold.age_s, hold.stored, hold.tried)
+            (hold.traits, hold.age_s, hold.stored, hold.tried)
             for hold in knowledge.holds
         ],
-        dict(knowledge.answer_ages_s_by_part),
+        dict(knowledge.answer_ages_s_by_trait),
     )
 
 
@@ -43,29 +43,29 @@
         ValueError: The fields aren't those of a peer's message.
     """
     try:
-        reports, holds, answer_ages_s_by_part = fields
+        reports, holds, answer_ages_s_by_trait = fields
         return CrashKnowledge(
             reports=[
                 CrashReport(
                     str(upstream),
                     _age_s(age_s),
-                    _part_ids(part_ids),
+                    _traits(traits),
                     answer_begun=bool(answer_begun),
                 )
-                for upstream, age_s, part_ids, answer_begun in reports
+                for upstream, age_s, traits, answer_begun in reports
             ],
             holds=[
                 HoldReport(
-                    _part_ids(part_ids),
+                    _traits(traits),
                     _age_s(age_s),
                     stored=bool(stored),
                     tried=bool(tried),
                 )
-                for part_ids, age_s, stored, tried in holds
+                for traits, age_s, stored, tried in holds
             ],
-            answer_ages_s_by_part={
-                str(part_id): _age_s(age_s)
-                for part_id, age_s in answer_ages_s_by_part.items()
+            answer_ages_s_by_trait={
+                str(trait): _age_s(age_s)
+                for trait, age_s in answer_ages_s_by_trait.items()
             },
         )
     except (ValueError, TypeError, AttributeError) as error:
@@ -102,7 +102,7 @@
     return max(0.0, float(value))
 
 
-def _part_ids(value: Any) -> tuple[str, ...]:
+def _traits(value: Any) -> tuple[str, ...]:
     if not isinstance(value, list):
         raise TypeError(f"parts are a {type(value).__name__}")
-    return tuple(str(part_id) for part_id in value)
+    return tuple(str(trait) for trait in value)
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -111,7 +111,7 @@
         )
         self._gateway.host_count = ASSUMED_HOSTS_AT_START
         self._created_s = boot_s()
-        dispatcher.crashing_prompts.trial_draw = random.random()
+        dispatcher.crashing_requests.trial_draw = random.random()
         dispatcher.placement.limits.shares.host = settings.host
         self._peer_link = PeerLink(
             self._peers,
@@ -147,7 +147,7 @@
         )
         self._stored_holds = StoredHolds(
             store,
-            dispatcher.crashing_prompts,
+            dispatcher.crashing_requests,
             self._on_stored_holds,
             self._is_follower,
             self._is_isolated,
@@ -403,7 +403,7 @@
                 self._peers.ended_origins(), window
             ),
             store_access=self._store_access(),
-            crash_knowledge=self._gateway.dispatcher.crashing_prompts.knowledge(
+            crash_knowledge=self._gateway.dispatcher.crashing_requests.knowledge(
                 boot_s()
             ),
             limit_statements=placement.limits.own_statements(),
@@ -493,6 +493,6 @@
             "holds_duties": float(self._duty_lease.is_held),
             "limited_upstreams": len(self._gateway.dispatcher.placement.limits),
             "held_prompts": len(
-                self._gateway.dispatcher.crashing_prompts.holds
+                self._gateway.dispatcher.crashing_requests.holds
             ),
         }
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -339,7 +339,7 @@
         change = effect.change
         decision_log.record(
             change.decision,
-            parts=change.part_ids,
+            parts=change.traits,
             reason=change.reason,
             upstreams=change.upstreams or None,
         )
--- a/tests/gateway/deciding/crash_simulation.py
+++ b/tests/gateway/deciding/crash_simulation.py
@@ -13,7 +13,7 @@
 
 from shallotfold._gateway.core.model import Prompt
 from shallotfold._gateway.core.model import PromptPart
-from shallotfold._gateway.deciding.crashing_prompts import CrashingPrompts
+from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
 from shallotfold._gateway.deciding.dispatcher import WRITTEN_WITHOUT_CRASH_S
 from shallotfold._gateway.peers.peers import heartbeat_interval_s
 
@@ -88,7 +88,7 @@
         self._routes = routes
         self._crashing_rate = crashing_rate
         self._hosts = [
-            CrashingPrompts(
+            CrashingRequests(
                 host_count=host_count, trial_draw=self._rng.random()
             )
             for _ in range(host_count)
@@ -245,8 +245,8 @@
         """Do what the gateway does after an event."""
         prompts = self._hosts[host]
         for hold in prompts.holds.values():
-            if hold.decided_here and CRASHING_PART not in hold.part_ids:
-                self.sound_holds.append((self.now_s, hold.part_ids))
+            if hold.decided_here and CRASHING_PART not in hold.traits:
+                self.sound_holds.append((self.now_s, hold.traits))
                 hold.decided_here = False
         if prompts.has_news:
             prompts.has_news = False
--- a/tests/gateway/deciding/test_crashing_prompts.py
+++ b/tests/gateway/deciding/test_crashing_prompts.py
@@ -14,11 +14,11 @@
 from shallotfold._gateway.core.model import RouteKind
 from shallotfold._gateway.deciding import effects
 from shallotfold._gateway.deciding import events
-from shallotfold._gateway.deciding.crash_evidence import MAX_EVIDENCE_PARTS
-from shallotfold._gateway.deciding.crashing_prompts import HOLD_S
-from shallotfold._gateway.deciding.crashing_prompts import MAX_REPORTS
-from shallotfold._gateway.deciding.crashing_prompts import TRIAL_AFTER_S
-from shallotfold._gateway.deciding.crashing_prompts import CrashingPrompts
+from shallotfold._gateway.deciding.crash_evidence import MAX_EVIDENCE_TRAITS
+from shallotfold._gateway.deciding.crashing_requests import HOLD_S
+from shallotfold._gateway.deciding.crashing_requests import MAX_REPORTS
+from shallotfold._gateway.deciding.crashing_requests import TRIAL_AFTER_S
+from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
 from shallotfold._gateway.deciding.dispatcher import WRITTEN_WITHOUT_CRASH_S
 from shallotfold._gateway.peers.change_messages import MAX_MESSAGE_BYTES
 from shallotfold._gateway.peers.crash_messages import decode_knowledge
@@ -108,7 +108,7 @@
     harness.send("system", "good")
     harness.send("system", "bad")
     harness.send("system", "bad")
-    assert set(harness.dispatcher.crashing_prompts.holds) == {
+    assert set(harness.dispatcher.crashing_requests.holds) == {
         frozenset({"bad"})
     }
     return harness
@@ -131,7 +131,7 @@
     for number in range(6):
         assert harness.send("system", f"subject{number}") == 1
         assert harness.send("system", f"subject{number}", "bad") == 0
-    assert set(harness.dispatcher.crashing_prompts.holds) == {
+    assert set(harness.dispatcher.crashing_requests.holds) == {
         frozenset({"bad"})
     }
 
@@ -161,7 +161,7 @@
         harness.send("system", "shared")
         harness.crashing_parts = set()
         harness.send("system", "shared")
-    assert not harness.dispatcher.crashing_prompts.holds
+    assert not harness.dispatcher.crashing_requests.holds
 
 
 def test_upstream_that_was_leaving_does_not_count_as_crashed() -> None:
@@ -174,7 +174,7 @@
         harness.change_upstreams(make_upstream(upstream_id, draining=True))
         harness.now_s += 1.0
         harness.crash(upstream_id, request)
-    assert not harness.dispatcher.crashing_prompts.holds
+    assert not harness.dispatcher.crashing_requests.holds
 
 
 def test_one_request_is_let_through_as_a_trial_and_releases_a_sound_part() -> (
@@ -189,13 +189,13 @@
     harness.advance(TRIAL_AFTER_S + 1.0)
     assert harness.send("system", "bad") == 1
     assert harness.send("system", "bad") == 1
-    assert not harness.dispatcher.crashing_prompts.holds
+    assert not harness.dispatcher.crashing_requests.holds
 
 
 def test_part_that_was_held_before_is_held_again_after_one_crash() -> None:
     harness = held_harness()
     harness.advance(HOLD_S + 1.0)
-    assert not harness.dispatcher.crashing_prompts.holds
+    assert not harness.dispatcher.crashing_requests.holds
     harness.send("system", "good")
     harness.send("system", "good")
     assert harness.send("system", "bad") == 1
@@ -215,7 +215,7 @@
             now_s=harness.now_s, request=900, end_marked=False
         )
     )
-    assert harness.dispatcher.crashing_prompts.holds
+    assert harness.dispatcher.crashing_requests.holds
 
 
 def test_answer_that_is_written_for_long_releases_its_parts() -> None:
@@ -225,7 +225,7 @@
     for _ in range(2):
         harness.feed(events.AttemptProgressed(now_s=harness.now_s, request=900))
         harness.now_s += WRITTEN_WITHOUT_CRASH_S + 0.1
-    assert not harness.dispatcher.crashing_prompts.holds
+    assert not harness.dispatcher.crashing_requests.holds
 
 
 def test_crash_counts_under_the_start_that_got_the_request() -> None:
@@ -245,7 +245,7 @@
             now_s=harness.now_s, request=1, response_started=False
         )
     )
-    knowledge = harness.dispatcher.crashing_prompts.knowledge(harness.now_s)
+    knowledge = harness.dispatcher.crashing_requests.knowledge(harness.now_s)
     assert [report.upstream for report in knowledge.reports] == ["u0/1"]
 
 
@@ -254,8 +254,8 @@
 
     def __init__(self) -> None:
         self.now_s = 50.0
-        self.a = CrashingPrompts()
-        self.b = CrashingPrompts()
+        self.a = CrashingRequests()
+        self.b = CrashingRequests()
         self.answer_others()
 
     def answer_others(self) -> None:
@@ -266,7 +266,7 @@
                     "writers", make_prompt_of("good"), self.now_s
                 )
 
-    def crash(self, host: CrashingPrompts, *part_ids: str) -> None:
+    def crash(self, host: CrashingRequests, *part_ids: str) -> None:
         """Let a new upstream end under a request of a host."""
         self.now_s += 0.2
         host.record_crash(
@@ -453,8 +453,8 @@
     hosts = TwoHosts()
     for _ in range(2):
         hosts.crash(hosts.a, "bad")
-        for _ in range(MAX_EVIDENCE_PARTS // 2 + 10):
-            part_id = f"p{len(hosts.a._evidence.by_part)}-{hosts.now_s}"
+        for _ in range(MAX_EVIDENCE_TRAITS // 2 + 10):
+            part_id = f"p{len(hosts.a._evidence.by_trait)}-{hosts.now_s}"
             hosts.now_s += 0.001
             hosts.a.record_crash(
                 "another/1", "writers", make_prompt_of(part_id), hosts.now_s
@@ -518,6 +518,6 @@
         for hold in host.holds.values():
             assert all(
                 answered_s.get(part_id, -math.inf) <= hold.held_s
-                for part_id in hold.part_ids
+                for part_id in hold.traits
             )
     assert set(hosts.a.holds) == set(hosts.b.holds)
--- a/tests/gateway/following/test_stored_holds.py
+++ b/tests/gateway/following/test_stored_holds.py
@@ -6,8 +6,8 @@
 import pytest
 
 from shallotfold._gateway.core.clocks import boot_s
-from shallotfold._gateway.deciding.crashing_prompts import CrashingPrompts
-from shallotfold._gateway.deciding.crashing_prompts import PromptHold
+from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
+from shallotfold._gateway.deciding.crashing_requests import RequestHold
 from shallotfold._gateway.following import stored_holds
 from shallotfold._gateway.following.stored_holds import HOLDS_PREFIX
 from shallotfold._gateway.following.stored_holds import StoredHolds
@@ -30,15 +30,15 @@
         is_follower: bool = True,
         is_first_start: bool = True,
     ) -> None:
-        self.prompts = CrashingPrompts()
+        self.prompts = CrashingRequests()
         self.read: list[Sequence[tuple[str, ...]]] = []
         self.is_isolated = False
-        hold = PromptHold(
+        hold = RequestHold(
             frozenset({"bad"}),
             boot_s() - held_for_s,
             decided_here=decided_here,
         )
-        self.prompts.holds[hold.part_ids] = hold
+        self.prompts.holds[hold.traits] = hold
         self.hold = hold
         self.keeper = StoredHolds(
             store,
--- a/tests/gateway/peers/test_crash_messages.py
+++ b/tests/gateway/peers/test_crash_messages.py
@@ -15,7 +15,7 @@
 KNOWLEDGE = CrashKnowledge(
     reports=[CrashReport("u1/7", 0.5, ("bad", "rare"), answer_begun=True)],
     holds=[HoldReport(("bad",), 12.5, stored=True, tried=False)],
-    answer_ages_s_by_part={"rare": 0.25},
+    answer_ages_s_by_trait={"rare": 0.25},
 )
 
 
