Hold a request back under which upstreams end one after the other

Callers saw: one request, repeated with the same path, caller and body, ended each server that ran it; 16 to 18 servers of four ended, all by turns, and everybody else on the service was refused meanwhile.

Cause: hosts remember crashes by shared parts of prompts. A plain request has none, so that nothing remembered what was asked, and each repeat and each retry had a fresh server at every host.

Now the request as a whole is one more trait beside the parts of its prompt, by its fingerprint. It is held back after three crashes that no answer to an equal request came after (six if one was answered in the last 10 s), when no other trait explains them and the evidence has not changed for 0.15 s: answers and news of peers may be on the way. Crashes of one request's attempts, one sent after the other, count separately though they are under 50 ms apart (37 to 44 ms in the incident). The only trial of a hold is claimed in the store: hosts that can't hear each other would each make their own. Other numbers: holds of equal requests last an hour instead of ten minutes, since each end costs one server; evidence on them 15 minutes, since they are alike in all and may come seldom.

Chosen, not measured: 0.15 s, 10 s, one hour, 15 minutes.

--- a/src/shallotfold/_gateway/deciding/crash_knowledge.py
+++ b/src/shallotfold/_gateway/deciding/crash_knowledge.py
@@ -1,4 +1,4 @@
-"""Define what hosts tell each other of prompts under which upstreams end."""
+"""Define what hosts tell each other of requests under which upstreams end."""
 
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -13,8 +13,8 @@
     Attributes:
         upstream: Id and start of the upstream.
         age_s: How long ago that was.
-        traits: Traits of the request that aren't known to be sound: so far,
-            shared parts of its prompt.
+        traits: Traits of the request that aren't known to be sound: shared
+            parts of its prompt and its fingerprint.
         answer_begun: Whether part of the answer had come.
     """
 
@@ -26,10 +26,10 @@
 
 @attrs.frozen
 class HoldReport:
-    """Prompts that a host holds back.
+    """Requests that a host holds back.
 
     Attributes:
-        traits: Prompts with all of these parts are held back.
+        traits: Requests with all of these traits are held back.
         age_s: How long they have been.
         stored: Whether the platform's store has it.
         tried: Whether a request was let through as a trial.
@@ -43,13 +43,13 @@
 
 @attrs.frozen(kw_only=True)
 class CrashKnowledge:
-    """What a host tells its peers about prompts under which upstreams end.
+    """What a host tells its peers about requests under which upstreams end.
 
     Attributes:
         reports: Upstreams that ended under its own requests.
-        holds: Prompts that it holds back.
-        answer_ages_s_by_trait: How long ago parts that its peers suspect were
-            part of an answered prompt.
+        holds: Requests that it holds back.
+        answer_ages_s_by_trait: How long ago a request with a trait that is
+            suspected was answered.
     """
 
     reports: Sequence[CrashReport] = ()
--- a/src/shallotfold/_gateway/deciding/crashing_requests.py
+++ b/src/shallotfold/_gateway/deciding/crashing_requests.py
@@ -1,10 +1,10 @@
-"""Hold back prompts under which upstreams end.
+"""Hold back requests under which upstreams end.
 
-A prompt can make every upstream end that begins to answer it. One upstream that
-ended says little: all its open requests broke off, most of them sound. What
-tells is a part that several upstreams ended under, one after the other, and
-that none has answered, while other prompts are answered. Hosts exchange what
-they saw, since requests with such a part come to any of them.
+A prompt, or a request as a whole, can make every upstream end that begins to
+work on it. One upstream that ended says little: all its open requests broke
+off, most of them sound. What tells is a trait that several upstreams ended
+under, one after the other, and that none has answered. Hosts exchange what they
+saw, since requests with such a trait come to any of them.
 """
 
 from collections.abc import Iterable
@@ -21,10 +21,13 @@
 from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
 from shallotfold._gateway.deciding.crash_knowledge import CrashReport
 from shallotfold._gateway.deciding.crash_knowledge import HoldReport
+from shallotfold._gateway.deciding.request_traits import all_traits
+from shallotfold._gateway.deciding.request_traits import is_fingerprint
+from shallotfold._gateway.deciding.request_traits import watched_traits
 
-# Fewer would hold back sound parts that were open twice by chance.
+# Fewer would hold back sound requests that were open twice by chance.
 CRASHES_TO_HOLD = 3
-# A part that was held before is held again after the first crash.
+# A trait that was held before is held again after the first crash.
 CRASHES_TO_HOLD_AGAIN = 1
 REMEMBERED_HOLD_S = 3_600.0
 EVIDENCE_LIFETIME_S = 120.0
@@ -36,7 +39,21 @@
 MIN_RECENT_ANSWERS = 2
 RECENT_ANSWER_S = 3.0
 CRASHES_TO_HOLD_WITHOUT_ANSWERS = 6
+# A request that is sent often is open at most upstreams that end of another
+# cause, but equal ones are answered in between.
+CRASHES_TO_HOLD_ANSWERED_REQUEST = 6
+RECENT_EQUAL_ANSWER_S = 10.0
+# Answers, and what peers saw of the same crashes, may still be on the way when
+# the last upstream has ended.
+SETTLING_S = 0.15
+# Equal requests may come seldom. They are alike in all, so that crashes a long
+# time apart say as much.
+REQUEST_EVIDENCE_LIFETIME_S = 900.0
+# An answer that was on the way when a request was held back.
+ANSWER_TRANSIT_S = 0.5
 HOLD_S = 600.0
+# Nobody else is kept waiting by a request that is held back by itself.
+REQUEST_HOLD_S = 3_600.0
 # One request is let through this long after a hold began, in case the part is
 # sound. Hosts do so at different times, and the first one tells the others.
 TRIAL_AFTER_S = 5.0
@@ -44,26 +61,28 @@
 # Peers are told for this long of crashes, and of answers on parts that one of
 # them suspects: several heartbeats may be lost.
 ANNOUNCED_S = 10.0
-# Callers choose ids and number of parts; further ones aren't watched.
-MAX_WATCHED_PARTS = 16
-MAX_PART_ID_CHARACTERS = 32
 MAX_SOUND_PARTS = 4_096
-MAX_REPORTS = 16
+MAX_ANSWERED_REQUESTS = 2_048
+MAX_REPORTS = 32
+# All reports together must fit into a datagram beside the holds.
+MAX_REPORTED_TRAITS = 272
 MAX_HOLDS = 32
 MAX_ANNOUNCED_ANSWERS = 64
 
 
 @attrs.define
 class RequestHold:
-    """Prompts that are held back.
+    """Requests that are held back.
 
     Attributes:
-        traits: Prompts with all of these parts. There are several as long as
+        traits: Requests with all of these traits. There are several as long as
             it isn't known which of them ends upstreams.
         held_s: Since when, on the boot clock.
         stored: Whether the platform's store has it.
         tried: Whether a request was let through as a trial.
         decided_here: Whether this host decided it.
+        refused_s: When such a request last came here, on the boot clock.
+        trial_claimed: Whether this host may let the next one through.
     """
 
     traits: frozenset[str]
@@ -71,11 +90,18 @@
     stored: bool = False
     tried: bool = False
     decided_here: bool = False
+    refused_s: float = -math.inf
+    trial_claimed: bool = False
+
+    @property
+    def is_of_equal_requests(self) -> bool:
+        """Whether only equal requests are held back."""
+        return any(is_fingerprint(trait) for trait in self.traits)
 
     @property
     def ends_s(self) -> float:
-        """When prompts are let through again, on the boot clock."""
-        return self.held_s + HOLD_S
+        """When such requests are let through again, on the boot clock."""
+        return self.held_s + _hold_duration_s(self.traits)
 
 
 @attrs.frozen(kw_only=True)
@@ -83,10 +109,11 @@
     """A hold that began, changed or ended, for the log.
 
     Attributes:
-        decision: `prompt_held`, `hold_narrowed` or `prompt_released`.
-        traits: Its parts, before the change if it ended.
+        decision: `prompt_held`, `hold_narrowed` or `prompt_released`;
+            `request_held` and `request_released` for equal requests.
+        traits: Its traits, before the change if it ended.
         reason: What led to it.
-        upstreams: Upstreams that ended under its parts, if this host decided.
+        upstreams: Upstreams that ended under them, if this host decided.
     """
 
     decision: str
@@ -105,10 +132,10 @@
 
 @attrs.define
 class CrashingRequests:
-    """What this host knows of prompts under which upstreams end.
+    """What this host knows of requests under which upstreams end.
 
     Attributes:
-        holds: Prompts that are held back, by their parts.
+        holds: Requests that are held back, by their traits.
         has_news: Whether peers should be told at once.
         host_count: Number of hosts that are alive, this one included.
         trial_draw: Random number of this host, 0 to 1, that spreads trials.
@@ -126,12 +153,16 @@
     _own_reports: list[_OwnReport] = attrs.field(factory=list)
     _suspected_s_by_trait: dict[str, float] = attrs.field(factory=dict)
     _held_before_s_by_trait: dict[str, float] = attrs.field(factory=dict)
+    _answered_s_by_request: dict[str, float] = attrs.field(factory=dict)
+    _unsettled: dict[str, None] = attrs.field(factory=dict)
 
-    def hold_on(self, prompt: Prompt, now_s: float) -> RequestHold | None:
-        """Return the hold that a prompt falls under, if any."""
+    def hold_on(
+        self, prompt: Prompt, now_s: float, fingerprint: str = ""
+    ) -> RequestHold | None:
+        """Return the hold that a request falls under, if any."""
         if not self.holds:
             return None
-        traits = set(prompt.shared_part_ids)
+        traits = all_traits(prompt, fingerprint)
         for hold in self.holds.values():
             if hold.traits <= traits and now_s < hold.ends_s:
                 return hold
@@ -139,23 +170,40 @@
 
     def try_trial(self, hold: RequestHold, now_s: float) -> bool:
         """Return whether a request may be let through; only one is."""
-        spread_s = TRIAL_SPREAD_S_PER_HOST * self.host_count
-        if (
-            hold.tried
-            or now_s < hold.held_s + TRIAL_AFTER_S + self.trial_draw * spread_s
-        ):
+        hold.refused_s = now_s
+        if hold.is_of_equal_requests:
+            # Each trial may cost an upstream, so that one host claims it.
+            is_claimed, hold.trial_claimed = hold.trial_claimed, False
+            return is_claimed
+        if hold.tried or now_s < self.trial_due_s(hold):
             return False
         hold.tried = True
         self.has_news = True
         return True
 
+    def trial_due_s(self, hold: RequestHold) -> float:
+        """Return from when on this host may try a held request."""
+        spread_s = TRIAL_SPREAD_S_PER_HOST * self.host_count
+        return hold.held_s + TRIAL_AFTER_S + self.trial_draw * spread_s
+
+    def record_trial(self, hold: RequestHold, *, claimed: bool) -> None:
+        """Record that a host has claimed the trial of a hold.
+
+        Args:
+            hold: The hold.
+            claimed: Whether it was this host.
+        """
+        hold.tried = True
+        hold.trial_claimed = claimed
+        self.has_news = True
+
     # What this host sees.
 
     def record_answer(
-        self, service: str, prompt: Prompt, now_s: float
+        self, service: str, prompt: Prompt, now_s: float, fingerprint: str = ""
     ) -> list[HoldChange]:
-        """Record that a prompt was answered, or for long enough."""
-        traits = _watched_traits(prompt)
+        """Record that a request was answered, or for long enough."""
+        traits = watched_traits(prompt, fingerprint)
         if not traits:
             return []
         recent_s = self._recent_answers_s_by_service.setdefault(service, [])
@@ -170,8 +218,10 @@
         prompt: Prompt,
         now_s: float,
         *,
+        fingerprint: str = "",
         sent_s: float = -math.inf,
         answer_begun: bool = False,
+        follows_crash: bool = False,
     ) -> list[HoldChange]:
         """Record that an upstream ended while a request was open there.
 
@@ -180,8 +230,10 @@
             service: Its service.
             prompt: Prompt of the request.
             now_s: Time on the boot clock.
+            fingerprint: Digest that equal requests share; empty: not known.
             sent_s: When the request was sent there.
             answer_begun: Whether part of the answer had come.
+            follows_crash: Whether the request had ended an upstream before.
         """
         if self._evidence.has_ended_before(
             upstream, sent_s
@@ -190,7 +242,7 @@
         report = _OwnReport(
             upstream,
             now_s,
-            self._unsound(_watched_traits(prompt), now_s),
+            self._unsound(watched_traits(prompt, fingerprint), now_s, now_s),
             answer_begun,
         )
         if not report.traits:
@@ -201,9 +253,12 @@
             report.traits,
             service,
             answer_begun=answer_begun,
+            follows_crash=follows_crash,
         )
         self._own_reports.append(report)
-        del self._own_reports[:-MAX_REPORTS]
+        self._drop_excess_reports()
+        # Peers should know whether equal requests were answered here.
+        self._note_suspected(filter(is_fingerprint, report.traits), now_s)
         self.has_news = True
         return self._decide(report.traits, now_s)
 
@@ -225,8 +280,8 @@
         new_traits: set[str] = set()
         for report in knowledge.reports:
             self._note_suspected(report.traits, now_s)
-            unsound = self._unsound(report.traits, now_s)
             crashed_s = now_s - report.age_s
+            unsound = self._unsound(report.traits, crashed_s, now_s)
             if (
                 report.age_s < EVIDENCE_LIFETIME_S
                 and self._evidence.was_running(report.upstream, crashed_s)
@@ -247,8 +302,14 @@
         """Adopt the holds that the platform's store has."""
         changes = []
         for traits in stored_holds:
-            # The time of day when it was stored may come from a wrong clock.
-            hold = HoldReport(tuple(traits), 0.0, stored=True, tried=True)
+            hold = HoldReport(
+                tuple(traits),
+                # The time of day of the write may come from a wrong clock.
+                age_s=0.0,
+                stored=True,
+                # The store also keeps who has tried equal requests.
+                tried=not any(map(is_fingerprint, traits)),
+            )
             changes += self._adopt(hold, now_s, "held in the store")
         return changes
 
@@ -257,7 +318,8 @@
         suspected = [
             trait
             for trait, at_s in self._suspected_s_by_trait.items()
-            if now_s - at_s < ANNOUNCED_S and self._is_sound(trait, now_s)
+            if now_s - at_s < ANNOUNCED_S
+            and self._answered_s(trait) > now_s - SOUND_AFTER_ANSWER_S
         ]
         return CrashKnowledge(
             reports=[
@@ -269,7 +331,11 @@
                 )
                 for report in self._own_reports
                 if now_s - report.crashed_s < ANNOUNCED_S
-                and (unsound := self._unsound(report.traits, now_s))
+                and (
+                    unsound := self._unsound(
+                        report.traits, report.crashed_s, now_s
+                    )
+                )
             ],
             holds=[
                 HoldReport(
@@ -281,7 +347,7 @@
                 for hold in self.holds.values()
             ],
             answer_ages_s_by_trait={
-                trait: now_s - self._answered_s_by_trait[trait]
+                trait: now_s - self._answered_s(trait)
                 for trait in suspected[-MAX_ANNOUNCED_ANSWERS:]
             },
         )
@@ -289,7 +355,9 @@
     def drop_expired(self, now_s: float) -> list[HoldChange]:
         """Drop what is too old; return the holds that ended."""
         oldest_s = now_s - EVIDENCE_LIFETIME_S
-        self._evidence.drop_before(oldest_s)
+        self._evidence.drop_before(
+            oldest_s, now_s - REQUEST_EVIDENCE_LIFETIME_S
+        )
         if self._own_reports and self._own_reports[0].crashed_s <= oldest_s:
             del self._own_reports[0]
         changes = []
@@ -306,38 +374,77 @@
 
     # Helpers.
 
-    def _is_sound(self, trait: str, now_s: float) -> bool:
-        answered_s = self._answered_s_by_trait.get(trait)
-        return (
-            answered_s is not None and now_s - answered_s < SOUND_AFTER_ANSWER_S
+    def _answered_s(self, trait: str) -> float:
+        answered_s_by_trait = (
+            self._answered_s_by_request
+            if is_fingerprint(trait)
+            else self._answered_s_by_trait
         )
+        return answered_s_by_trait.get(trait, -math.inf)
 
-    def _unsound(self, traits: Iterable[str], now_s: float) -> tuple[str, ...]:
-        return tuple(p for p in traits if not self._is_sound(p, now_s))
+    def _is_sound(self, trait: str, crashed_s: float, now_s: float) -> bool:
+        """Whether a trait isn't the cause of a crash.
+
+        A part of a prompt stays sound for a while: other prompts with it are
+        the more likely cause. A request that was answered before may end
+        upstreams now, so that only a later answer counts.
+        """
+        answered_s = self._answered_s(trait)
+        if is_fingerprint(trait):
+            return answered_s >= crashed_s
+        return now_s - answered_s < SOUND_AFTER_ANSWER_S
+
+    def _unsound(
+        self, traits: Iterable[str], crashed_s: float, now_s: float
+    ) -> tuple[str, ...]:
+        return tuple(
+            trait
+            for trait in traits
+            if not self._is_sound(trait, crashed_s, now_s)
+        )
+
+    def _drop_excess_reports(self) -> None:
+        reports = self._own_reports
+        del reports[:-MAX_REPORTS]
+        while sum(len(r.traits) for r in reports) > MAX_REPORTED_TRAITS:
+            del reports[0]
 
     def _record_sound(
         self, answered_s_by_trait: Mapping[str, float], reason: str
     ) -> list[HoldChange]:
         changes: list[HoldChange] = []
         for trait, answered_s in answered_s_by_trait.items():
-            known_s = self._answered_s_by_trait.pop(trait, answered_s)
-            self._answered_s_by_trait[trait] = max(known_s, answered_s)
-            self._evidence.by_trait.pop(trait, None)
+            if is_fingerprint(trait):
+                self._record_equal_answer(trait, answered_s)
+                released_from_s = answered_s + ANSWER_TRANSIT_S
+            else:
+                known_s = self._answered_s_by_trait.pop(trait, answered_s)
+                self._answered_s_by_trait[trait] = max(known_s, answered_s)
+                self._evidence.by_trait.pop(trait, None)
+                released_from_s = answered_s + SOUND_AFTER_ANSWER_S
             self._held_before_s_by_trait.pop(trait, None)
             for hold in list(self.holds.values()):
-                if (
-                    trait in hold.traits
-                    and answered_s > hold.held_s - SOUND_AFTER_ANSWER_S
-                ):
+                if trait in hold.traits and hold.held_s < released_from_s:
                     changes.append(self._narrow(hold, trait, reason))
         while len(self._answered_s_by_trait) > MAX_SOUND_PARTS:
             del self._answered_s_by_trait[next(iter(self._answered_s_by_trait))]
         return changes
 
+    def _record_equal_answer(self, trait: str, answered_s: float) -> None:
+        known_s = self._answered_s_by_request.pop(trait, answered_s)
+        self._answered_s_by_request[trait] = max(known_s, answered_s)
+        if self._evidence.drop_crashes_of(trait, answered_s):
+            # Peers that suspect it should learn of the answer.
+            self._note_suspected((trait,), answered_s)
+            self.has_news = True
+        while len(self._answered_s_by_request) > MAX_ANSWERED_REQUESTS:
+            oldest = next(iter(self._answered_s_by_request))
+            del self._answered_s_by_request[oldest]
+
     def _narrow(self, hold: RequestHold, trait: str, reason: str) -> HoldChange:
-        """Leave a part that is sound out of a hold."""
+        """Leave a trait that is sound out of a hold."""
         # Peers must know that it is sound.
-        self._note_suspected((trait,), self._answered_s_by_trait[trait])
+        self._note_suspected((trait,), self._answered_s(trait))
         self.has_news = True
         if len(hold.traits) == 1:
             return self._release(hold, reason)
@@ -354,13 +461,17 @@
     def _release(self, hold: RequestHold, reason: str) -> HoldChange:
         self.holds.pop(hold.traits, None)
         return HoldChange(
-            decision="prompt_released",
+            decision=(
+                "request_released"
+                if hold.is_of_equal_requests
+                else "prompt_released"
+            ),
             traits=tuple(sorted(hold.traits)),
             reason=reason,
         )
 
     def _put(self, hold: RequestHold) -> None:
-        """Add a hold, and drop those of prompts that it covers."""
+        """Add a hold, and drop those of requests that it covers."""
         for other in list(self.holds.values()):
             if hold.traits < other.traits:
                 del self.holds[other.traits]
@@ -372,14 +483,19 @@
         self, report: HoldReport, now_s: float, reason: str
     ) -> list[HoldChange]:
         held_s = now_s - report.age_s
-        if not report.traits or now_s >= held_s + HOLD_S:
+        if not report.traits or report.age_s >= _hold_duration_s(report.traits):
             return []
         self._note_suspected(report.traits, now_s)
         traits = frozenset(
             trait
             for trait in report.traits
-            if self._answered_s_by_trait.get(trait, -SOUND_AFTER_ANSWER_S)
-            <= held_s - SOUND_AFTER_ANSWER_S
+            if held_s
+            >= self._answered_s(trait)
+            + (
+                ANSWER_TRANSIT_S
+                if is_fingerprint(trait)
+                else SOUND_AFTER_ANSWER_S
+            )
         )
         is_same = len(traits) == len(report.traits)
         if not is_same:
@@ -405,7 +521,7 @@
         self._evidence.explain(traits)
         return [
             HoldChange(
-                decision="prompt_held",
+                decision=_held_decision(traits),
                 traits=tuple(sorted(traits)),
                 reason=reason,
             )
@@ -419,6 +535,17 @@
             oldest = next(iter(self._suspected_s_by_trait))
             del self._suspected_s_by_trait[oldest]
 
+    def decide_settled(self, now_s: float) -> list[HoldChange]:
+        """Hold equal requests back whose evidence no longer changes."""
+        changes: list[HoldChange] = []
+        for trait in list(self._unsettled):
+            evidence = self._evidence.by_trait.get(trait)
+            if evidence is None:
+                del self._unsettled[trait]
+            elif now_s - evidence.latest_s() >= SETTLING_S:
+                changes += self._hold_if_conclusive(trait, now_s)
+        return changes
+
     def _decide(self, traits: Iterable[str], now_s: float) -> list[HoldChange]:
         """Hold parts back under which enough upstreams ended.
 
@@ -433,49 +560,69 @@
             for trait in traits
             if (evidence := self._evidence.by_trait.get(trait)) is not None
         }
-        for trait in sorted(counts, key=lambda p: (-counts[p], p)):
-            evidence = self._evidence.by_trait.get(trait)
-            if evidence is None or not self._is_conclusive(
-                trait, evidence, now_s
-            ):
-                continue
-            held = evidence.companions() | {trait}
-            held = frozenset(self._unsound(held, now_s))
-            if any(hold <= held for hold in self.holds):
-                continue
-            self._put(RequestHold(held, now_s, decided_here=True))
-            self.has_news = True
-            changes.append(
-                HoldChange(
-                    decision="prompt_held",
-                    traits=tuple(sorted(held)),
-                    reason="upstreams ended under it",
-                    upstreams=tuple(evidence.crash_by_upstream),
-                )
-            )
-            self._evidence.explain(held)
+        for trait in sorted(counts, key=lambda t: (-counts[t], t)):
+            if not is_fingerprint(trait):
+                changes += self._hold_if_conclusive(trait, now_s)
+            elif counts[trait] >= self._needed_crashes(trait, now_s):
+                self._unsettled[trait] = None
         return changes
 
+    def _hold_if_conclusive(self, trait: str, now_s: float) -> list[HoldChange]:
+        evidence = self._evidence.by_trait.get(trait)
+        if evidence is None or not self._is_conclusive(trait, evidence, now_s):
+            return []
+        held = frozenset(
+            companion
+            for companion in evidence.companions() | {trait}
+            if not self._is_sound(companion, evidence.latest_s(), now_s)
+        )
+        if any(hold <= held for hold in self.holds):
+            return []
+        self._put(RequestHold(held, now_s, decided_here=True))
+        self.has_news = True
+        change = HoldChange(
+            decision=_held_decision(held),
+            traits=tuple(sorted(held)),
+            reason="upstreams ended under it",
+            upstreams=tuple(evidence.crash_by_upstream),
+        )
+        self._evidence.explain(held)
+        return [change]
+
     def _is_conclusive(
         self, trait: str, evidence: TraitEvidence, now_s: float
     ) -> bool:
-        # Only a host that had such a request itself can compare it with others
-        # of the service.
-        if not evidence.service:
+        if is_fingerprint(trait):
+            needed = self._needed_crashes(trait, now_s)
+        elif not evidence.service:
+            # Only a host that had such a request itself can compare it with
+            # others of the service.
             return False
-        count = evidence.crash_count()
-        recent_s = self._recent_answers_s_by_service.get(evidence.service, [])
-        if (
-            len(recent_s) < MIN_RECENT_ANSWERS
-            or now_s - recent_s[0] > RECENT_ANSWER_S
-        ):
-            needed = CRASHES_TO_HOLD_WITHOUT_ANSWERS
-        elif self._was_held(trait, now_s):
-            needed = CRASHES_TO_HOLD_AGAIN
         else:
-            needed = CRASHES_TO_HOLD
-        return count >= needed and not self._evidence.is_covered(
-            trait, evidence
+            needed = self._needed_crashes(trait, now_s, evidence.service)
+        return (
+            evidence.crash_count() >= needed
+            and not self._evidence.is_covered(trait, evidence)
+        )
+
+    def _needed_crashes(
+        self, trait: str, now_s: float, service: str = ""
+    ) -> int:
+        """Return how many crashes under a trait hold it back."""
+        if is_fingerprint(trait):
+            if now_s - self._answered_s(trait) < RECENT_EQUAL_ANSWER_S:
+                return CRASHES_TO_HOLD_ANSWERED_REQUEST
+        elif not self._answers_others(service, now_s):
+            return CRASHES_TO_HOLD_WITHOUT_ANSWERS
+        if self._was_held(trait, now_s):
+            return CRASHES_TO_HOLD_AGAIN
+        return CRASHES_TO_HOLD
+
+    def _answers_others(self, service: str, now_s: float) -> bool:
+        recent_s = self._recent_answers_s_by_service.get(service, [])
+        return (
+            len(recent_s) >= MIN_RECENT_ANSWERS
+            and now_s - recent_s[0] <= RECENT_ANSWER_S
         )
 
     def _was_held(self, trait: str, now_s: float) -> bool:
@@ -486,9 +633,9 @@
         )
 
 
-def _watched_traits(prompt: Prompt) -> tuple[str, ...]:
-    return tuple(
-        trait
-        for trait in prompt.shared_part_ids[:MAX_WATCHED_PARTS]
-        if len(trait) <= MAX_PART_ID_CHARACTERS
-    )
+def _hold_duration_s(traits: Iterable[str]) -> float:
+    return REQUEST_HOLD_S if any(map(is_fingerprint, traits)) else HOLD_S
+
+
+def _held_decision(traits: Iterable[str]) -> str:
+    return "request_held" if any(map(is_fingerprint, traits)) else "prompt_held"
--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -19,6 +19,7 @@
 from shallotfold._gateway.deciding import events
 from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
 from shallotfold._gateway.deciding.crashing_requests import HoldChange
+from shallotfold._gateway.deciding.crashing_requests import RequestHold
 from shallotfold._gateway.deciding.engine_set import EngineSet
 from shallotfold._gateway.deciding.engine_set import is_long
 from shallotfold._gateway.deciding.named_limits import LimitStatement
@@ -74,6 +75,7 @@
     service: str
     rank: int
     prompt: Prompt
+    fingerprint: str
     arrived_s: float
     deadline_s: float
     draw: float
@@ -86,6 +88,8 @@
     last_progress_s: float | None = None
     writing_since_s: float | None = None
     is_sound: bool = False
+    is_trial: bool = False
+    has_broken: bool = False
     tried_upstreams: set[str] = attrs.field(factory=set)
     may_have_run: bool = False
     response_started: bool = False
@@ -101,7 +105,7 @@
     Attributes:
         placement: Chooses upstreams.
         budget: Bounds retries.
-        crashing_requests: Prompts that are held back.
+        crashing_requests: Requests that are held back.
         upstreams_by_id: Upstreams that may get requests.
     """
 
@@ -150,6 +154,7 @@
             service=event.service,
             rank=event.rank,
             prompt=event.prompt,
+            fingerprint=event.fingerprint,
             arrived_s=event.now_s,
             deadline_s=min(
                 event.deadline_s, event.now_s + event.route.timeout_s
@@ -216,6 +221,7 @@
         request.may_have_run = True
         self.placement.health.record_failure(request.upstream, event.now_s)
         crash_effects = self._record_crash(request, event.now_s)
+        request.has_broken = True
         self._end_attempt(request)
         if request.route.repeatable:
             retry_effects = self._retry(request, event.now_s)
@@ -342,7 +348,10 @@
         self.placement.limits.clock_offset_s = event.clock_offset_s
         self.placement.limits.update(self.upstreams_by_id, event.now_s)
         due_effects = self._hold_effects(
-            self.crashing_requests.drop_expired(event.now_s)
+            [
+                *self.crashing_requests.drop_expired(event.now_s),
+                *self.crashing_requests.decide_settled(event.now_s),
+            ]
         )
         for request in list(self._open_requests.values()):
             if event.now_s >= request.deadline_s:
@@ -417,13 +426,23 @@
         ]
 
     def _is_held(self, request: _OpenRequest, now_s: float) -> bool:
-        hold = self.crashing_requests.hold_on(request.prompt, now_s)
+        hold = self._hold_on(request, now_s)
         if hold is None:
             return False
-        is_trial = not request.attempts and self.crashing_requests.try_trial(
+        if request.attempts:
+            return True
+        # A trial that reached no upstream is still one.
+        request.is_trial = request.is_trial or self.crashing_requests.try_trial(
             hold, now_s
         )
-        return not is_trial
+        return not request.is_trial
+
+    def _hold_on(
+        self, request: _OpenRequest, now_s: float
+    ) -> RequestHold | None:
+        return self.crashing_requests.hold_on(
+            request.prompt, now_s, request.fingerprint
+        )
 
     def _is_too_busy(self, request: _OpenRequest, upstream: Upstream) -> bool:
         """Whether even the best engine can't begin a new request in time."""
@@ -509,7 +528,7 @@
         self, request: _OpenRequest, reason: str, now_s: float
     ) -> Effects:
         self._open_requests.pop(request.request, None)
-        hold = self.crashing_requests.hold_on(request.prompt, now_s)
+        hold = self._hold_on(request, now_s)
         if hold is not None:
             hold_s = hold.ends_s - now_s
             return [
@@ -517,8 +536,12 @@
                     request=request.request,
                     retry_after_s=hold_s
                     * (1.0 + HOLD_JITTER_SHARE * request.draw),
-                    reason="upstreams end under prompts with part "
-                    + " and ".join(sorted(hold.traits)),
+                    reason=(
+                        "upstreams end under this request"
+                        if hold.is_of_equal_requests
+                        else "upstreams end under prompts with part "
+                        + " and ".join(sorted(hold.traits))
+                    ),
                 )
             ]
         engines = self._engines_by_service.get(request.service)
@@ -579,10 +602,10 @@
         if upstream is None or upstream.draining:
             # It was expected to end.
             return []
-        prompt = request.prompt
+        prompt, fingerprint = request.prompt, request.fingerprint
         if self._has_written_long(request, now_s):
             # It isn't the cause, but tells when the upstream ended.
-            prompt = Prompt()
+            prompt, fingerprint = Prompt(), ""
         return self._hold_effects(
             self.crashing_requests.record_crash(
                 # It may have started again since the request was sent.
@@ -590,8 +613,10 @@
                 request.service,
                 prompt,
                 now_s,
+                fingerprint=fingerprint,
                 sent_s=request.sent_s,
                 answer_begun=request.writing_since_s is not None,
+                follows_crash=request.has_broken,
             )
         )
 
@@ -599,7 +624,7 @@
         request.is_sound = True
         return self._hold_effects(
             self.crashing_requests.record_answer(
-                request.service, request.prompt, now_s
+                request.service, request.prompt, now_s, request.fingerprint
             )
         )
 
--- a/src/shallotfold/_gateway/deciding/events.py
+++ b/src/shallotfold/_gateway/deciding/events.py
@@ -26,6 +26,7 @@
         service: Service that the traffic split of the route chose.
         rank: Priority, 0 first.
         prompt: What the request declares about its prompt.
+        fingerprint: Digest that equal requests share; empty: not known.
         deadline_s: When the caller stops waiting.
         draw: Uniform random number in [0, 1).
     """
@@ -35,6 +36,7 @@
     service: str
     rank: int
     prompt: Prompt
+    fingerprint: str = ""
     deadline_s: float
     draw: float
 
@@ -192,7 +194,7 @@
 
 @attrs.frozen(kw_only=True)
 class PeerCrashesReceived(Event):
-    """A peer told what it knows of prompts under which upstreams end."""
+    """A peer told what it knows of requests under which upstreams end."""
 
     peer: str
     knowledge: CrashKnowledge
@@ -203,7 +205,7 @@
     """The holds in the platform's store were read.
 
     Attributes:
-        holds: Parts of each hold.
+        holds: Traits of each hold.
     """
 
     holds: Sequence[tuple[str, ...]]
--- a/src/shallotfold/_gateway/following/stored_holds.py
+++ b/src/shallotfold/_gateway/following/stored_holds.py
@@ -1,4 +1,4 @@
-"""Keep the prompts that are held back in the platform's store.
+"""Keep the requests that are held back in the platform's store.
 
 Hosts tell each other of them. The store is for hosts that start when no other
 host is left that knows, and for hosts that lose all others.
@@ -21,6 +21,10 @@
 from shallotfold._services.ports import StoredValue
 
 HOLDS_PREFIX = "shallotfold/held-prompts/"
+# Who has let a request through as a trial of a hold on equal requests.
+TRIALS_PREFIX = "shallotfold/hold-trials/"
+# A trial is claimed only while such requests come.
+TRIAL_WANTED_S = 2.0
 CHECK_INTERVAL_S = 0.2
 # After a failed call, each further one costs the store something.
 RETRY_DELAY_S = 1.0
@@ -39,34 +43,37 @@
     def __init__(
         self,
         store: WatchedStore,
-        prompts: CrashingRequests,
+        requests: CrashingRequests,
         on_read: Callable[[Sequence[tuple[str, ...]]], None],
         is_follower: Callable[[], bool],
         is_isolated: Callable[[], bool],
         *,
+        origin: str,
         is_first_start: bool,
     ) -> None:
         """Make the keeper of a host.
 
         Args:
             store: The platform's store.
-            prompts: The holds of this host.
+            requests: The holds of this host.
             on_read: Called with the parts of each hold in the store.
             is_follower: Returns whether this host calls the store for others.
             is_isolated: Returns whether the host has lost all its peers.
+            origin: Name of this host and incarnation of its process.
             is_first_start: Whether the store can't have any hold yet.
         """
         self._store = store
-        self._prompts = prompts
+        self._requests = requests
         self._on_read = on_read
         self._is_follower = is_follower
         self._is_isolated = is_isolated
+        self._origin = origin
         self._must_read = not is_first_start
         self._read_s = 0.0
         self._others_store_after_s = random.uniform(*OTHERS_STORE_AFTER_S)
         self._retry_s = 0.0
         self._periodic_task = PeriodicTask(
-            "Storing held prompts", self.step, self._pause_s
+            "Storing held requests", self.step, self._pause_s
         )
 
     async def start(self) -> None:
@@ -79,7 +86,7 @@
 
     def record_store_restored(self) -> None:
         """Store the holds again, since the backup may lack them."""
-        for hold in self._prompts.holds.values():
+        for hold in self._requests.holds.values():
             hold.stored = False
 
     async def step(self) -> None:
@@ -96,9 +103,11 @@
                 self._on_read(_read_parts(await self._store.list(HOLDS_PREFIX)))
                 self._must_read = False
                 self._read_s = now_s
-            for hold in list(self._prompts.holds.values()):
+            for hold in list(self._requests.holds.values()):
                 if self._should_store(hold, now_s):
                     await self._write(hold)
+                if self._should_claim_trial(hold, now_s):
+                    await self._claim_trial(hold)
         except PlatformError as error:
             decision_log.record("holds_call_failed", error=str(error))
             self._retry_s = boot_s() + RETRY_DELAY_S * random.uniform(0.8, 1.2)
@@ -125,7 +134,7 @@
         lease = await self._store.grant_lease(hold.ends_s - boot_s())
         try:
             await self._store.compare_and_swap(
-                _key(traits),
+                _key(HOLDS_PREFIX, traits),
                 0,
                 json.dumps({"parts": traits}).encode(),
                 lease.lease_id,
@@ -136,10 +145,38 @@
         hold.stored = True
         decision_log.record("hold_stored", parts=traits)
 
+    def _should_claim_trial(self, hold: RequestHold, now_s: float) -> bool:
+        return (
+            hold.is_of_equal_requests
+            and hold.stored
+            and not hold.tried
+            and now_s >= self._requests.trial_due_s(hold)
+            and now_s - hold.refused_s < TRIAL_WANTED_S
+            and hold.ends_s - now_s > MIN_LEASE_S
+        )
+
+    async def _claim_trial(self, hold: RequestHold) -> None:
+        """Claim the only trial of a hold, whatever hosts can't be heard."""
+        key = _key(TRIALS_PREFIX, sorted(hold.traits))
+        lease = await self._store.grant_lease(hold.ends_s - boot_s())
+        claim = self._origin.encode()
+        try:
+            await self._store.compare_and_swap(key, 0, claim, lease.lease_id)
+            claimed = True
+        except StoreConflictError:
+            # A claim whose response was lost may be this host's own.
+            stored = await self._store.get(key)
+            claimed = stored is not None and stored.value == claim
+            await self._store.revoke_lease(lease.lease_id)
+        self._requests.record_trial(hold, claimed=claimed)
+        decision_log.record(
+            "hold_trial", traits=sorted(hold.traits), claimed=claimed
+        )
+
 
-def _key(traits: Sequence[str]) -> str:
+def _key(prefix: str, traits: Sequence[str]) -> str:
     digest = hashlib.blake2b(json.dumps(traits).encode(), digest_size=16)
-    return HOLDS_PREFIX + digest.hexdigest()
+    return prefix + digest.hexdigest()
 
 
 def _read_parts(values: Sequence[StoredValue]) -> list[tuple[str, ...]]:
--- a/src/shallotfold/_gateway/peers/crash_messages.py
+++ b/src/shallotfold/_gateway/peers/crash_messages.py
@@ -1,4 +1,4 @@
-"""Encode what a host knows of prompts under which upstreams end.
+"""Encode what a host knows of requests under which upstreams end.
 
 It is part of each heartbeat, and a datagram of its own when something is new.
 """
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -147,7 +147,7 @@
             that they are leaving, with their starts in Unix milliseconds.
         store_access: Whether it reaches the store.
         interval_s: Time between its heartbeats.
-        crash_knowledge: What it knows of prompts under which upstreams end.
+        crash_knowledge: What it knows of requests under which upstreams end.
         limit_statements: What responses to it said about limits of upstreams.
         demand_by_service: Requests a second of its callers.
     """
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -151,6 +151,7 @@
             self._on_stored_holds,
             self._is_follower,
             self._is_isolated,
+            origin=self._peers.origin,
             is_first_start=settings.is_first_start,
         )
         self._duty_lease = DutyLease(
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -242,6 +242,7 @@
                 service=choose_service(route, random.random()),
                 rank=admission.rank,
                 prompt=parse_prompt(request, self.names),
+                fingerprint=fingerprint,
                 deadline_s=now_s + deadline_s,
                 draw=random.random(),
             )
--- a/tests/gateway/following/test_stored_holds.py
+++ b/tests/gateway/following/test_stored_holds.py
@@ -46,6 +46,7 @@
             self.read.append,
             lambda: is_follower,
             lambda: self.is_isolated,
+            origin="h1/a",
             is_first_start=is_first_start,
         )
 
