Hold equal requests that can't be told apart; try them twice, claimed in the store

After a second without a crash or an answer all such requests are held now; the first answer releases the sound one. - A single trial after five seconds: sound requests that were held while servers ended of another cause waited too long, or for the whole hold if the trial's server ended too. Now two trials, after 2 and 15 s, both claimed in the store. - A trial was used up while no upstream was there, or by one that couldn't be reached. A host that doesn't hear some peers reads the stored holds after an upstream has ended, and tells those that it hears.

--- a/src/shallotfold/_gateway/deciding/crash_evidence.py
+++ b/src/shallotfold/_gateway/deciding/crash_evidence.py
@@ -205,17 +205,45 @@
             del self.by_trait[trait]
         return len(evidence.crash_by_upstream) < count
 
-    def is_covered(self, trait: str, evidence: TraitEvidence) -> bool:
-        """Whether the same upstreams ended under a trait of other requests."""
+    def is_covered(
+        self,
+        trait: str,
+        evidence: TraitEvidence,
+        *,
+        by_more_only: bool = False,
+    ) -> bool:
+        """Whether the same upstreams ended under a trait of other requests.
+
+        Args:
+            trait: The trait.
+            evidence: Evidence on it.
+            by_more_only: Whether further upstreams must have ended there too.
+        """
         upstreams = evidence.crash_by_upstream.keys()
         companions = evidence.companions()
         return any(
-            other_id != trait
-            and other_id not in companions
+            other_trait != trait
+            and other_trait not in companions
             and upstreams <= other.crash_by_upstream.keys()
-            for other_id, other in self.by_trait.items()
+            and not (
+                by_more_only and len(other.crash_by_upstream) == len(upstreams)
+            )
+            for other_trait, other in self.by_trait.items()
         )
 
+    def tied_requests(self, trait: str, evidence: TraitEvidence) -> list[str]:
+        """Return other requests under which the same upstreams ended."""
+        upstreams = evidence.crash_by_upstream.keys()
+        companions = evidence.companions()
+        return [
+            other_trait
+            for other_trait, other in self.by_trait.items()
+            if other_trait != trait
+            and is_fingerprint(other_trait)
+            and other_trait not in companions
+            and other.crash_by_upstream.keys() == upstreams
+        ]
+
     def explain(self, held: frozenset[str]) -> None:
         """Drop the crashes under held requests from the evidence on others."""
         explained: set[str] = set()
--- a/src/shallotfold/_gateway/deciding/crash_knowledge.py
+++ b/src/shallotfold/_gateway/deciding/crash_knowledge.py
@@ -32,13 +32,13 @@
         traits: Requests with all of these traits are held back.
         age_s: How long they have been.
         stored: Whether the platform's store has it.
-        tried: Whether a request was let through as a trial.
+        trials: Requests that were let through as a trial.
     """
 
     traits: tuple[str, ...]
     age_s: float
     stored: bool
-    tried: bool
+    trials: int
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_gateway/deciding/crashing_requests.py
+++ b/src/shallotfold/_gateway/deciding/crashing_requests.py
@@ -45,7 +45,10 @@
 RECENT_EQUAL_ANSWER_S = 10.0
 # Answers, and what peers saw of the same crashes, may still be on the way when
 # the last upstream has ended.
-SETTLING_S = 0.15
+SETTLING_S = 0.05
+# Requests that are open at the same upstreams can't be told apart while none is
+# answered. After this time without a crash or an answer all of them are held.
+TIE_S = 1.0
 # Equal requests may come seldom. They are alike in all, so that crashes a long
 # time apart say as much.
 REQUEST_EVIDENCE_LIFETIME_S = 900.0
@@ -58,6 +61,9 @@
 # sound. Hosts do so at different times, and the first one tells the others.
 TRIAL_AFTER_S = 5.0
 TRIAL_SPREAD_S_PER_HOST = 0.2
+# Of equal requests, one at each of these times. The upstream of the first trial
+# may end of the other cause that still lasts.
+REQUEST_TRIALS_AFTER_S = (2.0, 15.0)
 # Peers are told for this long of crashes, and of answers on parts that one of
 # them suspects: several heartbeats may be lost.
 ANNOUNCED_S = 10.0
@@ -79,7 +85,7 @@
             it isn't known which of them ends upstreams.
         held_s: Since when, on the boot clock.
         stored: Whether the platform's store has it.
-        tried: Whether a request was let through as a trial.
+        trials: Requests that were let through as a trial, on any host.
         decided_here: Whether this host decided it.
         refused_s: When such a request last came here, on the boot clock.
         trial_claimed: Whether this host may let the next one through.
@@ -88,7 +94,7 @@
     traits: frozenset[str]
     held_s: float
     stored: bool = False
-    tried: bool = False
+    trials: int = 0
     decided_here: bool = False
     refused_s: float = -math.inf
     trial_claimed: bool = False
@@ -139,12 +145,15 @@
         has_news: Whether peers should be told at once.
         host_count: Number of hosts that are alive, this one included.
         trial_draw: Random number of this host, 0 to 1, that spreads trials.
+        crash_seen_s: When an upstream last ended under a request of this host,
+            on the boot clock.
     """
 
     holds: dict[frozenset[str], RequestHold] = attrs.field(factory=dict)
     has_news: bool = False
     host_count: int = 1
     trial_draw: float = 0.0
+    crash_seen_s: float = -math.inf
     _answered_s_by_trait: dict[str, float] = attrs.field(factory=dict)
     _recent_answers_s_by_service: dict[str, list[float]] = attrs.field(
         factory=dict
@@ -168,33 +177,50 @@
                 return hold
         return None
 
-    def try_trial(self, hold: RequestHold, now_s: float) -> bool:
-        """Return whether a request may be let through; only one is."""
+    def may_try(self, hold: RequestHold, now_s: float) -> bool:
+        """Return whether a request that came now may be let through."""
         hold.refused_s = now_s
         if hold.is_of_equal_requests:
             # Each trial may cost an upstream, so that one host claims it.
-            is_claimed, hold.trial_claimed = hold.trial_claimed, False
-            return is_claimed
-        if hold.tried or now_s < self.trial_due_s(hold):
-            return False
-        hold.tried = True
-        self.has_news = True
-        return True
+            return hold.trial_claimed
+        return now_s >= self.trial_due_s(hold)
+
+    def begin_trial(self, hold: RequestHold) -> None:
+        """Record that a request is let through."""
+        if hold.is_of_equal_requests:
+            hold.trial_claimed = False
+        else:
+            hold.trials += 1
+            self.has_news = True
 
     def trial_due_s(self, hold: RequestHold) -> float:
         """Return from when on this host may try a held request."""
+        trials_after_s = (
+            REQUEST_TRIALS_AFTER_S
+            if hold.is_of_equal_requests
+            else (TRIAL_AFTER_S,)
+        )
+        if hold.trials >= len(trials_after_s):
+            return math.inf
         spread_s = TRIAL_SPREAD_S_PER_HOST * self.host_count
-        return hold.held_s + TRIAL_AFTER_S + self.trial_draw * spread_s
+        return (
+            hold.held_s
+            + trials_after_s[hold.trials]
+            + self.trial_draw * spread_s
+        )
 
-    def record_trial(self, hold: RequestHold, *, claimed: bool) -> None:
-        """Record that a host has claimed the trial of a hold.
+    def record_claim(
+        self, hold: RequestHold, number: int, *, is_own: bool
+    ) -> None:
+        """Record that a trial of a hold is claimed.
 
         Args:
-            hold: The hold.
-            claimed: Whether it was this host.
+            hold: The hold, of equal requests.
+            number: Number of the trial, 1 for the first.
+            is_own: Whether this host claimed it.
         """
-        hold.tried = True
-        hold.trial_claimed = claimed
+        hold.trials = max(hold.trials, number)
+        hold.trial_claimed = is_own
         self.has_news = True
 
     # What this host sees.
@@ -257,6 +283,7 @@
         )
         self._own_reports.append(report)
         self._drop_excess_reports()
+        self.crash_seen_s = now_s
         # Peers should know whether equal requests were answered here.
         self._note_suspected(filter(is_fingerprint, report.traits), now_s)
         self.has_news = True
@@ -307,10 +334,14 @@
                 # The time of day of the write may come from a wrong clock.
                 age_s=0.0,
                 stored=True,
-                # The store also keeps who has tried equal requests.
-                tried=not any(map(is_fingerprint, traits)),
+                # The store keeps the trials of equal requests by themselves.
+                trials=0 if any(map(is_fingerprint, traits)) else 1,
             )
             changes += self._adopt(hold, now_s, "held in the store")
+        if changes and math.isfinite(self.crash_seen_s):
+            # The peers that this host hears may have missed it too. A host that
+            # starts says nothing: all others read the store themselves.
+            self.has_news = True
         return changes
 
     def knowledge(self, now_s: float) -> CrashKnowledge:
@@ -342,7 +373,7 @@
                     tuple(sorted(hold.traits)),
                     now_s - hold.held_s,
                     hold.stored,
-                    hold.tried,
+                    hold.trials,
                 )
                 for hold in self.holds.values()
             ],
@@ -506,7 +537,7 @@
         if known is not None:
             known.held_s = min(known.held_s, held_s)
             known.stored |= report.stored and is_same
-            known.tried |= report.tried
+            known.trials = max(known.trials, report.trials)
             return []
         if any(other <= traits for other in self.holds):
             return []
@@ -515,7 +546,7 @@
                 traits,
                 held_s,
                 stored=report.stored and is_same,
-                tried=report.tried,
+                trials=report.trials,
             )
         )
         self._evidence.explain(traits)
@@ -571,6 +602,19 @@
         evidence = self._evidence.by_trait.get(trait)
         if evidence is None or not self._is_conclusive(trait, evidence, now_s):
             return []
+        # After a tie, any of them may be the cause.
+        suspects = [trait, *self._evidence.tied_requests(trait, evidence)]
+        changes = []
+        for suspect in suspects:
+            changes += self._hold(suspect, now_s)
+        if changes:
+            self._evidence.explain(
+                frozenset().union(*(change.traits for change in changes))
+            )
+        return changes
+
+    def _hold(self, trait: str, now_s: float) -> list[HoldChange]:
+        evidence = self._evidence.by_trait[trait]
         held = frozenset(
             companion
             for companion in evidence.companions() | {trait}
@@ -580,14 +624,14 @@
             return []
         self._put(RequestHold(held, now_s, decided_here=True))
         self.has_news = True
-        change = HoldChange(
-            decision=_held_decision(held),
-            traits=tuple(sorted(held)),
-            reason="upstreams ended under it",
-            upstreams=tuple(evidence.crash_by_upstream),
-        )
-        self._evidence.explain(held)
-        return [change]
+        return [
+            HoldChange(
+                decision=_held_decision(held),
+                traits=tuple(sorted(held)),
+                reason="upstreams ended under it",
+                upstreams=tuple(evidence.crash_by_upstream),
+            )
+        ]
 
     def _is_conclusive(
         self, trait: str, evidence: TraitEvidence, now_s: float
@@ -600,9 +644,13 @@
             return False
         else:
             needed = self._needed_crashes(trait, now_s, evidence.service)
-        return (
-            evidence.crash_count() >= needed
-            and not self._evidence.is_covered(trait, evidence)
+        if evidence.crash_count() < needed:
+            return False
+        is_tie_over = (
+            is_fingerprint(trait) and now_s - evidence.latest_s() > TIE_S
+        )
+        return not self._evidence.is_covered(
+            trait, evidence, by_more_only=is_tie_over
         )
 
     def _needed_crashes(
--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -369,7 +369,8 @@
             return []
         if request.attempts >= request.route.max_attempts:
             return []
-        if self._is_held(request, now_s):
+        hold = self._hold_on(request, now_s)
+        if hold is not None and not self._may_try(request, hold, now_s):
             return []
         engines = self._engines_by_service.get(request.service)
         if engines is None:
@@ -387,6 +388,9 @@
             return []
         if self._is_too_busy(request, upstream):
             return self._refuse(request, "engines can't begin in time", now_s)
+        if hold is not None and not request.is_trial:
+            request.is_trial = True
+            self.crashing_requests.begin_trial(hold)
         placement.limits.record_send(upstream)
         request.attempts += 1
         request.upstream = upstream.upstream_id
@@ -425,17 +429,14 @@
             )
         ]
 
-    def _is_held(self, request: _OpenRequest, now_s: float) -> bool:
-        hold = self._hold_on(request, now_s)
-        if hold is None:
-            return False
+    def _may_try(
+        self, request: _OpenRequest, hold: RequestHold, now_s: float
+    ) -> bool:
+        """Whether a held request may be let through as a trial."""
         if request.attempts:
-            return True
-        # A trial that reached no upstream is still one.
-        request.is_trial = request.is_trial or self.crashing_requests.try_trial(
-            hold, now_s
-        )
-        return not request.is_trial
+            return False
+        # A trial that reached no upstream still has to be made.
+        return request.is_trial or self.crashing_requests.may_try(hold, now_s)
 
     def _hold_on(
         self, request: _OpenRequest, now_s: float
--- a/src/shallotfold/_gateway/following/stored_holds.py
+++ b/src/shallotfold/_gateway/following/stored_holds.py
@@ -18,6 +18,7 @@
 from shallotfold._gateway.core.ports import WatchedStore
 from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
 from shallotfold._gateway.deciding.crashing_requests import RequestHold
+from shallotfold._gateway.deciding.request_traits import is_fingerprint
 from shallotfold._services.ports import StoredValue
 
 HOLDS_PREFIX = "shallotfold/held-prompts/"
@@ -25,13 +26,14 @@
 TRIALS_PREFIX = "shallotfold/hold-trials/"
 # A trial is claimed only while such requests come.
 TRIAL_WANTED_S = 2.0
-CHECK_INTERVAL_S = 0.2
+CHECK_INTERVAL_S = 0.1
 # After a failed call, each further one costs the store something.
 RETRY_DELAY_S = 1.0
 # The host that decided a hold stores it. Others do so if it hasn't for this
 # long, at different times.
 OTHERS_STORE_AFTER_S = (3.0, 6.0)
-# A host without a peer that is alive reads the holds of others this often.
+# A host without a peer that is alive reads the holds of others this often; one
+# that doesn't hear some of its peers does so when an upstream has ended.
 ISOLATED_READ_INTERVAL_S = 2.0
 # The store keeps no lease that is shorter.
 MIN_LEASE_S = 1.0
@@ -47,6 +49,7 @@
         on_read: Callable[[Sequence[tuple[str, ...]]], None],
         is_follower: Callable[[], bool],
         is_isolated: Callable[[], bool],
+        has_silent_peers: Callable[[], bool],
         *,
         origin: str,
         is_first_start: bool,
@@ -59,6 +62,7 @@
             on_read: Called with the parts of each hold in the store.
             is_follower: Returns whether this host calls the store for others.
             is_isolated: Returns whether the host has lost all its peers.
+            has_silent_peers: Returns whether it doesn't hear some of them.
             origin: Name of this host and incarnation of its process.
             is_first_start: Whether the store can't have any hold yet.
         """
@@ -67,6 +71,7 @@
         self._on_read = on_read
         self._is_follower = is_follower
         self._is_isolated = is_isolated
+        self._has_silent_peers = has_silent_peers
         self._origin = origin
         self._must_read = not is_first_start
         self._read_s = 0.0
@@ -94,8 +99,12 @@
         now_s = boot_s()
         if now_s < self._retry_s:
             return
-        if self._is_isolated() and now_s - self._read_s > (
-            ISOLATED_READ_INTERVAL_S
+        if now_s - self._read_s > ISOLATED_READ_INTERVAL_S and (
+            self._is_isolated()
+            or (
+                self._requests.crash_seen_s > self._read_s
+                and self._has_silent_peers()
+            )
         ):
             self._must_read = True
         try:
@@ -149,33 +158,35 @@
         return (
             hold.is_of_equal_requests
             and hold.stored
-            and not hold.tried
             and now_s >= self._requests.trial_due_s(hold)
             and now_s - hold.refused_s < TRIAL_WANTED_S
             and hold.ends_s - now_s > MIN_LEASE_S
         )
 
     async def _claim_trial(self, hold: RequestHold) -> None:
-        """Claim the only trial of a hold, whatever hosts can't be heard."""
-        key = _key(TRIALS_PREFIX, sorted(hold.traits))
+        """Claim the next trial of a hold; hosts may not hear each other."""
+        number = hold.trials + 1
+        key = _key(
+            TRIALS_PREFIX, [*filter(is_fingerprint, hold.traits), number]
+        )
         lease = await self._store.grant_lease(hold.ends_s - boot_s())
         claim = self._origin.encode()
         try:
             await self._store.compare_and_swap(key, 0, claim, lease.lease_id)
-            claimed = True
+            is_own = True
         except StoreConflictError:
             # A claim whose response was lost may be this host's own.
             stored = await self._store.get(key)
-            claimed = stored is not None and stored.value == claim
+            is_own = stored is not None and stored.value == claim
             await self._store.revoke_lease(lease.lease_id)
-        self._requests.record_trial(hold, claimed=claimed)
+        self._requests.record_claim(hold, number, is_own=is_own)
         decision_log.record(
-            "hold_trial", traits=sorted(hold.traits), claimed=claimed
+            "hold_trial", traits=sorted(hold.traits), number=number, own=is_own
         )
 
 
-def _key(prefix: str, traits: Sequence[str]) -> str:
-    digest = hashlib.blake2b(json.dumps(traits).encode(), digest_size=16)
+def _key(prefix: str, name: Sequence[str | int]) -> str:
+    digest = hashlib.blake2b(json.dumps(name).encode(), digest_size=16)
     return prefix + digest.hexdigest()
 
 
--- a/src/shallotfold/_gateway/peers/crash_messages.py
+++ b/src/shallotfold/_gateway/peers/crash_messages.py
@@ -29,7 +29,7 @@
             for report in knowledge.reports
         ],
         [
-            (hold.traits, hold.age_s, hold.stored, hold.tried)
+            (hold.traits, hold.age_s, hold.stored, hold.trials)
             for hold in knowledge.holds
         ],
         dict(knowledge.answer_ages_s_by_trait),
@@ -59,9 +59,10 @@
                     _traits(traits),
                     _age_s(age_s),
                     stored=bool(stored),
-                    tried=bool(tried),
+                    # Earlier builds send whether there was one.
+                    trials=int(trials),
                 )
-                for traits, age_s, stored, tried in holds
+                for traits, age_s, stored, trials in holds
             ],
             answer_ages_s_by_trait={
                 str(trait): _age_s(age_s)
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -151,6 +151,7 @@
             self._on_stored_holds,
             self._is_follower,
             self._is_isolated,
+            self._has_silent_peers,
             origin=self._peers.origin,
             is_first_start=settings.is_first_start,
         )
@@ -349,6 +350,10 @@
         """Whether all peers that this host knew lately are silent."""
         return bool(self._peers.state_by_name) and not self._peers.alive()
 
+    def _has_silent_peers(self) -> bool:
+        """Whether some peers that this host knew lately are silent."""
+        return len(self._peers.alive()) < len(self._peers.state_by_name)
+
     def _store_access(self) -> StoreAccess:
         if any(watcher.failing for watcher in self._watchers):
             return StoreAccess.FAILING
--- a/tests/gateway/deciding/crash_simulation.py
+++ b/tests/gateway/deciding/crash_simulation.py
@@ -1,7 +1,7 @@
-"""Simulate hosts, engines and prompts in virtual time.
+"""Simulate hosts, upstreams and requests in virtual time.
 
-Each host has the reducer's part that holds prompts back; messages between hosts
-take a while, and heartbeats come as seldom as in the real fleet.
+Each host has the reducer's part that holds requests back; messages between
+hosts take a while, and heartbeats come as seldom as in the real fleet.
 """
 
 import heapq
@@ -14,17 +14,21 @@
 from shallotfold._gateway.core.model import Prompt
 from shallotfold._gateway.core.model import PromptPart
 from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
+from shallotfold._gateway.deciding.crashing_requests import RequestHold
 from shallotfold._gateway.deciding.dispatcher import WRITTEN_WITHOUT_CRASH_S
+from shallotfold._gateway.deciding.request_traits import fingerprint_trait
 from shallotfold._gateway.peers.peers import heartbeat_interval_s
 
 SERVICE = "writers"
 CRASHING_PART = "bad"
+CRASHING_REQUEST = "worst"
 MESSAGE_DELAY_S = 0.02
 CRASH_AFTER_S = (0.09, 0.2)
 # An answer begins this long after its request was sent.
 FIRST_EVENT_S = 0.1
 RESTART_S = 3.0
 MAX_ATTEMPTS = 2
+TICK_S = 0.05
 
 
 @attrs.frozen(kw_only=True)
@@ -37,6 +41,8 @@
         subjects: Number of parts that requests share below the route.
         answer_s: Shortest and longest time to the end of an answer.
         resumable: Whether a broken request is tried at another engine.
+        has_prompts: Whether requests have prompts, no two alike; else there are
+            as many different requests as subjects.
     """
 
     name: str
@@ -44,6 +50,7 @@
     subjects: int
     answer_s: tuple[float, float]
     resumable: bool = True
+    has_prompts: bool = True
 
 
 @attrs.define(eq=False)
@@ -53,6 +60,7 @@
     engine: int
     route: RouteLoad
     prompt: Prompt
+    fingerprint: str
     number: int
     began_s: float
     crashing: bool
@@ -62,9 +70,10 @@
     """One run.
 
     Attributes:
-        crashes_s: Times at which engines ended under the crashing part.
-        crashing_sends_s: Times at which requests with it were sent to engines.
-        sound_holds: Holds that don't name the crashing part, with the time.
+        crashes_s: Times at which engines ended under crashing requests.
+        crashing_sends_s: Times at which such requests were sent to engines.
+        sound_holds: Holds of other requests, with the time.
+        datagram_loss: Share of the messages that is lost.
         refused_sound: Sound requests that were held back.
         sent_sound: All sound requests.
     """
@@ -77,8 +86,23 @@
         engine_count: int,
         routes: tuple[RouteLoad, ...],
         crashing_rate: float,
+        are_equal: bool = False,
     ) -> None:
+        """Set a fleet up.
+
+        Args:
+            seed: Of all that is random.
+            host_count: Number of hosts.
+            engine_count: Number of engines.
+            routes: Traffic; crashing requests come on the first route.
+            crashing_rate: Crashing requests per second of the whole fleet.
+            are_equal: Whether they are equal; else they have one part of their
+                prompts in common.
+        """
         self.now_s = 0.0
+        self.datagram_loss = 0.0
+        self._are_equal = are_equal
+        self._claimed_trials: set[tuple[frozenset[str], int]] = set()
         self.crashes_s: list[float] = []
         self.crashing_sends_s: list[float] = []
         self.sound_holds: list[tuple[float, frozenset[str]]] = []
@@ -106,6 +130,7 @@
             self._at(
                 self._rng.uniform(0.0, self._interval_s), self._heartbeat, host
             )
+            self._at(self._rng.uniform(0.0, TICK_S), self._tick, host)
         for route in routes:
             self._at(0.0, self._arrive, route)
 
@@ -126,11 +151,16 @@
         for engine in self._rng.sample(self._engines, count):
             self._crash(engine)
 
-    def late_sends(self, allowed_s: float) -> int:
-        """Return crashing requests sent later than allowed."""
-        if len(self.crashes_s) < 5:
+    def late_sends(self, allowed_s: float, *, crash: int = 5) -> int:
+        """Return crashing requests sent later than allowed.
+
+        Args:
+            allowed_s: Time after a crash.
+            crash: Number of that crash.
+        """
+        if len(self.crashes_s) < crash:
             return 0
-        from_s = self.crashes_s[4] + allowed_s
+        from_s = self.crashes_s[crash - 1] + allowed_s
         return sum(sent_s > from_s for sent_s in self.crashing_sends_s)
 
     def _at(self, delay_s: float, action: Any, *arguments: Any) -> None:
@@ -154,9 +184,15 @@
     def _begin(self, route: RouteLoad, part_id: str, *, crashing: bool) -> None:
         request = next(self._requests)
         parts = [route.name, part_id, f"own{request}"]
-        prompt = Prompt(parts=tuple(PromptPart(p, 300) for p in parts))
+        fingerprint = f"{request}" if route.has_prompts else part_id
+        if crashing and self._are_equal:
+            parts = [route.name, f"{route.name}/s0", "own"]
+            fingerprint = CRASHING_REQUEST
+        prompt = Prompt()
+        if route.has_prompts:
+            prompt = Prompt(parts=tuple(PromptPart(p, 300) for p in parts))
         host = self._rng.randrange(len(self._hosts))
-        self._send(request, host, route, prompt, 1, crashing)
+        self._send(request, host, route, prompt, fingerprint, 1, crashing)
 
     def _send(
         self,
@@ -164,21 +200,32 @@
         host: int,
         route: RouteLoad,
         prompt: Prompt,
+        fingerprint: str,
         number: int,
         crashing: bool,
     ) -> None:
-        prompts = self._hosts[host]
-        hold = prompts.hold_on(prompt, self.now_s)
-        if hold and (number > 1 or not prompts.try_trial(hold, self.now_s)):
+        requests = self._hosts[host]
+        hold = requests.hold_on(prompt, self.now_s, fingerprint)
+        if hold and (number > 1 or not requests.may_try(hold, self.now_s)):
             if not crashing:
                 self.refused_sound += 1
             return
-        self._after(host)
         if not self._engines:
             return
+        if hold:
+            requests.begin_trial(hold)
+            self._after(host)
         engine = self._rng.choice(self._engines)
         attempt = _Attempt(
-            request, host, engine, route, prompt, number, self.now_s, crashing
+            request,
+            host,
+            engine,
+            route,
+            prompt,
+            fingerprint,
+            number,
+            self.now_s,
+            crashing,
         )
         self._open_by_engine[engine].add(attempt)
         if crashing:
@@ -190,7 +237,7 @@
             answer_s = self._rng.uniform(*route.answer_s)
             self._at(answer_s, self._answer, attempt)
             written_s = FIRST_EVENT_S + WRITTEN_WITHOUT_CRASH_S
-            if written_s < answer_s:
+            if route.has_prompts and written_s < answer_s:
                 self._at(written_s, self._record_sound, attempt)
 
     def _answer(self, attempt: _Attempt) -> None:
@@ -199,8 +246,10 @@
 
     def _record_sound(self, attempt: _Attempt) -> None:
         if attempt in self._open_by_engine.get(attempt.engine, ()):
-            prompts = self._hosts[attempt.host]
-            prompts.record_answer(SERVICE, attempt.prompt, self.now_s)
+            requests = self._hosts[attempt.host]
+            requests.record_answer(
+                SERVICE, attempt.prompt, self.now_s, attempt.fingerprint
+            )
             self._after(attempt.host)
 
     def _crash_under(self, attempt: _Attempt) -> None:
@@ -213,16 +262,25 @@
         broken = self._open_by_engine.pop(engine)
         self._at(RESTART_S, self._restart)
         for attempt in sorted(broken, key=lambda a: a.request):
-            prompts = self._hosts[attempt.host]
+            requests = self._hosts[attempt.host]
             written_s = self.now_s - attempt.began_s - FIRST_EVENT_S
-            is_cause = written_s <= WRITTEN_WITHOUT_CRASH_S
-            prompts.record_crash(
+            is_cause = (
+                not attempt.route.has_prompts
+                or written_s <= WRITTEN_WITHOUT_CRASH_S
+            )
+            requests.record_crash(
                 f"{engine}/0",
                 SERVICE,
                 attempt.prompt if is_cause else Prompt(),
                 self.now_s,
+                fingerprint=attempt.fingerprint if is_cause else "",
                 sent_s=attempt.began_s,
-                answer_begun=written_s > 0.0 and not attempt.crashing,
+                answer_begun=(
+                    attempt.route.has_prompts
+                    and written_s > 0.0
+                    and not attempt.crashing
+                ),
+                follows_crash=attempt.number > 1,
             )
             if attempt.route.resumable and attempt.number < MAX_ATTEMPTS:
                 self._send(
@@ -230,6 +288,7 @@
                     attempt.host,
                     attempt.route,
                     attempt.prompt,
+                    attempt.fingerprint,
                     attempt.number + 1,
                     attempt.crashing,
                 )
@@ -243,15 +302,41 @@
 
     def _after(self, host: int) -> None:
         """Do what the gateway does after an event."""
-        prompts = self._hosts[host]
-        for hold in prompts.holds.values():
-            if hold.decided_here and CRASHING_PART not in hold.traits:
+        requests = self._hosts[host]
+        cause = (
+            fingerprint_trait(CRASHING_REQUEST)
+            if self._are_equal
+            else CRASHING_PART
+        )
+        for hold in requests.holds.values():
+            if hold.decided_here and cause not in hold.traits:
                 self.sound_holds.append((self.now_s, hold.traits))
                 hold.decided_here = False
-        if prompts.has_news:
-            prompts.has_news = False
+        if requests.has_news:
+            requests.has_news = False
             self._tell_peers(host)
 
+    def _tick(self, host: int) -> None:
+        requests = self._hosts[host]
+        requests.decide_settled(self.now_s)
+        for hold in requests.holds.values():
+            self._claim_trial(requests, hold)
+        self._after(host)
+        self._at(TICK_S, self._tick, host)
+
+    def _claim_trial(
+        self, requests: CrashingRequests, hold: RequestHold
+    ) -> None:
+        if (
+            hold.is_of_equal_requests
+            and hold.refused_s > self.now_s - 1.0
+            and self.now_s >= requests.trial_due_s(hold)
+        ):
+            trial = (hold.traits, hold.trials + 1)
+            is_own = trial not in self._claimed_trials
+            self._claimed_trials.add(trial)
+            requests.record_claim(hold, trial[1], is_own=is_own)
+
     def _heartbeat(self, host: int) -> None:
         self._hosts[host].drop_expired(self.now_s)
         self._tell_peers(host)
@@ -267,7 +352,7 @@
             self._at(MESSAGE_DELAY_S, self._receive, host, knowledge)
 
     def _receive(self, sender: int, knowledge: Any) -> None:
-        for host, prompts in enumerate(self._hosts):
-            if host != sender:
-                prompts.merge(f"h{sender}", knowledge, self.now_s)
+        for host, requests in enumerate(self._hosts):
+            if host != sender and self._rng.random() >= self.datagram_loss:
+                requests.merge(f"h{sender}", knowledge, self.now_s)
                 self._after(host)
--- a/tests/gateway/deciding/test_crash_simulation.py
+++ b/tests/gateway/deciding/test_crash_simulation.py
@@ -1,4 +1,4 @@
-"""Check in virtual time which prompts a whole fleet holds back.
+"""Check in virtual time which requests a whole fleet holds back.
 
 Sound parts were held back when hosts had seen few answers, since engines that
 end break off sound requests too.
@@ -31,6 +31,31 @@
     ),
     RouteLoad(name="plan", rate=84.0, subjects=400, answer_s=(2.0, 4.0)),
 )
+# Servers without prompts: some requests come again and again.
+PLAIN_ROUTES = (
+    RouteLoad(
+        name="look",
+        rate=12.0,
+        subjects=200,
+        answer_s=(0.03, 0.1),
+        has_prompts=False,
+    ),
+    RouteLoad(
+        name="popular",
+        rate=20.0,
+        subjects=1,
+        answer_s=(0.03, 0.1),
+        has_prompts=False,
+    ),
+    RouteLoad(
+        name="slow",
+        rate=10.0,
+        subjects=2,
+        answer_s=(0.3, 0.9),
+        resumable=False,
+        has_prompts=False,
+    ),
+)
 CONTACT_S = 3.0
 ALLOWED_SENDS = 3
 
@@ -43,6 +68,9 @@
     engines: int = 13,
     crashing_rate: float = 2.0,
     warm_up_s: float = 10.0,
+    run_s: float = 12.0,
+    are_equal: bool = False,
+    datagram_loss: float = 0.0,
 ) -> CrashSimulation:
     simulation = CrashSimulation(
         seed=seed,
@@ -50,10 +78,12 @@
         engine_count=engines,
         routes=routes,
         crashing_rate=crashing_rate,
+        are_equal=are_equal,
     )
+    simulation.datagram_loss = datagram_loss
     simulation.run(warm_up_s)
     simulation.start_crashing()
-    simulation.run(warm_up_s + 12.0)
+    simulation.run(warm_up_s + run_s)
     return simulation
 
 
@@ -115,3 +145,106 @@
         refused_before = simulation.refused_sound
         simulation.run(simulation.now_s + 5.0)
         assert simulation.refused_sound == refused_before
+
+
+def check_equal_requests(
+    simulation: CrashSimulation, *, refused_share: float = 0.01
+) -> None:
+    assert len(simulation.crashes_s) >= 3
+    assert simulation.late_sends(CONTACT_S, crash=3) <= ALLOWED_SENDS
+    refused = simulation.refused_sound
+    assert refused <= refused_share * simulation.sent_sound, (
+        refused,
+        simulation.sent_sound,
+        simulation.sound_holds,
+    )
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("crashing_rate", [0.5, 2.5, 10.0])
+@pytest.mark.parametrize("engines", [4, 12])
+def test_crashing_request_among_plain_ones_is_held_back(
+    seed: int, crashing_rate: float, engines: int
+) -> None:
+    simulation = simulate(
+        PLAIN_ROUTES,
+        seed=seed,
+        engines=engines,
+        crashing_rate=crashing_rate,
+        are_equal=True,
+        run_s=60.0,
+    )
+    check_equal_requests(simulation)
+
+
+@pytest.mark.parametrize("first_route", range(3))
+def test_crashing_request_with_a_prompt_is_held_back(first_route: int) -> None:
+    """Other requests share its parts."""
+    routes = SMALL_FLEET_ROUTES[first_route:] + SMALL_FLEET_ROUTES[:first_route]
+    for seed in range(3):
+        check_equal_requests(simulate(routes, seed=seed, are_equal=True))
+
+
+def test_crashing_request_is_held_back_by_hosts_that_have_just_started() -> (
+    None
+):
+    for seed in range(4):
+        simulation = simulate(
+            PLAIN_ROUTES,
+            seed=seed,
+            crashing_rate=5.0,
+            warm_up_s=0.5,
+            are_equal=True,
+        )
+        check_equal_requests(simulation, refused_share=0.02)
+
+
+def test_crashing_request_is_held_back_though_datagrams_are_lost() -> None:
+    for seed in range(4):
+        simulation = simulate(
+            PLAIN_ROUTES,
+            seed=seed,
+            crashing_rate=2.5,
+            are_equal=True,
+            datagram_loss=0.5,
+            run_s=40.0,
+        )
+        check_equal_requests(simulation)
+
+
+@pytest.mark.parametrize(("hosts", "engines"), [(64, 20), (195, 60)])
+def test_large_fleet_holds_back_a_crashing_request(
+    hosts: int, engines: int
+) -> None:
+    simulation = simulate(
+        PLAIN_ROUTES,
+        seed=1,
+        hosts=hosts,
+        engines=engines,
+        crashing_rate=5.0,
+        are_equal=True,
+        warm_up_s=5.0,
+    )
+    check_equal_requests(simulation)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_plain_requests_are_not_held_while_servers_end_by_themselves(
+    seed: int,
+) -> None:
+    simulation = CrashSimulation(
+        seed=seed,
+        host_count=9,
+        engine_count=6,
+        routes=PLAIN_ROUTES,
+        crashing_rate=1.0,
+    )
+    simulation.run(5.0)
+    for share in (0.2, 0.2, 0.5, 0.2, 0.2, 1.0, 0.2, 0.3):
+        simulation.crash_engines(share)
+        simulation.run(simulation.now_s + 0.4)
+    simulation.run(simulation.now_s + 10.0)
+    assert simulation.refused_sound <= 0.002 * simulation.sent_sound, (
+        simulation.refused_sound,
+        simulation.sound_holds,
+    )
--- a/tests/gateway/factories.py
+++ b/tests/gateway/factories.py
@@ -121,6 +121,7 @@
         route: Route | None = None,
         *,
         prompt: Prompt | None = None,
+        fingerprint: str = "",
         rank: int = 0,
         deadline_s: float = 10.0,
     ) -> list[effects.Effect]:
@@ -132,6 +133,7 @@
                 service=SERVICE,
                 rank=rank,
                 prompt=prompt or Prompt(),
+                fingerprint=fingerprint,
                 deadline_s=self.now_s + deadline_s,
                 draw=0.5,
             )
--- a/tests/gateway/fleet_harness.py
+++ b/tests/gateway/fleet_harness.py
@@ -141,6 +141,7 @@
         store: The platform's store.
         started_s_by_host: Start of each host that runs, on the monotonic clock.
         cut_off: Numbers of the hosts whose datagrams are lost.
+        partition: Numbers of hosts that hear each other, but no other host.
         datagram_loss: Share of all datagrams that is lost.
     """
 
@@ -153,6 +154,7 @@
         self.engines = engine_type(self.store.standin)
         self.started_s_by_host: dict[int, float] = {}
         self.cut_off: set[int] = set()
+        self.partition: set[int] = set()
         self.datagram_loss = 0.0
         self._loss_rng = random.Random(2)
         self._duties = DutyService()
@@ -290,7 +292,9 @@
 
         def send_unless_cut(data: bytes, to_ip: str) -> None:
             to_host = int(to_ip.rsplit(".", 1)[1]) - 1
-            is_lost = self._loss_rng.random() < self.datagram_loss
+            is_lost = self._loss_rng.random() < self.datagram_loss or (
+                host in self.partition
+            ) != (to_host in self.partition)
             if not is_lost and not {host, to_host} & self.cut_off:
                 send(data, to_ip)
 
--- a/tests/gateway/following/test_stored_holds.py
+++ b/tests/gateway/following/test_stored_holds.py
@@ -6,8 +6,12 @@
 import pytest
 
 from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.deciding.crashing_requests import (
+    REQUEST_TRIALS_AFTER_S,
+)
 from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
 from shallotfold._gateway.deciding.crashing_requests import RequestHold
+from shallotfold._gateway.deciding.request_traits import fingerprint_trait
 from shallotfold._gateway.following import stored_holds
 from shallotfold._gateway.following.stored_holds import HOLDS_PREFIX
 from shallotfold._gateway.following.stored_holds import StoredHolds
@@ -29,12 +33,15 @@
         held_for_s: float = 0.0,
         is_follower: bool = True,
         is_first_start: bool = True,
+        traits: frozenset[str] = frozenset({"bad"}),
+        origin: str = "h1/a",
     ) -> None:
         self.prompts = CrashingRequests()
         self.read: list[Sequence[tuple[str, ...]]] = []
         self.is_isolated = False
+        self.has_silent_peers = False
         hold = RequestHold(
-            frozenset({"bad"}),
+            traits,
             boot_s() - held_for_s,
             decided_here=decided_here,
         )
@@ -46,7 +53,8 @@
             self.read.append,
             lambda: is_follower,
             lambda: self.is_isolated,
-            origin="h1/a",
+            lambda: self.has_silent_peers,
+            origin=origin,
             is_first_start=is_first_start,
         )
 
@@ -163,3 +171,83 @@
         assert host.read == [[], [("other",)]]
 
     run_with_store(scenario)
+
+
+def test_host_that_misses_peers_reads_when_an_upstream_has_ended(
+    run_with_store: RunWithStore,
+) -> None:
+    """The others may hold what ended it, and have told only the store."""
+
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        del standin
+        host = Keeper(store, decided_here=False)
+        host.has_silent_peers = True
+        await host.keeper.step()
+        assert not host.read
+        host.prompts.crash_seen_s = boot_s()
+        await host.keeper.step()
+        await host.keeper.step()
+        assert host.read == [[]]
+
+    run_with_store(scenario)
+
+
+EQUAL_REQUESTS = frozenset({fingerprint_trait("0" * 32)})
+
+
+def make_trial_keeper(store: PlatformStore, origin: str) -> Keeper:
+    host = Keeper(
+        store,
+        held_for_s=REQUEST_TRIALS_AFTER_S[0] + 1.0,
+        traits=EQUAL_REQUESTS,
+        origin=origin,
+    )
+    host.hold.refused_s = boot_s()
+    return host
+
+
+def test_trial_of_equal_requests_is_claimed_by_one_host(
+    run_with_store: RunWithStore,
+) -> None:
+    """Hosts that can't hear each other would each end an upstream."""
+
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        first = make_trial_keeper(store, "h1/a")
+        second = make_trial_keeper(store, "h2/b")
+        for _ in range(2):
+            await first.keeper.step()
+            await second.keeper.step()
+        assert first.hold.trial_claimed
+        assert not second.hold.trial_claimed
+        assert first.hold.trials == second.hold.trials == 1
+        # One lease of the hold, one of the claim.
+        assert len(standin.leases) == 2
+
+    run_with_store(scenario)
+
+
+def test_trial_is_not_claimed_while_no_such_request_comes(
+    run_with_store: RunWithStore,
+) -> None:
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        del standin
+        host = make_trial_keeper(store, "h1/a")
+        host.hold.refused_s = boot_s() - 10.0
+        await host.keeper.step()
+        assert host.hold.stored
+        assert not host.hold.trials
+
+    run_with_store(scenario)
+
+
+def test_claim_whose_response_was_lost_is_found_again(
+    run_with_store: RunWithStore,
+) -> None:
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        del standin
+        await make_trial_keeper(store, "h1/a").keeper.step()
+        again = make_trial_keeper(store, "h1/a")
+        await again.keeper.step()
+        assert again.hold.trial_claimed
+
+    run_with_store(scenario)
--- a/tests/gateway/peers/test_crash_messages.py
+++ b/tests/gateway/peers/test_crash_messages.py
@@ -14,7 +14,7 @@
 
 KNOWLEDGE = CrashKnowledge(
     reports=[CrashReport("u1/7", 0.5, ("bad", "rare"), answer_begun=True)],
-    holds=[HoldReport(("bad",), 12.5, stored=True, tried=False)],
+    holds=[HoldReport(("bad",), 12.5, stored=True, trials=0)],
     answer_ages_s_by_trait={"rare": 0.25},
 )
 
@@ -34,7 +34,7 @@
 def test_negative_age_counts_as_none() -> None:
     """A hold from the future would outlast all answers."""
     knowledge = CrashKnowledge(
-        holds=[HoldReport(("bad",), -50.0, stored=False, tried=False)]
+        holds=[HoldReport(("bad",), -50.0, stored=False, trials=0)]
     )
     decoded = decode_knowledge(encode_knowledge("h1", knowledge))
     assert decoded is not None
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -260,6 +260,26 @@
     run_fleet(monkeypatch, scenario)
 
 
+def test_hosts_that_lost_half_of_the_others_hold_the_request_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Both halves have peers, and reach the store."""
+
+    async def scenario(fleet: FleetHarness) -> None:
+        incident = Incident(fleet, (0, 1))
+        await asyncio.sleep(1.0)
+        fleet.partition = {2, 3}
+        await asyncio.sleep(CONTACT_S)
+        await incident.start()
+        await asyncio.sleep(3.0)
+        incident.crashing.hosts = incident.sound.hosts = [2, 3]
+        await asyncio.sleep(6.0)
+        await incident.close()
+        incident.check()
+
+    run_fleet(monkeypatch, scenario)
+
+
 @pytest.mark.parametrize("work_s", [0.03, 0.3])
 def test_equal_requests_are_served_while_servers_end_of_another_cause(
     monkeypatch: pytest.MonkeyPatch, work_s: float
