Let equal requests end upstreams in the soak; describe how they are held back

Checked: crashes later than 3 s after the third of a workspace (3 allowed), and sound plain requests held back (2% allowed, the bound that streams had).

Log lines of holds now name traits instead of parts.

--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -7,12 +7,15 @@
 
 import attrs
 
+from benchmarks.soak.external_services import CRASHING_BODY
 from benchmarks.soak.external_services import CRASHING_PART
 from benchmarks.soak.external_services import get_header
 
 REQUEST_KINDS = ("once", "repeat", "stream")
 # Streams whose prompt ends the upstream; the others share its other parts.
 CRASHING_SHARE = 0.06
+# Repeatable requests whose body ends the upstream; all others are equal too.
+CRASHING_BODY_SHARE = 0.03
 SUBJECTS = 12
 CLIENT_DEADLINE_S = 4.0
 
@@ -31,7 +34,7 @@
         status: Status of the response; 0 if there was none.
         complete: Whether the response was complete.
         body: Received part of the body, without chunk framing.
-        crashing: Whether its prompt ends upstreams.
+        crashing: Whether its prompt or body ends upstreams.
     """
 
     request_id: str
@@ -73,6 +76,10 @@
             began_s=time.monotonic(),
             crashing=(kind == "stream" and self._rng.random() < CRASHING_SHARE),
         )
+        if kind == "repeat":
+            # Drawn from the id, so that seeds keep their other draws.
+            draw = random.Random(outcome.request_id).random()
+            outcome.crashing = draw < CRASHING_BODY_SHARE
         try:
             async with asyncio.timeout(CLIENT_DEADLINE_S + 1.0):
                 await self._exchange(outcome)
@@ -110,7 +117,9 @@
             parts.append(f"{outcome.request_id}:50")
             lines.append("Token-Counts: 600,40")
             lines.append(f"Prompt-Prefix: {','.join(parts)}")
-        writer.write("\r\n".join(lines).encode() + b"\r\n\r\nabc")
+        is_plain_crash = outcome.crashing and outcome.kind == "repeat"
+        body = CRASHING_BODY if is_plain_crash else b"abc"
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
         await writer.drain()
         head = await reader.readuntil(b"\r\n\r\n")
         outcome.status = int(head.split(b" ", 2)[1])
--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -14,6 +14,7 @@
 from benchmarks.soak.external_services import STREAM_EVENTS
 from benchmarks.soak.external_services import DutyArrival
 from benchmarks.soak.external_services import DutyService
+from benchmarks.soak.external_services import EqualCrash
 from benchmarks.soak.external_services import Runs
 
 # These statuses guarantee that the request has not run and never will.
@@ -26,14 +27,18 @@
 # only a few requests until the pause ends.
 PAUSE_SLACK_S = 0.5
 MAX_REQUESTS_IN_PAUSE = 2
-# So long after the fifth upstream ended under a prompt, undisturbed hosts know
-# of it and send only a few further ones.
+# So long after the fifth upstream ended under a prompt, or the third under
+# equal requests, undisturbed hosts know of it and send few further ones.
 CRASH_CONTACT_S = 3.0
 CRASHES_TO_KNOW = 5
+EQUAL_CRASHES_TO_KNOW = 3
 MAX_LATE_CRASHING = 3
-# Sound streams that may be held back by mistake.
+# Sound requests that may be held back by mistake.
 MAX_HELD_SOUND_SHARE = 0.02
-HELD_REASON = b"upstreams end under prompts"
+HELD_REASON = (
+    b"upstreams end under prompts",
+    b"upstreams end under this request",
+)
 # From this time after an upstream first named a limit it gets in any window no
 # more than so many times what the limit allows, and so many requests more.
 LIMIT_CONTACT_S = 1.5
@@ -208,6 +213,54 @@
     return violations
 
 
+def find_equal_crash_violations(
+    outcomes: Sequence[Outcome],
+    runs: Runs,
+    disturbances: Iterable[tuple[int, float, float]],
+) -> list[str]:
+    """Return lines for equal requests that ended too many upstreams.
+
+    Args:
+        outcomes: Outcomes of all requests.
+        runs: Requests that upstreams ran, and upstreams that ended.
+        disturbances: Spans (host, from, to) in which a host was disturbed.
+    """
+    outcome_by_id = {outcome.request_id: outcome for outcome in outcomes}
+    crashes_by_workspace: dict[str, list[EqualCrash]] = {}
+    for crash in runs.equal_crashes:
+        crashes_by_workspace.setdefault(crash.workspace, []).append(crash)
+    spans = list(disturbances)
+    violations = []
+    for workspace, crashes in crashes_by_workspace.items():
+        if len(crashes) < EQUAL_CRASHES_TO_KNOW:
+            continue
+        known_s = crashes[EQUAL_CRASHES_TO_KNOW - 1].crashed_s + CRASH_CONTACT_S
+        late = [
+            outcome
+            for crash in crashes
+            if (outcome := outcome_by_id.get(crash.request_id)) is not None
+            and outcome.began_s > known_s
+            and not _overlaps(
+                spans,
+                outcome.host,
+                outcome.began_s - CRASH_CONTACT_S,
+                outcome.began_s,
+            )
+        ]
+        if len(late) > MAX_LATE_CRASHING:
+            violations.append(
+                f"{len(late)} equal requests of {workspace} ended upstreams "
+                f"later than {CRASH_CONTACT_S} s after the third crash"
+            )
+    sound = [o for o in outcomes if o.kind != "stream" and not o.crashing]
+    held = sum(outcome.body.startswith(HELD_REASON) for outcome in sound)
+    if held > MAX_HELD_SOUND_SHARE * len(sound):
+        violations.append(
+            f"{held} of {len(sound)} sound plain requests were held back"
+        )
+    return violations
+
+
 def find_limit_violations(
     outcomes: Iterable[Outcome],
     runs: Runs,
--- a/benchmarks/soak/external_services.py
+++ b/benchmarks/soak/external_services.py
@@ -27,6 +27,8 @@
 LEASE_S = 1.5
 # Upstreams end when they begin to answer a prompt with this part.
 CRASHING_PART = "bad0"
+# They also end when they run a plain request with this body.
+CRASHING_BODY = b"bad"
 HEADER_END = b"\r\n\r\n"
 _CONTENT_LENGTH = re.compile(rb"(?i)\r\ncontent-length: *(\d+)")
 
@@ -247,6 +249,22 @@
     to_s: float = math.inf
 
 
+@attrs.frozen
+class EqualCrash:
+    """A request that is sent again and again, and ended an upstream.
+
+    Attributes:
+        request_id: Its id.
+        workspace: Workspace of its caller; requests of different workspaces
+            aren't equal.
+        crashed_s: When, on the monotonic clock.
+    """
+
+    request_id: str
+    workspace: str
+    crashed_s: float
+
+
 @attrs.define
 class Runs:
     """Requests that reached upstreams.
@@ -259,6 +277,7 @@
         crashes_s: Times at which an upstream ended under a crashing prompt, on
             the monotonic clock.
         crashing_ids: Requests with such a prompt that reached an upstream.
+        equal_crashes: Equal requests that ended upstreams.
         limits: Limits that upstreams named.
     """
 
@@ -270,6 +289,7 @@
     arrivals: list[Arrival] = attrs.field(factory=list)
     crashes_s: list[float] = attrs.field(factory=list)
     crashing_ids: list[str] = attrs.field(factory=list)
+    equal_crashes: list[EqualCrash] = attrs.field(factory=list)
     limits: list[NamedLimit] = attrs.field(factory=list)
 
 
@@ -307,7 +327,6 @@
         self, head: bytes, body: bytes, writer: asyncio.StreamWriter
     ) -> None:
         """Run a request."""
-        del body
         request_id = get_header(head, "Attempt-Id")
         echo_header = f"Attempt-Id: {request_id}"
         if self.leaving:
@@ -337,6 +356,13 @@
             await self._stream(head, request_id, echo_header, writer)
             return
         await asyncio.sleep(EVENT_INTERVAL_S)
+        if body == CRASHING_BODY:
+            workspace = self._runs.workspace_by_id[request_id]
+            self._runs.equal_crashes.append(
+                EqualCrash(request_id, workspace, time.monotonic())
+            )
+            self.on_crash()
+            return
         signature_header = "Response-Signature: s"
         writer.write(
             make_response(
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -145,6 +145,9 @@
         violations += checks.find_crash_violations(
             self._outcomes, self._runs, self._disturbed_spans
         )
+        violations += checks.find_equal_crash_violations(
+            self._outcomes, self._runs, self._disturbed_spans
+        )
         violations += checks.find_limit_violations(
             self._outcomes, self._runs, self._disturbed_spans, self._cut_spans
         )
@@ -156,6 +159,7 @@
             "statuses": dict(sorted(statuses.items())),
             "harms": dict(self._fault_counts),
             "crashes": len(self._runs.crashes_s),
+            "equal_crashes": len(self._runs.equal_crashes),
             "violations": violations,
         }
 
--- a/src/shallotfold/_gateway/following/stored_holds.py
+++ b/src/shallotfold/_gateway/following/stored_holds.py
@@ -152,7 +152,7 @@
             # Another host has stored it.
             await self._store.revoke_lease(lease.lease_id)
         hold.stored = True
-        decision_log.record("hold_stored", parts=traits)
+        decision_log.record("hold_stored", traits=traits)
 
     def _should_claim_trial(self, hold: RequestHold, now_s: float) -> bool:
         return (
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -340,7 +340,7 @@
         change = effect.change
         decision_log.record(
             change.decision,
-            parts=change.traits,
+            traits=change.traits,
             reason=change.reason,
             upstreams=change.upstreams or None,
         )
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -14,6 +14,7 @@
 from benchmarks.soak.external_services import Arrival
 from benchmarks.soak.external_services import DutyArrival
 from benchmarks.soak.external_services import DutyService
+from benchmarks.soak.external_services import EqualCrash
 from benchmarks.soak.external_services import LeavingArrival
 from benchmarks.soak.external_services import NamedLimit
 from benchmarks.soak.external_services import Runs
@@ -117,6 +118,44 @@
     assert not checks.find_crash_violations(outcomes, runs, [])
 
 
+def test_equal_requests_that_end_upstreams_for_too_long_are_found() -> None:
+    crashes = [
+        EqualCrash(f"r{n}", "north", crashed_s)
+        for n, crashed_s in enumerate((1.0, 1.1, 1.2, 4.5, 4.6, 4.7, 4.8))
+    ]
+    outcomes = [
+        make_outcome(
+            request_id=crash.request_id,
+            kind="repeat",
+            began_s=crash.crashed_s - 0.1,
+            crashing=True,
+        )
+        for crash in crashes
+    ]
+
+    def find(count: int, *, disturbed_to_s: float = 0.0) -> list[str]:
+        runs = Runs(equal_crashes=crashes[:count])
+        return checks.find_equal_crash_violations(
+            outcomes, runs, [(0, 0.0, disturbed_to_s)]
+        )
+
+    assert not find(6)
+    (violation,) = find(7)
+    assert violation.startswith("4 equal requests of north")
+    assert not find(7, disturbed_to_s=4.0)
+
+
+def test_sound_plain_requests_that_are_held_back_are_found() -> None:
+    refused = b"upstreams end under this request"
+    outcomes = [
+        make_outcome(request_id="r1", body=refused),
+        make_outcome(request_id="r2", body=b"r2"),
+        make_outcome(request_id="r3", kind="repeat", crashing=True),
+    ]
+    (violation,) = checks.find_equal_crash_violations(outcomes, Runs(), [])
+    assert violation.startswith("1 of 2 sound plain requests")
+
+
 def test_sound_streams_that_are_held_back_are_found() -> None:
     refused = b"upstreams end under prompts with part a0"
     outcomes = [
