Compare prompts as well, and count only their answers for their parts

The declared prompt now always tells requests apart. And answers without a prompt counted as the service's answers to prompts, so that three crashes instead of six held parts of prompts while no stream had been answered; only answers to prompts count, as before.

--- a/src/shallotfold/_gateway/deciding/crashing_requests.py
+++ b/src/shallotfold/_gateway/deciding/crashing_requests.py
@@ -34,8 +34,8 @@
 # An answer shows that its parts end no upstream. Engines may get other software
 # or weights later, so that this doesn't hold for ever.
 SOUND_AFTER_ANSWER_S = 60.0
-# While a service answers nothing, each of its parts looks like the cause: then
-# it takes more crashes, and more than under any other part.
+# While a service answers no prompts, each of their parts looks like the cause:
+# then it takes more crashes, and more than under any other part.
 MIN_RECENT_ANSWERS = 2
 RECENT_ANSWER_S = 3.0
 CRASHES_TO_HOLD_WITHOUT_ANSWERS = 6
@@ -232,9 +232,10 @@
         traits = watched_traits(prompt, fingerprint)
         if not traits:
             return []
-        recent_s = self._recent_answers_s_by_service.setdefault(service, [])
-        recent_s.append(now_s)
-        del recent_s[:-MIN_RECENT_ANSWERS]
+        if not all(map(is_fingerprint, traits)):
+            recent_s = self._recent_answers_s_by_service.setdefault(service, [])
+            recent_s.append(now_s)
+            del recent_s[:-MIN_RECENT_ANSWERS]
         return self._record_sound(dict.fromkeys(traits, now_s), "answered")
 
     def record_crash(
--- a/src/shallotfold/_gateway/serving/request_parsing.py
+++ b/src/shallotfold/_gateway/serving/request_parsing.py
@@ -44,27 +44,23 @@
 ) -> str:
     """Return a digest that equal requests of one workspace share.
 
-    Headers differ between repeats of a request, so that they don't count. Only
-    the declared prompt does if there is no body that could have it.
+    Other headers than those of the prompt differ between repeats of a request,
+    so that they don't count.
 
     Args:
         request: The request.
         names: Header names of the platform.
         workspace: Name of the caller's workspace; `None` on public routes.
     """
-    host = find_header(request.headers, b"host") or b""
     fields = [
         request.method,
-        host.lower(),
+        (find_header(request.headers, b"host") or b"").lower(),
         request.target,
         (workspace or "").encode(),
+        find_header(request.headers, names.model) or b"",
+        find_header(request.headers, names.prompt_parts) or b"",
         request.body,
     ]
-    if not request.body:
-        fields += [
-            find_header(request.headers, names.model) or b"",
-            find_header(request.headers, names.prompt_parts) or b"",
-        ]
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     for field in fields:
         # Without its length, the end of a field could pass for the next one.
--- a/tests/gateway/deciding/test_crashing_requests.py
+++ b/tests/gateway/deciding/test_crashing_requests.py
@@ -276,6 +276,23 @@
     assert host.holds == {BAD_HOLD}
 
 
+def test_answers_without_a_prompt_say_nothing_of_prompts() -> None:
+    """Streams that nobody answers yet would be held after fewer crashes."""
+    host = Host()
+    for _ in range(3):
+        host.answer("plain")
+    for number in range(3):
+        host.now_s += 0.2
+        host.requests.record_crash(
+            f"u{number}/1",
+            SERVICE,
+            make_prompt_of("system"),
+            host.now_s,
+            fingerprint=f"{number}",
+        )
+    assert not host.holds
+
+
 def test_trial_is_made_by_the_host_that_claimed_it_only() -> None:
     host = held_host()
     (hold,) = host.requests.holds.values()
--- a/tests/gateway/serving/test_request_parsing.py
+++ b/tests/gateway/serving/test_request_parsing.py
@@ -60,12 +60,12 @@
     assert first != fingerprint(make_request(b"/a", body=b"c"), "northb")
 
 
-def test_prompt_tells_requests_without_a_body_apart() -> None:
-    prompts = [
-        make_request(b"/talk/1", (NAMES.prompt_parts, parts), body=body)
+def test_prompt_tells_requests_apart_whatever_their_body() -> None:
+    fingerprints = {
+        fingerprint(
+            make_request(b"/talk/1", (NAMES.prompt_parts, parts), body=body)
+        )
         for body in (b"", b"text")
         for parts in (b"5c1e:40,91bd:30", b"5c1e:40,e440:30")
-    ]
-    first, second, with_body, with_body_again = map(fingerprint, prompts)
-    assert first != second
-    assert with_body == with_body_again
+    }
+    assert len(fingerprints) == 4
