Split holds and answered traits out of crashing_requests; keep holds in use

The split changes no behaviour, but that a request which is held is no longer weighed again at each tick. When there are more than 32 holds, the one whose requests have not come for the longest time goes; before, the oldest went, also one whose request still came (test failed before). 409 tests of the gateway pass; the test of a server that ends after a while also runs with 0.9 s, after which the host has tried another server: it passed at once.

--- a/src/shallotfold/_gateway/deciding/crashing_requests.py
+++ b/src/shallotfold/_gateway/deciding/crashing_requests.py
@@ -15,12 +15,20 @@
 import attrs
 
 from shallotfold._gateway.core.model import Prompt
+from shallotfold._gateway.deciding.answered_traits import SOUND_AFTER_ANSWER_S
+from shallotfold._gateway.deciding.answered_traits import AnsweredTraits
 from shallotfold._gateway.deciding.crash_evidence import MAX_EVIDENCE_TRAITS
 from shallotfold._gateway.deciding.crash_evidence import CrashEvidence
 from shallotfold._gateway.deciding.crash_evidence import TraitEvidence
 from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
 from shallotfold._gateway.deciding.crash_knowledge import CrashReport
 from shallotfold._gateway.deciding.crash_knowledge import HoldReport
+from shallotfold._gateway.deciding.request_holds import HoldChange
+from shallotfold._gateway.deciding.request_holds import RequestHold
+from shallotfold._gateway.deciding.request_holds import describe_begin
+from shallotfold._gateway.deciding.request_holds import describe_end
+from shallotfold._gateway.deciding.request_holds import have_fingerprint
+from shallotfold._gateway.deciding.request_holds import hold_duration_s
 from shallotfold._gateway.deciding.request_traits import all_traits
 from shallotfold._gateway.deciding.request_traits import is_fingerprint
 from shallotfold._gateway.deciding.request_traits import watched_traits
@@ -31,9 +39,6 @@
 CRASHES_TO_HOLD_AGAIN = 1
 REMEMBERED_HOLD_S = 3_600.0
 EVIDENCE_LIFETIME_S = 120.0
-# An answer shows that its parts end no upstream. Engines may get other software
-# or weights later, so that this doesn't hold for ever.
-SOUND_AFTER_ANSWER_S = 60.0
 # While a service answers no prompts, each of their parts looks like the cause:
 # then it takes more crashes, and more than under any other part.
 MIN_RECENT_ANSWERS = 2
@@ -52,23 +57,9 @@
 # Equal requests may come seldom. They are alike in all, so that crashes a long
 # time apart say as much.
 REQUEST_EVIDENCE_LIFETIME_S = 900.0
-# An answer that was on the way when a request was held back.
-ANSWER_TRANSIT_S = 0.5
-HOLD_S = 600.0
-# Nobody else is kept waiting by a request that is held back by itself.
-REQUEST_HOLD_S = 3_600.0
-# One request is let through this long after a hold began, in case the part is
-# sound. Hosts do so at different times, and the first one tells the others.
-TRIAL_AFTER_S = 5.0
-TRIAL_SPREAD_S_PER_HOST = 0.2
-# Of equal requests, one at each of these times. The upstream of the first trial
-# may end of the other cause that still lasts.
-REQUEST_TRIALS_AFTER_S = (2.0, 15.0)
 # Peers are told for this long of crashes, and of answers on parts that one of
 # them suspects: several heartbeats may be lost.
 ANNOUNCED_S = 10.0
-MAX_SOUND_PARTS = 4_096
-MAX_ANSWERED_REQUESTS = 2_048
 MAX_REPORTS = 32
 # All reports together must fit into a datagram beside the holds.
 MAX_REPORTED_TRAITS = 272
@@ -76,58 +67,6 @@
 MAX_ANNOUNCED_ANSWERS = 64
 
 
-@attrs.define
-class RequestHold:
-    """Requests that are held back.
-
-    Attributes:
-        traits: Requests with all of these traits. There are several as long as
-            it isn't known which of them ends upstreams.
-        held_s: Since when, on the boot clock.
-        stored: Whether the platform's store has it.
-        trials: Requests that were let through as a trial, on any host.
-        decided_here: Whether this host decided it.
-        refused_s: When such a request last came here, on the boot clock.
-        trial_claimed: Whether this host may let the next one through.
-    """
-
-    traits: frozenset[str]
-    held_s: float
-    stored: bool = False
-    trials: int = 0
-    decided_here: bool = False
-    refused_s: float = -math.inf
-    trial_claimed: bool = False
-
-    @property
-    def is_of_equal_requests(self) -> bool:
-        """Whether only equal requests are held back."""
-        return any(is_fingerprint(trait) for trait in self.traits)
-
-    @property
-    def ends_s(self) -> float:
-        """When such requests are let through again, on the boot clock."""
-        return self.held_s + _hold_duration_s(self.traits)
-
-
-@attrs.frozen(kw_only=True)
-class HoldChange:
-    """A hold that began, changed or ended, for the log.
-
-    Attributes:
-        decision: `prompt_held`, `hold_narrowed` or `prompt_released`;
-            `request_held` and `request_released` for equal requests.
-        traits: Its traits, before the change if it ended.
-        reason: What led to it.
-        upstreams: Upstreams that ended under them, if this host decided.
-    """
-
-    decision: str
-    traits: tuple[str, ...]
-    reason: str
-    upstreams: tuple[str, ...] = ()
-
-
 @attrs.define
 class _OwnReport:
     upstream: str
@@ -154,7 +93,7 @@
     host_count: int = 1
     trial_draw: float = 0.0
     crash_seen_s: float = -math.inf
-    _answered_s_by_trait: dict[str, float] = attrs.field(factory=dict)
+    _answered: AnsweredTraits = attrs.field(factory=AnsweredTraits)
     _recent_answers_s_by_service: dict[str, list[float]] = attrs.field(
         factory=dict
     )
@@ -162,7 +101,6 @@
     _own_reports: list[_OwnReport] = attrs.field(factory=list)
     _suspected_s_by_trait: dict[str, float] = attrs.field(factory=dict)
     _held_before_s_by_trait: dict[str, float] = attrs.field(factory=dict)
-    _answered_s_by_request: dict[str, float] = attrs.field(factory=dict)
     _unsettled: dict[str, None] = attrs.field(factory=dict)
 
     def hold_on(
@@ -195,19 +133,7 @@
 
     def trial_due_s(self, hold: RequestHold) -> float:
         """Return from when on this host may try a held request."""
-        trials_after_s = (
-            REQUEST_TRIALS_AFTER_S
-            if hold.is_of_equal_requests
-            else (TRIAL_AFTER_S,)
-        )
-        if hold.trials >= len(trials_after_s):
-            return math.inf
-        spread_s = TRIAL_SPREAD_S_PER_HOST * self.host_count
-        return (
-            hold.held_s
-            + trials_after_s[hold.trials]
-            + self.trial_draw * spread_s
-        )
+        return hold.trial_due_s(self.host_count, self.trial_draw)
 
     def record_claim(
         self, hold: RequestHold, number: int, *, is_own: bool
@@ -336,7 +262,7 @@
                 age_s=0.0,
                 stored=True,
                 # The store keeps the trials of equal requests by themselves.
-                trials=0 if any(map(is_fingerprint, traits)) else 1,
+                trials=0 if have_fingerprint(traits) else 1,
             )
             changes += self._adopt(hold, now_s, "held in the store")
         if changes and math.isfinite(self.crash_seen_s):
@@ -351,7 +277,7 @@
             trait
             for trait, at_s in self._suspected_s_by_trait.items()
             if now_s - at_s < ANNOUNCED_S
-            and self._answered_s(trait) > now_s - SOUND_AFTER_ANSWER_S
+            and self._answered.answered_s(trait) > now_s - SOUND_AFTER_ANSWER_S
         ]
         return CrashKnowledge(
             reports=[
@@ -379,7 +305,7 @@
                 for hold in self.holds.values()
             ],
             answer_ages_s_by_trait={
-                trait: now_s - self._answered_s(trait)
+                trait: now_s - self._answered.answered_s(trait)
                 for trait in suspected[-MAX_ANNOUNCED_ANSWERS:]
             },
         )
@@ -406,33 +332,13 @@
 
     # Helpers.
 
-    def _answered_s(self, trait: str) -> float:
-        answered_s_by_trait = (
-            self._answered_s_by_request
-            if is_fingerprint(trait)
-            else self._answered_s_by_trait
-        )
-        return answered_s_by_trait.get(trait, -math.inf)
-
-    def _is_sound(self, trait: str, crashed_s: float, now_s: float) -> bool:
-        """Whether a trait isn't the cause of a crash.
-
-        A part of a prompt stays sound for a while: other prompts with it are
-        the more likely cause. A request that was answered before may end
-        upstreams now, so that only a later answer counts.
-        """
-        answered_s = self._answered_s(trait)
-        if is_fingerprint(trait):
-            return answered_s >= crashed_s
-        return now_s - answered_s < SOUND_AFTER_ANSWER_S
-
     def _unsound(
         self, traits: Iterable[str], crashed_s: float, now_s: float
     ) -> tuple[str, ...]:
         return tuple(
             trait
             for trait in traits
-            if not self._is_sound(trait, crashed_s, now_s)
+            if not self._answered.is_sound(trait, crashed_s, now_s)
         )
 
     def _drop_excess_reports(self) -> None:
@@ -446,37 +352,24 @@
     ) -> list[HoldChange]:
         changes: list[HoldChange] = []
         for trait, answered_s in answered_s_by_trait.items():
-            if is_fingerprint(trait):
-                self._record_equal_answer(trait, answered_s)
-                released_from_s = answered_s + ANSWER_TRANSIT_S
-            else:
-                known_s = self._answered_s_by_trait.pop(trait, answered_s)
-                self._answered_s_by_trait[trait] = max(known_s, answered_s)
+            self._answered.record(trait, answered_s)
+            if not is_fingerprint(trait):
                 self._evidence.by_trait.pop(trait, None)
-                released_from_s = answered_s + SOUND_AFTER_ANSWER_S
+            elif self._evidence.drop_crashes_of(trait, answered_s):
+                # Peers that suspect it should learn of the answer.
+                self._note_suspected((trait,), answered_s)
+                self.has_news = True
             self._held_before_s_by_trait.pop(trait, None)
+            ends_before_s = self._answered.ends_holds_before_s(trait)
             for hold in list(self.holds.values()):
-                if trait in hold.traits and hold.held_s < released_from_s:
+                if trait in hold.traits and hold.held_s < ends_before_s:
                     changes.append(self._narrow(hold, trait, reason))
-        while len(self._answered_s_by_trait) > MAX_SOUND_PARTS:
-            del self._answered_s_by_trait[next(iter(self._answered_s_by_trait))]
         return changes
 
-    def _record_equal_answer(self, trait: str, answered_s: float) -> None:
-        known_s = self._answered_s_by_request.pop(trait, answered_s)
-        self._answered_s_by_request[trait] = max(known_s, answered_s)
-        if self._evidence.drop_crashes_of(trait, answered_s):
-            # Peers that suspect it should learn of the answer.
-            self._note_suspected((trait,), answered_s)
-            self.has_news = True
-        while len(self._answered_s_by_request) > MAX_ANSWERED_REQUESTS:
-            oldest = next(iter(self._answered_s_by_request))
-            del self._answered_s_by_request[oldest]
-
     def _narrow(self, hold: RequestHold, trait: str, reason: str) -> HoldChange:
         """Leave a trait that is sound out of a hold."""
         # Peers must know that it is sound.
-        self._note_suspected((trait,), self._answered_s(trait))
+        self._note_suspected((trait,), self._answered.answered_s(trait))
         self.has_news = True
         if len(hold.traits) == 1:
             return self._release(hold, reason)
@@ -492,15 +385,7 @@
 
     def _release(self, hold: RequestHold, reason: str) -> HoldChange:
         self.holds.pop(hold.traits, None)
-        return HoldChange(
-            decision=(
-                "request_released"
-                if hold.is_of_equal_requests
-                else "prompt_released"
-            ),
-            traits=tuple(sorted(hold.traits)),
-            reason=reason,
-        )
+        return describe_end(hold, reason)
 
     def _put(self, hold: RequestHold) -> None:
         """Add a hold, and drop those of requests that it covers."""
@@ -508,26 +393,24 @@
             if hold.traits < other.traits:
                 del self.holds[other.traits]
         self.holds[hold.traits] = hold
-        while len(self.holds) > MAX_HOLDS:
-            del self.holds[next(iter(self.holds))]
+        if len(self.holds) > MAX_HOLDS:
+            # One whose requests still come costs more upstreams than others.
+            unused = min(
+                self.holds.values(), key=lambda h: max(h.held_s, h.refused_s)
+            )
+            del self.holds[unused.traits]
 
     def _adopt(
         self, report: HoldReport, now_s: float, reason: str
     ) -> list[HoldChange]:
         held_s = now_s - report.age_s
-        if not report.traits or report.age_s >= _hold_duration_s(report.traits):
+        if not report.traits or report.age_s >= hold_duration_s(report.traits):
             return []
         self._note_suspected(report.traits, now_s)
         traits = frozenset(
             trait
             for trait in report.traits
-            if held_s
-            >= self._answered_s(trait)
-            + (
-                ANSWER_TRANSIT_S
-                if is_fingerprint(trait)
-                else SOUND_AFTER_ANSWER_S
-            )
+            if held_s >= self._answered.ends_holds_before_s(trait)
         )
         is_same = len(traits) == len(report.traits)
         if not is_same:
@@ -542,22 +425,15 @@
             return []
         if any(other <= traits for other in self.holds):
             return []
-        self._put(
-            RequestHold(
-                traits,
-                held_s,
-                stored=report.stored and is_same,
-                trials=report.trials,
-            )
+        hold = RequestHold(
+            traits,
+            held_s,
+            stored=report.stored and is_same,
+            trials=report.trials,
         )
+        self._put(hold)
         self._evidence.explain(traits)
-        return [
-            HoldChange(
-                decision=_held_decision(traits),
-                traits=tuple(sorted(traits)),
-                reason=reason,
-            )
-        ]
+        return [describe_begin(hold, reason)]
 
     def _note_suspected(self, traits: Iterable[str], now_s: float) -> None:
         for trait in traits:
@@ -572,7 +448,9 @@
         changes: list[HoldChange] = []
         for trait in list(self._unsettled):
             evidence = self._evidence.by_trait.get(trait)
-            if evidence is None:
+            if evidence is None or any(
+                trait in held_traits for held_traits in self.holds
+            ):
                 del self._unsettled[trait]
             elif now_s - evidence.latest_s() >= SETTLING_S:
                 changes += self._hold_if_conclusive(trait, now_s)
@@ -619,18 +497,18 @@
         held = frozenset(
             companion
             for companion in evidence.companions() | {trait}
-            if not self._is_sound(companion, evidence.latest_s(), now_s)
+            if not self._answered.is_sound(
+                companion, evidence.latest_s(), now_s
+            )
         )
-        if any(hold <= held for hold in self.holds):
+        if any(other <= held for other in self.holds):
             return []
-        self._put(RequestHold(held, now_s, decided_here=True))
+        hold = RequestHold(held, now_s, decided_here=True)
+        self._put(hold)
         self.has_news = True
         return [
-            HoldChange(
-                decision=_held_decision(held),
-                traits=tuple(sorted(held)),
-                reason="upstreams ended under it",
-                upstreams=tuple(evidence.crash_by_upstream),
+            describe_begin(
+                hold, "upstreams ended under it", evidence.crash_by_upstream
             )
         ]
 
@@ -659,7 +537,7 @@
     ) -> int:
         """Return how many crashes under a trait hold it back."""
         if is_fingerprint(trait):
-            if now_s - self._answered_s(trait) < RECENT_EQUAL_ANSWER_S:
+            if now_s - self._answered.answered_s(trait) < RECENT_EQUAL_ANSWER_S:
                 return CRASHES_TO_HOLD_ANSWERED_REQUEST
         elif not self._answers_others(service, now_s):
             return CRASHES_TO_HOLD_WITHOUT_ANSWERS
@@ -680,11 +558,3 @@
             held_before_s is not None
             and now_s - held_before_s < REMEMBERED_HOLD_S
         )
-
-
-def _hold_duration_s(traits: Iterable[str]) -> float:
-    return REQUEST_HOLD_S if any(map(is_fingerprint, traits)) else HOLD_S
-
-
-def _held_decision(traits: Iterable[str]) -> str:
-    return "request_held" if any(map(is_fingerprint, traits)) else "prompt_held"
--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -18,12 +18,12 @@
 from shallotfold._gateway.deciding import effects
 from shallotfold._gateway.deciding import events
 from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
-from shallotfold._gateway.deciding.crashing_requests import HoldChange
-from shallotfold._gateway.deciding.crashing_requests import RequestHold
 from shallotfold._gateway.deciding.engine_set import EngineSet
 from shallotfold._gateway.deciding.engine_set import is_long
 from shallotfold._gateway.deciding.named_limits import LimitStatement
 from shallotfold._gateway.deciding.placement import Placement
+from shallotfold._gateway.deciding.request_holds import HoldChange
+from shallotfold._gateway.deciding.request_holds import RequestHold
 from shallotfold._gateway.deciding.retry_budget import FleetRetryBudget
 from shallotfold._model.events import Event
 
--- a/src/shallotfold/_gateway/deciding/effects.py
+++ b/src/shallotfold/_gateway/deciding/effects.py
@@ -3,8 +3,8 @@
 import attrs
 
 from shallotfold._gateway.core.model import Upstream
-from shallotfold._gateway.deciding.crashing_requests import HoldChange
 from shallotfold._gateway.deciding.named_limits import LimitChange
+from shallotfold._gateway.deciding.request_holds import HoldChange
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_gateway/following/stored_holds.py
+++ b/src/shallotfold/_gateway/following/stored_holds.py
@@ -17,7 +17,7 @@
 from shallotfold._gateway.core.periodic_task import PeriodicTask
 from shallotfold._gateway.core.ports import WatchedStore
 from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
-from shallotfold._gateway.deciding.crashing_requests import RequestHold
+from shallotfold._gateway.deciding.request_holds import RequestHold
 from shallotfold._gateway.deciding.request_traits import is_fingerprint
 from shallotfold._services.ports import StoredValue
 
--- a/tests/gateway/deciding/crash_simulation.py
+++ b/tests/gateway/deciding/crash_simulation.py
@@ -14,8 +14,8 @@
 from shallotfold._gateway.core.model import Prompt
 from shallotfold._gateway.core.model import PromptPart
 from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
-from shallotfold._gateway.deciding.crashing_requests import RequestHold
 from shallotfold._gateway.deciding.dispatcher import WRITTEN_WITHOUT_CRASH_S
+from shallotfold._gateway.deciding.request_holds import RequestHold
 from shallotfold._gateway.deciding.request_traits import fingerprint_trait
 from shallotfold._gateway.peers.peers import heartbeat_interval_s
 
--- a/tests/gateway/deciding/test_crashing_prompts.py
+++ b/tests/gateway/deciding/test_crashing_prompts.py
@@ -15,11 +15,11 @@
 from shallotfold._gateway.deciding import effects
 from shallotfold._gateway.deciding import events
 from shallotfold._gateway.deciding.crash_evidence import MAX_EVIDENCE_TRAITS
-from shallotfold._gateway.deciding.crashing_requests import HOLD_S
 from shallotfold._gateway.deciding.crashing_requests import MAX_REPORTS
-from shallotfold._gateway.deciding.crashing_requests import TRIAL_AFTER_S
 from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
 from shallotfold._gateway.deciding.dispatcher import WRITTEN_WITHOUT_CRASH_S
+from shallotfold._gateway.deciding.request_holds import HOLD_S
+from shallotfold._gateway.deciding.request_holds import TRIAL_AFTER_S
 from shallotfold._gateway.peers.change_messages import MAX_MESSAGE_BYTES
 from shallotfold._gateway.peers.crash_messages import decode_knowledge
 from shallotfold._gateway.peers.crash_messages import encode_knowledge
--- a/tests/gateway/deciding/test_crashing_requests.py
+++ b/tests/gateway/deciding/test_crashing_requests.py
@@ -12,18 +12,17 @@
 from shallotfold._gateway.deciding.crashing_requests import (
     CRASHES_TO_HOLD_ANSWERED_REQUEST,
 )
+from shallotfold._gateway.deciding.crashing_requests import MAX_HOLDS
 from shallotfold._gateway.deciding.crashing_requests import MAX_REPORTS
 from shallotfold._gateway.deciding.crashing_requests import (
     REQUEST_EVIDENCE_LIFETIME_S,
 )
-from shallotfold._gateway.deciding.crashing_requests import REQUEST_HOLD_S
-from shallotfold._gateway.deciding.crashing_requests import (
-    REQUEST_TRIALS_AFTER_S,
-)
 from shallotfold._gateway.deciding.crashing_requests import SETTLING_S
 from shallotfold._gateway.deciding.crashing_requests import TIE_S
 from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
-from shallotfold._gateway.deciding.crashing_requests import RequestHold
+from shallotfold._gateway.deciding.request_holds import REQUEST_HOLD_S
+from shallotfold._gateway.deciding.request_holds import REQUEST_TRIALS_AFTER_S
+from shallotfold._gateway.deciding.request_holds import RequestHold
 from shallotfold._gateway.deciding.request_traits import fingerprint_trait
 from shallotfold._gateway.deciding.request_traits import watched_traits
 from shallotfold._gateway.peers.change_messages import MAX_MESSAGE_BYTES
@@ -308,6 +307,18 @@
     assert host.requests.trial_due_s(hold) == float("inf")
 
 
+def test_hold_whose_requests_still_come_outlasts_many_others() -> None:
+    host = held_host()
+    for number in range(2 * MAX_HOLDS):
+        for _ in range(3):
+            host.crash(f"{number}")
+        host.settle()
+        hold = host.requests.hold_on(Prompt(), host.now_s, BAD)
+        assert hold is not None
+        host.requests.may_try(hold, host.now_s)
+    assert len(host.holds) == MAX_HOLDS
+
+
 def test_part_id_cannot_pass_for_a_fingerprint() -> None:
     prompt = make_prompt_of(fingerprint_trait("0" * 32), "request:1", "part")
     assert watched_traits(prompt, "") == ("part",)
--- a/tests/gateway/following/test_stored_holds.py
+++ b/tests/gateway/following/test_stored_holds.py
@@ -6,11 +6,9 @@
 import pytest
 
 from shallotfold._gateway.core.clocks import boot_s
-from shallotfold._gateway.deciding.crashing_requests import (
-    REQUEST_TRIALS_AFTER_S,
-)
 from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
-from shallotfold._gateway.deciding.crashing_requests import RequestHold
+from shallotfold._gateway.deciding.request_holds import REQUEST_TRIALS_AFTER_S
+from shallotfold._gateway.deciding.request_holds import RequestHold
 from shallotfold._gateway.deciding.request_traits import fingerprint_trait
 from shallotfold._gateway.following import stored_holds
 from shallotfold._gateway.following.stored_holds import HOLDS_PREFIX
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -155,13 +155,17 @@
     run_fleet(monkeypatch, scenario, hosts=hosts)
 
 
+@pytest.mark.parametrize("crash_delay_s", [0.5, 0.9])
 def test_request_is_held_back_whose_server_ends_after_a_while(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, crash_delay_s: float
 ) -> None:
-    """Several are open when the third server ends."""
+    """Several are open when the third server ends.
+
+    After the longer time the host has tried another server already.
+    """
 
     async def scenario(fleet: FleetHarness) -> None:
-        servers_of(fleet).crash_delay_s = 0.5
+        servers_of(fleet).crash_delay_s = crash_delay_s
         incident = Incident(fleet, (0, 1, 2, 3), interval_s=0.1)
         await incident.run(9.0)
         incident.check()
