--- a/tests/gateway/deciding/test_crashing_requests.py
+++ b/tests/gateway/deciding/test_crashing_requests.py
@@ -418,3 +418,25 @@
     (log,) = [e for e in changes if isinstance(e, effects.LogHoldChange)]
     assert log.change.decision == "request_released"
     assert not harness.dispatcher.crashing_requests.holds
+
+
+def test_upstream_that_answers_again_under_its_start_counts_again() -> None:
+    # A host that doesn't hear of new starts ignored crashes less than two
+    # seconds after the last one, though the upstream had answered in between.
+    harness = DispatcherHarness(make_upstream("u0"))
+    for number in range(4):
+        bad, sound = 2 * number, 2 * number + 1
+        harness.arrive(bad, BOOK, fingerprint=BAD)
+        harness.advance(0.04)
+        harness.feed(
+            events.AttemptBroken(
+                now_s=harness.now_s, request=bad, response_started=False
+            )
+        )
+        harness.advance(0.5)
+        harness.arrive(sound, BOOK, fingerprint=f"sound{number}")
+        harness.advance(0.04)
+        harness.feed(
+            events.AttemptSucceeded(now_s=harness.now_s, request=sound)
+        )
+    assert BAD_HOLD in harness.dispatcher.crashing_requests.holds
