Treat a number of trials that is no number as damage; check old crashes each second

Found by reading the diff: an infinite number of trials in a peer's message raised OverflowError, which no receiver handles (test failed before for infinity); and the evidence was searched for old crashes at each tick, twenty times a second.

--- a/src/shallotfold/_gateway/deciding/crashing_requests.py
+++ b/src/shallotfold/_gateway/deciding/crashing_requests.py
@@ -39,6 +39,7 @@
 CRASHES_TO_HOLD_AGAIN = 1
 REMEMBERED_HOLD_S = 3_600.0
 EVIDENCE_LIFETIME_S = 120.0
+EVIDENCE_CHECK_INTERVAL_S = 1.0
 # While a service answers no prompts, each of their parts looks like the cause:
 # then it takes more crashes, and more than under any other part.
 MIN_RECENT_ANSWERS = 2
@@ -101,6 +102,7 @@
     _own_reports: list[_OwnReport] = attrs.field(factory=list)
     _suspected_s_by_trait: dict[str, float] = attrs.field(factory=dict)
     _held_before_s_by_trait: dict[str, float] = attrs.field(factory=dict)
+    _evidence_checked_s: float = -math.inf
     _unsettled: dict[str, None] = attrs.field(factory=dict)
 
     def hold_on(
@@ -313,9 +315,11 @@
     def drop_expired(self, now_s: float) -> list[HoldChange]:
         """Drop what is too old; return the holds that ended."""
         oldest_s = now_s - EVIDENCE_LIFETIME_S
-        self._evidence.drop_before(
-            oldest_s, now_s - REQUEST_EVIDENCE_LIFETIME_S
-        )
+        if now_s >= self._evidence_checked_s + EVIDENCE_CHECK_INTERVAL_S:
+            self._evidence_checked_s = now_s
+            self._evidence.drop_before(
+                oldest_s, now_s - REQUEST_EVIDENCE_LIFETIME_S
+            )
         if self._own_reports and self._own_reports[0].crashed_s <= oldest_s:
             del self._own_reports[0]
         changes = []
--- a/src/shallotfold/_gateway/peers/crash_messages.py
+++ b/src/shallotfold/_gateway/peers/crash_messages.py
@@ -60,7 +60,7 @@
                     _age_s(age_s),
                     stored=bool(stored),
                     # Earlier builds send whether there was one.
-                    trials=int(trials),
+                    trials=max(0, int(trials)),
                 )
                 for traits, age_s, stored, trials in holds
             ],
@@ -69,7 +69,7 @@
                 for trait, age_s in answer_ages_s_by_trait.items()
             },
         )
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ValueError(f"not a message of crashes: {error}") from error
 
 
--- a/tests/gateway/peers/test_crash_messages.py
+++ b/tests/gateway/peers/test_crash_messages.py
@@ -1,5 +1,7 @@
 """Check the messages about prompts under which upstreams end."""
 
+import math
+
 import hypothesis
 from hypothesis import strategies
 import msgpack
@@ -67,6 +69,14 @@
         return
 
 
+@pytest.mark.parametrize("trials", [math.inf, None, "?"])
+def test_number_of_trials_that_is_no_number_is_damaged(trials: object) -> None:
+    holds = [(["bad"], 0.0, False, trials)]
+    data = msgpack.packb([MESSAGE_TYPE, "h1", [], holds, {}])
+    with pytest.raises(ValueError, match="not a message of crashes"):
+        decode_knowledge(data)
+
+
 def test_message_without_fields_is_damaged() -> None:
     with pytest.raises(ValueError, match="without a sender"):
         decode_knowledge(msgpack.packb([MESSAGE_TYPE]))
