--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -185,20 +185,12 @@
     outcome_by_id = {outcome.request_id: outcome for outcome in streams}
     violations = []
     if len(runs.crashes_s) >= CRASHES_TO_KNOW:
-        known_s = sorted(runs.crashes_s)[CRASHES_TO_KNOW - 1] + CRASH_CONTACT_S
-        spans = list(disturbances)
-        late = [
-            outcome
-            for request_id in runs.crashing_ids
-            if (outcome := outcome_by_id.get(request_id)) is not None
-            and outcome.began_s > known_s
-            and not _overlaps(
-                spans,
-                outcome.host,
-                outcome.began_s - CRASH_CONTACT_S,
-                outcome.began_s,
-            )
-        ]
+        late = _find_late(
+            runs.crashing_ids,
+            outcome_by_id,
+            sorted(runs.crashes_s)[CRASHES_TO_KNOW - 1],
+            list(disturbances),
+        )
         if len(late) > MAX_LATE_CRASHING:
             violations.append(
                 f"{len(late)} requests that end upstreams were sent on later "
@@ -234,19 +226,12 @@
     for workspace, crashes in crashes_by_workspace.items():
         if len(crashes) < EQUAL_CRASHES_TO_KNOW:
             continue
-        known_s = crashes[EQUAL_CRASHES_TO_KNOW - 1].crashed_s + CRASH_CONTACT_S
-        late = [
-            outcome
-            for crash in crashes
-            if (outcome := outcome_by_id.get(crash.request_id)) is not None
-            and outcome.began_s > known_s
-            and not _overlaps(
-                spans,
-                outcome.host,
-                outcome.began_s - CRASH_CONTACT_S,
-                outcome.began_s,
-            )
-        ]
+        late = _find_late(
+            [crash.request_id for crash in crashes],
+            outcome_by_id,
+            crashes[EQUAL_CRASHES_TO_KNOW - 1].crashed_s,
+            spans,
+        )
         if len(late) > MAX_LATE_CRASHING:
             violations.append(
                 f"{len(late)} equal requests of {workspace} ended upstreams "
@@ -261,6 +246,34 @@
     return violations
 
 
+def _find_late(
+    crashing_ids: Iterable[str],
+    outcome_by_id: Mapping[str, Outcome],
+    shown_s: float,
+    disturbances: Sequence[tuple[int, float, float]],
+) -> list[Outcome]:
+    """Return crashing requests that undisturbed hosts sent on too late.
+
+    Args:
+        crashing_ids: Crashing requests that reached upstreams.
+        outcome_by_id: Outcomes of all requests.
+        shown_s: Time of the crash that showed them.
+        disturbances: Spans (host, from, to) in which a host was disturbed.
+    """
+    return [
+        outcome
+        for request_id in crashing_ids
+        if (outcome := outcome_by_id.get(request_id)) is not None
+        and outcome.began_s > shown_s + CRASH_CONTACT_S
+        and not _overlaps(
+            disturbances,
+            outcome.host,
+            outcome.began_s - CRASH_CONTACT_S,
+            outcome.began_s,
+        )
+    ]
+
+
 def find_limit_violations(
     outcomes: Iterable[Outcome],
     runs: Runs,
