Count datagrams between hosts by type and measure the delay of the event loop

Cause: when packets of all kinds were late, the log couldn't tell whether the event loop was busy or the links were full, nor of what.

Each host logs every five seconds how many datagrams and bytes it sent and got, by type, and each delay of the event loop of 0.1 s or more; both are metrics too. No decision changes.

--- a/src/shallotfold/_gateway/core/metrics.py
+++ b/src/shallotfold/_gateway/core/metrics.py
@@ -10,6 +10,7 @@
 
 # Upper bounds of the latency histograms, in seconds.
 LATENCY_BOUNDS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0, 15.0)
+LOOP_DELAY_BOUNDS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
 PREFIX = "shallotfold"
 
 
@@ -36,6 +37,24 @@
             ["signal"],
             registry=self._registry,
         )
+        self._peer_datagrams = Counter(
+            f"{PREFIX}_peer_datagrams",
+            "Datagrams between hosts by what they carry.",
+            ["direction", "type"],
+            registry=self._registry,
+        )
+        self._peer_bytes = Counter(
+            f"{PREFIX}_peer_bytes",
+            "Bytes of datagrams between hosts by what they carry.",
+            ["direction", "type"],
+            registry=self._registry,
+        )
+        self._loop_delay = Histogram(
+            f"{PREFIX}_loop_delay_seconds",
+            "How late the event loop runs a periodic call.",
+            buckets=LOOP_DELAY_BOUNDS_S,
+            registry=self._registry,
+        )
         self._first_part_latency = Histogram(
             f"{PREFIX}_first_part_seconds",
             "Time from a request to the first part of its answer.",
@@ -57,6 +76,17 @@
         """Count a wish that an upstream stated in a response."""
         self._upstream_signals.labels(signal).inc()
 
+    def count_peer_datagrams(
+        self, direction: str, message_type: str, count: int, size: int
+    ) -> None:
+        """Count datagrams of one type and their bytes."""
+        self._peer_datagrams.labels(direction, message_type).inc(count)
+        self._peer_bytes.labels(direction, message_type).inc(size)
+
+    def observe_loop_delay(self, delay_s: float) -> None:
+        """Record how late a periodic call of the event loop came."""
+        self._loop_delay.observe(delay_s)
+
     def observe_first_part(self, route: str, latency_s: float) -> None:
         """Record the time to the first part of a response."""
         self._first_part_latency.labels(route).observe(latency_s)
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -40,6 +40,8 @@
 from shallotfold._gateway.peers.limit_messages import read_demand
 from shallotfold._gateway.peers.limit_messages import read_statements
 from shallotfold._gateway.peers.limit_messages import statement_fields
+from shallotfold._gateway.peers.peer_traffic import HEARTBEAT
+from shallotfold._gateway.peers.peer_traffic import PeerTraffic
 
 PROTOCOL_VERSION = 5
 _NUMBER = (int, float)
@@ -520,6 +522,7 @@
         on_changes: Callable[[UpstreamChanges], None],
         on_crashes: Callable[[str, CrashKnowledge], None],
         on_limits: Callable[[str, Sequence[LimitStatement]], None],
+        traffic: PeerTraffic,
     ) -> None:
         self._peers = peers
         self._port = port
@@ -529,6 +532,7 @@
         self._on_changes = on_changes
         self._on_crashes = on_crashes
         self._on_limits = on_limits
+        self._traffic = traffic
         self._crashes_timer: asyncio.TimerHandle | None = None
         self._limits_timer: asyncio.TimerHandle | None = None
         self._limits_sent_s = -math.inf
@@ -572,7 +576,9 @@
         without_counts = self._peers.encode(state, with_counts=False)
         replicas = self._peers.usage_replica_ips()
         for ip in self._peers.recipients(with_seeds=with_seeds):
-            self._send(with_counts if ip in replicas else without_counts, ip)
+            self._send(
+                HEARTBEAT, with_counts if ip in replicas else without_counts, ip
+            )
 
     def send_changes(self, changes: UpstreamChanges) -> None:
         """Send changes of the upstream list to all known peers."""
@@ -581,7 +587,7 @@
             decision_log.record("changes_too_large", size=len(data))
             return
         for ip in self._peers.recipients(with_seeds=False):
-            self._send(data, ip)
+            self._send("changes", data, ip)
 
     def announce_crashes(self) -> None:
         """Soon tell all known peers what this host knows of crashes."""
@@ -599,7 +605,7 @@
             decision_log.record("crashes_too_large", size=len(data))
             return
         for ip in self._peers.recipients(with_seeds=False):
-            self._send(data, ip)
+            self._send("crashes", data, ip)
 
     def announce_limits(self) -> None:
         """Soon tell all known peers what responses here said about limits."""
@@ -618,21 +624,24 @@
             self._limits_sent_s,
         )
         for ip in self._peers.recipients(with_seeds=False):
-            self._send(data, ip)
+            self._send("limits", data, ip)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Handle a peer's datagram; send a heartbeat to new hosts it names."""
         try:
             changes = decode_changes(data)
             if changes is not None:
+                self._traffic.count_received("changes", len(data))
                 self._on_changes(changes)
                 return
             crashes = decode_knowledge(data)
             if crashes is not None:
+                self._traffic.count_received("crashes", len(data))
                 self._on_crashes(*crashes)
                 return
             limits = decode_statements(data, boot_s())
             if limits is not None:
+                self._traffic.count_received("limits", len(data))
                 self._on_limits(*limits)
                 return
             state, passed_on_ips = self._peers.decode(data, addr[0])
@@ -644,6 +653,7 @@
         ) as error:
             logger.info("Datagram from {} can't be decoded: {}", addr[0], error)
             return
+        self._traffic.count_received(HEARTBEAT, len(data))
         if not self._peers.record_state(state):
             return
         self._on_state(state)
@@ -652,14 +662,15 @@
             set(passed_on_ips) - known - self._contacted_ips - {self._peers.ip}
         ):
             self._contacted_ips.add(ip)
-            self._send(self._peers.encode(self._make_state()), ip)
+            self._send(HEARTBEAT, self._peers.encode(self._make_state()), ip)
 
     def error_received(self, exc: Exception) -> None:
         """Log that a host refused a datagram; its process may be down."""
         logger.debug("Datagram not delivered: {}", exc)
 
-    def _send(self, data: bytes, ip: str) -> None:
+    def _send(self, message_type: str, data: bytes, ip: str) -> None:
         if self._transport is not None:
+            self._traffic.count_sent(message_type, len(data))
             self._transport.sendto(data, (ip, self._port))
 
     async def _send_heartbeat(self) -> None:
@@ -671,3 +682,4 @@
         self.send_now(with_seeds=contact_seeds)
         self._peers.expire_peers()
         self._peers.update_agreed_time()
+        self._traffic.report_if_due(now_s)
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -41,6 +41,7 @@
 from shallotfold._gateway.following.store_followers import StoreFollowers
 from shallotfold._gateway.following.stored_holds import StoredHolds
 from shallotfold._gateway.peers.change_messages import UpstreamChanges
+from shallotfold._gateway.peers.peer_traffic import PeerTraffic
 from shallotfold._gateway.peers.peers import LocalState
 from shallotfold._gateway.peers.peers import PeerLink
 from shallotfold._gateway.peers.peers import Peers
@@ -122,6 +123,7 @@
             self._on_peer_changes,
             self._on_peer_crashes,
             self._on_peer_limits,
+            PeerTraffic(self._metrics),
         )
         self._gateway.announce_crashes = self._peer_link.announce_crashes
         self._gateway.announce_limits = self._peer_link.announce_limits
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -12,6 +12,7 @@
 
 from shallotfold._gateway.core import decision_log
 from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.core.loop_delay import LoopDelayMonitor
 from shallotfold._gateway.core.metrics import Metrics
 from shallotfold._gateway.core.model import RequestLimits
 from shallotfold._gateway.core.model import Upstream
@@ -115,6 +116,7 @@
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._last_sweep_s = 0.0
+        self._loop_delay = LoopDelayMonitor(TICK_INTERVAL_S, metrics)
         self._ticker = PeriodicTask(
             "A tick", self._tick, lambda: TICK_INTERVAL_S
         )
@@ -409,6 +411,7 @@
 
     async def _tick(self) -> None:
         now_s = boot_s()
+        self._loop_delay.record(now_s)
         self.deliver(
             events.TimePassed(
                 now_s=now_s,
--- a/tests/gateway/fleet_harness.py
+++ b/tests/gateway/fleet_harness.py
@@ -290,13 +290,13 @@
         )
         send = process._peer_link._send
 
-        def send_unless_cut(data: bytes, to_ip: str) -> None:
+        def send_unless_cut(message_type: str, data: bytes, to_ip: str) -> None:
             to_host = int(to_ip.rsplit(".", 1)[1]) - 1
             is_lost = self._loss_rng.random() < self.datagram_loss or (
                 host in self.partition
             ) != (to_host in self.partition)
             if not is_lost and not {host, to_host} & self.cut_off:
-                send(data, to_ip)
+                send(message_type, data, to_ip)
 
         setattr(process._peer_link, "_send", send_unless_cut)  # noqa: B010
         return process
--- a/tests/gateway/peers/test_peers.py
+++ b/tests/gateway/peers/test_peers.py
@@ -6,8 +6,10 @@
 import pytest
 
 from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.core.metrics import Metrics
 from shallotfold._gateway.deciding.events import RequestLoad
 from shallotfold._gateway.peers import peers as peers_module
+from shallotfold._gateway.peers.peer_traffic import PeerTraffic
 from shallotfold._gateway.peers.peers import LocalState
 from shallotfold._gateway.peers.peers import PeerLink
 from shallotfold._gateway.peers.peers import Peers
@@ -333,5 +335,6 @@
         lambda changes: None,
         lambda peer, knowledge: None,
         lambda peer, statements: None,
+        PeerTraffic(Metrics()),
     )
     link.datagram_received(msgpack.packb(fields), ("10.0.0.9", 1))
