--- a/tests/gateway/deciding/crash_simulation.py
+++ b/tests/gateway/deciding/crash_simulation.py
@@ -4,6 +4,7 @@
 hosts take a while, and heartbeats come as seldom as in the real fleet.
 """
 
+import collections
 import heapq
 import itertools
 import random
@@ -17,6 +18,8 @@
 from shallotfold._gateway.deciding.dispatcher import WRITTEN_WITHOUT_CRASH_S
 from shallotfold._gateway.deciding.request_holds import RequestHold
 from shallotfold._gateway.deciding.request_traits import fingerprint_trait
+from shallotfold._gateway.peers.crash_messages import encode_knowledge
+from shallotfold._gateway.peers.peers import CRASH_BATCH_DELAY_S
 from shallotfold._gateway.peers.peers import heartbeat_interval_s
 
 SERVICE = "writers"
@@ -76,6 +79,7 @@
         datagram_loss: Share of the messages that is lost.
         refused_sound: Sound requests that were held back.
         sent_sound: All sound requests.
+        sent_bytes: Bytes of messages between hosts, by host and second.
     """
 
     def __init__(
@@ -108,6 +112,10 @@
         self.sound_holds: list[tuple[float, frozenset[str]]] = []
         self.refused_sound = 0
         self.sent_sound = 0
+        self.sent_bytes: collections.Counter[tuple[int, int]] = (
+            collections.Counter()
+        )
+        self._announcing: set[int] = set()
         self._rng = random.Random(seed)
         self._routes = routes
         self._crashing_rate = crashing_rate
@@ -314,7 +322,13 @@
                 hold.decided_here = False
         if requests.has_news:
             requests.has_news = False
-            self._tell_peers(host)
+            if host not in self._announcing:
+                self._announcing.add(host)
+                self._at(CRASH_BATCH_DELAY_S, self._announce, host)
+
+    def _announce(self, host: int) -> None:
+        self._announcing.discard(host)
+        self._tell_peers(host)
 
     def _tick(self, host: int) -> None:
         requests = self._hosts[host]
@@ -349,6 +363,9 @@
     def _tell_peers(self, host: int) -> None:
         knowledge = self._hosts[host].knowledge(self.now_s)
         if knowledge:
+            size = len(encode_knowledge(f"host-{host}", knowledge))
+            recipients = len(self._hosts) - 1
+            self.sent_bytes[host, int(self.now_s)] += size * recipients
             self._at(MESSAGE_DELAY_S, self._receive, host, knowledge)
 
     def _receive(self, sender: int, knowledge: Any) -> None:
--- a/tests/gateway/deciding/test_crash_simulation.py
+++ b/tests/gateway/deciding/test_crash_simulation.py
@@ -56,6 +56,8 @@
         has_prompts=False,
     ),
 )
+# Hosts have 5 Mbit/s or more, which requests and answers need.
+MAX_CRASH_BYTES_PER_S = 0.1 * 5_000_000 / 8
 CONTACT_S = 3.0
 ALLOWED_SENDS = 3
 
@@ -248,3 +250,27 @@
         simulation.refused_sound,
         simulation.sound_holds,
     )
+
+
+@pytest.mark.parametrize("hosts", [9, 67, 195])
+def test_engines_that_end_together_do_not_fill_the_links_of_hosts(
+    hosts: int,
+) -> None:
+    """Requests, changes and departures of callers waited behind crash messages.
+
+    Each host that was told of an answer to a retry told all others once more.
+    """
+    simulation = CrashSimulation(
+        seed=1,
+        host_count=hosts,
+        engine_count=90,
+        routes=LARGE_FLEET_ROUTES,
+        crashing_rate=1.0,
+    )
+    simulation.run(5.0)
+    for share in (0.2, 0.05, 0.2):
+        simulation.crash_engines(share)
+        simulation.run(simulation.now_s + 1.5)
+    simulation.run(simulation.now_s + 10.0)
+    assert max(simulation.sent_bytes.values()) <= MAX_CRASH_BYTES_PER_S
+    assert simulation.refused_sound <= 0.002 * simulation.sent_sound
