Tell peers of crashes within a budget of bytes; announce answers only where they came

Callers saw: on the grown sites, once engines had ended together, requests reached upstreams seconds late and after their callers had left, changes weren't in force in time, and connections to engines that run weren't made.

Cause: each attempt that breaks off and each answer to its retry was told to all hosts at once, each host that was told of the answer told all others once more, and heartbeats repeated all of it for 10 s. 18 engines that crash made each of 67 hosts send 630 kB a second, up to 974, on links of 625. Messages whose number grows with that of events and with the square of the number of hosts had no bound.

Now an answer is announced by the host that got it; others repeat it only where a peer still holds such requests back. Each host sends 20 kB a second of such news to all peers together, and has 40 kB saved up, so that first news leave at once. What was sent least often comes first; reports are ordered by how many upstreams ended under their requests, so that a request that ends upstreams isn't displaced by many that were open by chance. Chosen: the two figures, which in one second are at most a tenth of a link of 5 Mbit/s.

--- a/src/shallotfold/_gateway/deciding/crashing_requests.py
+++ b/src/shallotfold/_gateway/deciding/crashing_requests.py
@@ -95,12 +95,14 @@
     trial_draw: float = 0.0
     crash_seen_s: float = -math.inf
     _answered: AnsweredTraits = attrs.field(factory=AnsweredTraits)
+    _answered_here: AnsweredTraits = attrs.field(factory=AnsweredTraits)
     _recent_answers_s_by_service: dict[str, list[float]] = attrs.field(
         factory=dict
     )
     _evidence: CrashEvidence = attrs.field(factory=CrashEvidence)
     _own_reports: list[_OwnReport] = attrs.field(factory=list)
     _suspected_s_by_trait: dict[str, float] = attrs.field(factory=dict)
+    _contradicted_s_by_trait: dict[str, float] = attrs.field(factory=dict)
     _held_before_s_by_trait: dict[str, float] = attrs.field(factory=dict)
     _evidence_checked_s: float = -math.inf
     _unsettled: dict[str, None] = attrs.field(factory=dict)
@@ -164,7 +166,15 @@
             recent_s = self._recent_answers_s_by_service.setdefault(service, [])
             recent_s.append(now_s)
             del recent_s[:-MIN_RECENT_ANSWERS]
-        return self._record_sound(dict.fromkeys(traits, now_s), "answered")
+        for trait in traits:
+            self._answered_here.record(trait, now_s)
+            if self._evidence.drop_crashes_of(trait, now_s):
+                # Peers that suspect it should learn of the answer.
+                _note(self._suspected_s_by_trait, (trait,), now_s)
+                self.has_news = True
+        return self._record_sound(
+            dict.fromkeys(traits, now_s), now_s, "answered"
+        )
 
     def record_crash(
         self,
@@ -214,7 +224,11 @@
         self._drop_excess_reports()
         self.crash_seen_s = now_s
         # Peers should know whether equal requests were answered here.
-        self._note_suspected(filter(is_fingerprint, report.traits), now_s)
+        _note(
+            self._suspected_s_by_trait,
+            filter(is_fingerprint, report.traits),
+            now_s,
+        )
         self.has_news = True
         return self._decide(report.traits, now_s)
 
@@ -229,13 +243,14 @@
                 trait: now_s - age_s
                 for trait, age_s in knowledge.answer_ages_s_by_trait.items()
             },
+            now_s,
             f"answered at {peer}",
         )
         for hold in knowledge.holds:
             changes += self._adopt(hold, now_s, f"held at {peer}")
         new_traits: set[str] = set()
         for report in knowledge.reports:
-            self._note_suspected(report.traits, now_s)
+            _note(self._suspected_s_by_trait, report.traits, now_s)
             crashed_s = now_s - report.age_s
             unsound = self._unsound(report.traits, crashed_s, now_s)
             if (
@@ -275,28 +290,8 @@
 
     def knowledge(self, now_s: float) -> CrashKnowledge:
         """Return what peers should know."""
-        suspected = [
-            trait
-            for trait, at_s in self._suspected_s_by_trait.items()
-            if now_s - at_s < ANNOUNCED_S
-            and self._answered.answered_s(trait) > now_s - SOUND_AFTER_ANSWER_S
-        ]
         return CrashKnowledge(
-            reports=[
-                CrashReport(
-                    report.upstream,
-                    now_s - report.crashed_s,
-                    unsound,
-                    report.answer_begun,
-                )
-                for report in self._own_reports
-                if now_s - report.crashed_s < ANNOUNCED_S
-                and (
-                    unsound := self._unsound(
-                        report.traits, report.crashed_s, now_s
-                    )
-                )
-            ],
+            reports=self._crash_reports(now_s),
             holds=[
                 HoldReport(
                     tuple(sorted(hold.traits)),
@@ -306,10 +301,7 @@
                 )
                 for hold in self.holds.values()
             ],
-            answer_ages_s_by_trait={
-                trait: now_s - self._answered.answered_s(trait)
-                for trait in suspected[-MAX_ANNOUNCED_ANSWERS:]
-            },
+            answer_ages_s_by_trait=self._announced_answers(now_s),
         )
 
     def drop_expired(self, now_s: float) -> list[HoldChange]:
@@ -336,6 +328,53 @@
 
     # Helpers.
 
+    def _crash_reports(self, now_s: float) -> list[CrashReport]:
+        """Return what peers should know of crashes, the most telling first."""
+        reports = [
+            CrashReport(
+                report.upstream,
+                now_s - report.crashed_s,
+                unsound,
+                report.answer_begun,
+            )
+            for report in self._own_reports
+            if now_s - report.crashed_s < ANNOUNCED_S
+            and (
+                unsound := self._unsound(report.traits, report.crashed_s, now_s)
+            )
+        ]
+        reports.sort(
+            key=lambda report: max(map(self._crash_count, report.traits)),
+            reverse=True,
+        )
+        return reports
+
+    def _crash_count(self, trait: str) -> float:
+        evidence = self._evidence.by_trait.get(trait)
+        return 0.0 if evidence is None else evidence.crash_count()
+
+    def _announced_answers(self, now_s: float) -> dict[str, float]:
+        """Return how long ago traits were answered, as far as peers need it.
+
+        An answer is announced by the host that got it. Others repeat it only
+        to peers that still hold such requests back: if all did, each answer
+        would cost the square of the number of hosts.
+        """
+        ages_s_by_trait: dict[str, float] = {}
+        for noted_s_by_trait, answered in (
+            (self._suspected_s_by_trait, self._answered_here),
+            (self._contradicted_s_by_trait, self._answered),
+        ):
+            for trait, noted_s in noted_s_by_trait.items():
+                age_s = now_s - answered.answered_s(trait)
+                if (
+                    now_s - noted_s < ANNOUNCED_S
+                    and age_s < SOUND_AFTER_ANSWER_S
+                ):
+                    ages_s_by_trait[trait] = age_s
+        latest = list(ages_s_by_trait)[-MAX_ANNOUNCED_ANSWERS:]
+        return {trait: ages_s_by_trait[trait] for trait in latest}
+
     def _unsound(
         self, traits: Iterable[str], crashed_s: float, now_s: float
     ) -> tuple[str, ...]:
@@ -352,29 +391,30 @@
             del reports[0]
 
     def _record_sound(
-        self, answered_s_by_trait: Mapping[str, float], reason: str
+        self,
+        answered_s_by_trait: Mapping[str, float],
+        now_s: float,
+        reason: str,
     ) -> list[HoldChange]:
         changes: list[HoldChange] = []
         for trait, answered_s in answered_s_by_trait.items():
             self._answered.record(trait, answered_s)
             if not is_fingerprint(trait):
                 self._evidence.by_trait.pop(trait, None)
-            elif self._evidence.drop_crashes_of(trait, answered_s):
-                # Peers that suspect it should learn of the answer.
-                self._note_suspected((trait,), answered_s)
-                self.has_news = True
+            else:
+                self._evidence.drop_crashes_of(trait, answered_s)
             self._held_before_s_by_trait.pop(trait, None)
             ends_before_s = self._answered.ends_holds_before_s(trait)
             for hold in list(self.holds.values()):
                 if trait in hold.traits and hold.held_s < ends_before_s:
+                    # Peers that hold it back must know that it is sound.
+                    _note(self._contradicted_s_by_trait, (trait,), now_s)
+                    self.has_news = True
                     changes.append(self._narrow(hold, trait, reason))
         return changes
 
     def _narrow(self, hold: RequestHold, trait: str, reason: str) -> HoldChange:
         """Leave a trait that is sound out of a hold."""
-        # Peers must know that it is sound.
-        self._note_suspected((trait,), self._answered.answered_s(trait))
-        self.has_news = True
         if len(hold.traits) == 1:
             return self._release(hold, reason)
         del self.holds[hold.traits]
@@ -410,7 +450,7 @@
         held_s = now_s - report.age_s
         if not report.traits or report.age_s >= hold_duration_s(report.traits):
             return []
-        self._note_suspected(report.traits, now_s)
+        _note(self._suspected_s_by_trait, report.traits, now_s)
         traits = frozenset(
             trait
             for trait in report.traits
@@ -418,6 +458,11 @@
         )
         is_same = len(traits) == len(report.traits)
         if not is_same:
+            _note(
+                self._contradicted_s_by_trait,
+                [trait for trait in report.traits if trait not in traits],
+                now_s,
+            )
             self.has_news = True
         if not traits:
             return []
@@ -439,14 +484,6 @@
         self._evidence.explain(traits)
         return [describe_begin(hold, reason)]
 
-    def _note_suspected(self, traits: Iterable[str], now_s: float) -> None:
-        for trait in traits:
-            self._suspected_s_by_trait.pop(trait, None)
-            self._suspected_s_by_trait[trait] = now_s
-        while len(self._suspected_s_by_trait) > MAX_EVIDENCE_TRAITS:
-            oldest = next(iter(self._suspected_s_by_trait))
-            del self._suspected_s_by_trait[oldest]
-
     def decide_settled(self, now_s: float) -> list[HoldChange]:
         """Hold equal requests back whose evidence no longer changes."""
         changes: list[HoldChange] = []
@@ -562,3 +599,14 @@
             held_before_s is not None
             and now_s - held_before_s < REMEMBERED_HOLD_S
         )
+
+
+def _note(
+    noted_s_by_trait: dict[str, float], traits: Iterable[str], now_s: float
+) -> None:
+    """Set the time of traits; the oldest of too many are dropped."""
+    for trait in traits:
+        noted_s_by_trait.pop(trait, None)
+        noted_s_by_trait[trait] = now_s
+    while len(noted_s_by_trait) > MAX_EVIDENCE_TRAITS:
+        del noted_s_by_trait[next(iter(noted_s_by_trait))]
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -35,6 +35,7 @@
 from shallotfold._gateway.peers.crash_messages import encode_knowledge
 from shallotfold._gateway.peers.crash_messages import knowledge_fields
 from shallotfold._gateway.peers.crash_messages import read_knowledge
+from shallotfold._gateway.peers.crash_news import CrashNews
 from shallotfold._gateway.peers.limit_messages import decode_statements
 from shallotfold._gateway.peers.limit_messages import encode_statements
 from shallotfold._gateway.peers.limit_messages import read_demand
@@ -533,6 +534,7 @@
         self._on_crashes = on_crashes
         self._on_limits = on_limits
         self._traffic = traffic
+        self._crash_news = CrashNews()
         self._crashes_timer: asyncio.TimerHandle | None = None
         self._limits_timer: asyncio.TimerHandle | None = None
         self._limits_sent_s = -math.inf
@@ -569,13 +571,19 @@
 
     def send_now(self, *, with_seeds: bool = False) -> None:
         """Send the current state to all known peers."""
+        state = self._make_state()
+        recipients = self._peers.recipients(with_seeds=with_seeds)
         state = attrs.evolve(
-            self._make_state(), prefixes_sent=self._pop_prefixes()
+            state,
+            prefixes_sent=self._pop_prefixes(),
+            crash_knowledge=self._crash_news.select_for_heartbeat(
+                state.crash_knowledge, boot_s(), len(recipients)
+            ),
         )
         with_counts = self._peers.encode(state)
         without_counts = self._peers.encode(state, with_counts=False)
         replicas = self._peers.usage_replica_ips()
-        for ip in self._peers.recipients(with_seeds=with_seeds):
+        for ip in recipients:
             self._send(
                 HEARTBEAT, with_counts if ip in replicas else without_counts, ip
             )
@@ -598,14 +606,21 @@
 
     def _send_crashes(self) -> None:
         self._crashes_timer = None
-        data = encode_knowledge(
-            self._peers.name, self._make_state().crash_knowledge
+        knowledge = self._make_state().crash_knowledge
+        recipients = self._peers.recipients(with_seeds=False)
+        now_s = boot_s()
+        news = self._crash_news.select_news(knowledge, now_s, len(recipients))
+        if news:
+            data = encode_knowledge(self._peers.name, news)
+            for ip in recipients:
+                self._send("crashes", data, ip)
+        delay_s = self._crash_news.news_delay_s(
+            knowledge, now_s, len(recipients)
         )
-        if len(data) > MAX_MESSAGE_BYTES:
-            decision_log.record("crashes_too_large", size=len(data))
-            return
-        for ip in self._peers.recipients(with_seeds=False):
-            self._send("crashes", data, ip)
+        if recipients and delay_s is not None:
+            self._crashes_timer = asyncio.get_running_loop().call_later(
+                max(delay_s, CRASH_BATCH_DELAY_S), self._send_crashes
+            )
 
     def announce_limits(self) -> None:
         """Soon tell all known peers what responses here said about limits."""
@@ -662,7 +677,15 @@
             set(passed_on_ips) - known - self._contacted_ips - {self._peers.ip}
         ):
             self._contacted_ips.add(ip)
-            self._send(HEARTBEAT, self._peers.encode(self._make_state()), ip)
+            self._greet(ip)
+
+    def _greet(self, ip: str) -> None:
+        """Send a heartbeat to a host that may not know of this one."""
+        state = self._make_state()
+        # Crashes come with later heartbeats, which go to all peers.
+        knowledge = CrashKnowledge(holds=state.crash_knowledge.holds)
+        state = attrs.evolve(state, crash_knowledge=knowledge)
+        self._send(HEARTBEAT, self._peers.encode(state), ip)
 
     def error_received(self, exc: Exception) -> None:
         """Log that a host refused a datagram; its process may be down."""
--- a/tests/gateway/deciding/crash_simulation.py
+++ b/tests/gateway/deciding/crash_simulation.py
@@ -14,11 +14,13 @@
 
 from shallotfold._gateway.core.model import Prompt
 from shallotfold._gateway.core.model import PromptPart
+from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
 from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
 from shallotfold._gateway.deciding.dispatcher import WRITTEN_WITHOUT_CRASH_S
 from shallotfold._gateway.deciding.request_holds import RequestHold
 from shallotfold._gateway.deciding.request_traits import fingerprint_trait
 from shallotfold._gateway.peers.crash_messages import encode_knowledge
+from shallotfold._gateway.peers.crash_news import CrashNews
 from shallotfold._gateway.peers.peers import CRASH_BATCH_DELAY_S
 from shallotfold._gateway.peers.peers import heartbeat_interval_s
 
@@ -115,6 +117,7 @@
         self.sent_bytes: collections.Counter[tuple[int, int]] = (
             collections.Counter()
         )
+        self._news = [CrashNews() for _ in range(host_count)]
         self._announcing: set[int] = set()
         self._rng = random.Random(seed)
         self._routes = routes
@@ -328,7 +331,15 @@
 
     def _announce(self, host: int) -> None:
         self._announcing.discard(host)
-        self._tell_peers(host)
+        knowledge = self._hosts[host].knowledge(self.now_s)
+        news, recipients = self._news[host], len(self._hosts) - 1
+        self._tell_peers(
+            host, news.select_news(knowledge, self.now_s, recipients)
+        )
+        delay_s = news.news_delay_s(knowledge, self.now_s, recipients)
+        if delay_s is not None:
+            self._announcing.add(host)
+            self._at(max(delay_s, CRASH_BATCH_DELAY_S), self._announce, host)
 
     def _tick(self, host: int) -> None:
         requests = self._hosts[host]
@@ -353,15 +364,21 @@
 
     def _heartbeat(self, host: int) -> None:
         self._hosts[host].drop_expired(self.now_s)
-        self._tell_peers(host)
+        self._tell_peers(
+            host,
+            self._news[host].select_for_heartbeat(
+                self._hosts[host].knowledge(self.now_s),
+                self.now_s,
+                len(self._hosts) - 1,
+            ),
+        )
         self._at(
             self._interval_s * self._rng.uniform(0.8, 1.2),
             self._heartbeat,
             host,
         )
 
-    def _tell_peers(self, host: int) -> None:
-        knowledge = self._hosts[host].knowledge(self.now_s)
+    def _tell_peers(self, host: int, knowledge: CrashKnowledge) -> None:
         if knowledge:
             size = len(encode_knowledge(f"host-{host}", knowledge))
             recipients = len(self._hosts) - 1
--- a/tests/gateway/deciding/test_crash_simulation.py
+++ b/tests/gateway/deciding/test_crash_simulation.py
@@ -274,3 +274,26 @@
     simulation.run(simulation.now_s + 10.0)
     assert max(simulation.sent_bytes.values()) <= MAX_CRASH_BYTES_PER_S
     assert simulation.refused_sound <= 0.002 * simulation.sent_sound
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_crashing_request_is_held_back_while_engines_end_together(
+    seed: int,
+) -> None:
+    """News of other crashes must not displace those of the request."""
+    simulation = CrashSimulation(
+        seed=seed,
+        host_count=67,
+        engine_count=90,
+        routes=LARGE_FLEET_ROUTES,
+        crashing_rate=3.0,
+        are_equal=True,
+    )
+    simulation.run(5.0)
+    simulation.start_crashing()
+    for share in (0.2, 0.05, 0.2):
+        simulation.crash_engines(share)
+        simulation.run(simulation.now_s + 0.5)
+    simulation.run(simulation.now_s + 10.0)
+    check_equal_requests(simulation)
+    assert max(simulation.sent_bytes.values()) <= MAX_CRASH_BYTES_PER_S
