Don't send requests of callers that have left; notice departures behind pipelined ones

Callers' upstreams saw: a request reached them though its caller had closed the connection before. Where the event loop had been busy, it got the request and the end of the connection together, and sent the request on an idle connection first. Behind four or more pipelined requests reading is paused, so that the end wasn't seen and the upstream worked on.

Cause: a departure was only known as an event of the event loop, which comes after the bytes before it, and never while reading is paused.

A caller that closes its sending side counts as gone, as before.

--- a/src/shallotfold/_gateway/http/upstream_pool.py
+++ b/src/shallotfold/_gateway/http/upstream_pool.py
@@ -47,6 +47,10 @@
 class SendListener(ResponseListener, Protocol):
     """A response listener that also handles requests that weren't sent."""
 
+    def is_wanted(self) -> bool:
+        """Whether the request should still be sent on a new connection."""
+        ...
+
     def on_unsent(self, reason: str) -> None:
         """Handle a failed connect; the request did not run."""
         ...
@@ -196,7 +200,10 @@
             connection.abort()
             return
         send_handle.connection = connection
-        connection.send(data, listener)
+        if listener.is_wanted():
+            connection.send(data, listener)
+        else:
+            connection.abort()
 
 
 def _pool_key(upstream: Upstream) -> tuple[str, int, str]:
--- a/src/shallotfold/_gateway/serving/attempt.py
+++ b/src/shallotfold/_gateway/serving/attempt.py
@@ -34,6 +34,10 @@
         """Whether the attempt is the current one."""
         ...
 
+    def drop_if_caller_left(self) -> bool:
+        """Stop all work on the request if its caller has left."""
+        ...
+
     def matches_response(self, headers: Headers) -> bool:
         """Whether a response with these headers belongs to the request."""
         ...
@@ -138,6 +142,13 @@
         if self.send_handle is not None:
             self._handler.release_connection(self.upstream, self.send_handle)
 
+    def is_wanted(self) -> bool:
+        """Whether the request should still be sent."""
+        return (
+            self._handler.is_current(self)
+            and not self._handler.drop_if_caller_left()
+        )
+
     def on_unsent(self, reason: str) -> None:
         """Report that no connection was established."""
         if self._handler.is_current(self):
--- a/src/shallotfold/_gateway/serving/caller_connection.py
+++ b/src/shallotfold/_gateway/serving/caller_connection.py
@@ -12,6 +12,7 @@
 from shallotfold._gateway.core.model import RequestLimits
 from shallotfold._gateway.http.messages import IncomingRequest
 from shallotfold._gateway.http.messages import encode_local_response
+from shallotfold._runtime.sockets import is_closed_by_peer
 from shallotfold._runtime.sockets import reset_connection
 
 # Reading pauses while this many pipelined requests are queued.
@@ -227,6 +228,20 @@
             and self.request_started_s is None
         )
 
+    def caller_has_left(self) -> bool:
+        """Whether the caller has closed the connection."""
+        return self._transport is None or is_closed_by_peer(self._transport)
+
+    @property
+    def reading_paused(self) -> bool:
+        """Whether too many pipelined requests are queued to read on."""
+        return len(self._queued_requests) >= MAX_QUEUED_REQUESTS
+
+    def disconnect(self) -> None:
+        """Drop the connection of a caller that has left."""
+        if self._transport is not None:
+            self._transport.abort()
+
     @property
     def must_close(self) -> bool:
         """Whether the current response is the last on this connection."""
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -433,6 +433,8 @@
                 connection.close()
             elif connection.request_timed_out(now_s):
                 connection.reject_timed_out_request()
+            elif connection.reading_paused and connection.caller_has_left():
+                connection.disconnect()
 
 
 def _finite_or_none(rate: float) -> float | None:
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -131,7 +131,9 @@
     # The gateway calls these.
 
     def send(self, effect: effects.SendAttempt) -> None:
-        """Send an attempt to an upstream."""
+        """Send an attempt to an upstream, unless the caller has left."""
+        if self.drop_if_caller_left():
+            return
         self._log(
             "send",
             upstream=effect.upstream.upstream_id,
@@ -231,6 +233,18 @@
         """Return the connection of a completed attempt to the pool."""
         self._gateway.pool.release(upstream, send_handle)
 
+    def drop_if_caller_left(self) -> bool:
+        """Stop all work on the request if its caller has left.
+
+        Returns:
+            Whether the caller has left.
+        """
+        if not self._connection.caller_has_left():
+            return False
+        self._connection.abort()
+        self.on_caller_disconnected()
+        return True
+
     def is_current(self, attempt: Attempt) -> bool:
         """Whether the attempt is the current one."""
         return self._attempt is attempt
--- a/src/shallotfold/_runtime/sockets.py
+++ b/src/shallotfold/_runtime/sockets.py
@@ -1,6 +1,7 @@
 """Socket options of connections."""
 
 import asyncio
+import select
 import socket
 import struct
 
@@ -8,6 +9,20 @@
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
+def is_closed_by_peer(transport: asyncio.BaseTransport) -> bool:
+    """Whether the peer has closed or reset a connection.
+
+    The event loop reports it only after the bytes before it, and not at all
+    while reading is paused.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or transport.is_closing():
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def reset_connection(transport: asyncio.WriteTransport) -> None:
     """Reset a connection; bytes that weren't sent yet are dropped.
 
