Don't take an earlier refusal without an id for the answer to the next request

Callers saw (reports of other operators): a faulty upstream wrote an earlier refusal once more on a kept connection. They were told 'not run, try again' of requests that it was running, or these ran at a second upstream.

Cause: a response without an id counted as that of the request that waited. On a connection that has had a response it may be an earlier one, and a refusal promises that the request hasn't run.

Now refusals (408, 421, 429, 503, or marked as not run) without an id are skipped there, like responses with another id; the connection isn't used again. On a new connection, and for requests without an id, they are taken as before.

--- a/src/shallotfold/_gateway/serving/attempt.py
+++ b/src/shallotfold/_gateway/serving/attempt.py
@@ -38,8 +38,16 @@
         """Stop all work on the request if its caller has left."""
         ...
 
-    def matches_response(self, headers: Headers) -> bool:
-        """Whether a response with these headers belongs to the request."""
+    def matches_response(
+        self, status: int, headers: Headers, *, is_first: bool
+    ) -> bool:
+        """Whether a response belongs to the request.
+
+        Args:
+            status: Its status.
+            headers: Its headers.
+            is_first: Whether its connection had no response before.
+        """
         ...
 
     def host_buffered_bytes(self) -> int:
@@ -156,7 +164,9 @@
 
     def on_head(self, status: int, reason: bytes, headers: Headers) -> bool:
         """Store the head if the response belongs to the request."""
-        if not self._handler.matches_response(headers):
+        if not self._handler.matches_response(
+            status, headers, is_first=self._is_first_on_connection()
+        ):
             return False
         self.status = status
         self.reason = reason
@@ -216,6 +226,11 @@
         if self._handler.is_current(self):
             self._handler.on_broken(self, reason)
 
+    def _is_first_on_connection(self) -> bool:
+        handle = self.send_handle
+        connection = handle.connection if handle is not None else None
+        return connection is not None and connection.response_count == 0
+
     def _find_truncation(self) -> str | None:
         """Return why a stream whose framing has ended isn't complete.
 
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -34,6 +34,13 @@
 from shallotfold._gateway.serving.stream_response import StreamResponse
 from shallotfold._model.events import Event
 
+# Each says that the request hasn't run.
+REFUSAL_STATUSES = (
+    HTTPStatus.REQUEST_TIMEOUT,
+    HTTPStatus.MISDIRECTED_REQUEST,
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+)
 _MS_PER_S = 1000.0
 
 
@@ -249,12 +256,24 @@
         """Whether the attempt is the current one."""
         return self._attempt is attempt
 
-    def matches_response(self, headers: Headers) -> bool:
-        """Whether a response carries the id of this request or no id."""
+    def matches_response(
+        self, status: int, headers: Headers, *, is_first: bool
+    ) -> bool:
+        """Whether a response belongs to this request; see `AttemptHandler`.
+
+        Responses without an id do, except refusals that may be of an earlier
+        request on the connection: they promise that a request hasn't run.
+        """
         names = self._gateway.names
         lowercase_headers = [(name.lower(), value) for name, value in headers]
         response_id = find_header(lowercase_headers, names.request_id)
-        return response_id is None or response_id == self._request_id
+        if response_id is not None:
+            return response_id == self._request_id
+        is_refusal = (
+            status in REFUSAL_STATUSES
+            or find_header(lowercase_headers, names.not_run) is not None
+        )
+        return is_first or not self._request_id or not is_refusal
 
     def on_response_head(self, attempt: Attempt) -> None:
         """Note what the upstream says about itself."""
