Revert "Count crashes of one start of an upstream that answered in between"

Cause: crashes counted separately after an answer in between also count for sound parts of prompts that were open there.

A next try should count such crashes for equal requests only.

--- a/src/shallotfold/_gateway/deciding/crash_evidence.py
+++ b/src/shallotfold/_gateway/deciding/crash_evidence.py
@@ -103,9 +103,6 @@
 
         News of an earlier crash also drop the evidence of what came after it.
         """
-        earlier_s = self._earlier_s_by_upstream.get(upstream, [])
-        if any(abs(crashed_s - e) <= SAME_CRASH_S for e in earlier_s):
-            return True
         first_s = self._crashed_s_by_upstream.get(upstream, -math.inf)
         if first_s + SAME_CRASH_S < crashed_s <= first_s + MIN_RESTART_S:
             return False
@@ -116,30 +113,13 @@
             key = self._crash_key(upstream, first_s)
             self._drop({key}, kept=frozenset())
         if math.isfinite(first_s) and crashed_s > first_s + MIN_RESTART_S:
-            self._add_earlier(upstream, first_s)
+            earlier_s = self._earlier_s_by_upstream.setdefault(upstream, [])
+            if len(earlier_s) < MAX_EARLIER_CRASHES:
+                earlier_s.append(first_s)
         if crashed_s < first_s or crashed_s > first_s + SAME_CRASH_S:
             self._crashed_s_by_upstream[upstream] = crashed_s
         return True
 
-    def record_answer(self, upstream: str, sent_s: float) -> None:
-        """Record that an upstream answered a request.
-
-        One that was sent after a crash shows that the upstream runs again.
-
-        Args:
-            upstream: Id and start of the upstream.
-            sent_s: When the request was sent there.
-        """
-        crashed_s = self._crashed_s_by_upstream.get(upstream, math.inf)
-        if sent_s > crashed_s:
-            del self._crashed_s_by_upstream[upstream]
-            self._add_earlier(upstream, crashed_s)
-
-    def _add_earlier(self, upstream: str, crashed_s: float) -> None:
-        earlier_s = self._earlier_s_by_upstream.setdefault(upstream, [])
-        if len(earlier_s) < MAX_EARLIER_CRASHES:
-            earlier_s.append(crashed_s)
-
     def _crash_key(self, upstream: str, crashed_s: float) -> str:
         """Return a name of one crash; a start may have several.
 
@@ -148,7 +128,7 @@
         """
         earlier_s = self._earlier_s_by_upstream.get(upstream, [])
         number = sum(
-            crashed_s > earlier + SAME_CRASH_S for earlier in earlier_s
+            crashed_s > earlier + MIN_RESTART_S for earlier in earlier_s
         )
         return f"{upstream}#{number}" if number else upstream
 
@@ -201,9 +181,7 @@
         for upstream, crashed_s in list(self._crashed_s_by_upstream.items()):
             if crashed_s <= min(oldest_s, oldest_request_s):
                 del self._crashed_s_by_upstream[upstream]
-        for upstream, earlier_s in list(self._earlier_s_by_upstream.items()):
-            if earlier_s[-1] <= min(oldest_s, oldest_request_s):
-                del self._earlier_s_by_upstream[upstream]
+                self._earlier_s_by_upstream.pop(upstream, None)
         for trait, evidence in list(self.by_trait.items()):
             kept_from_s = (
                 oldest_request_s if is_fingerprint(trait) else oldest_s
--- a/src/shallotfold/_gateway/deciding/crashing_requests.py
+++ b/src/shallotfold/_gateway/deciding/crashing_requests.py
@@ -176,10 +176,6 @@
             dict.fromkeys(traits, now_s), now_s, "answered"
         )
 
-    def record_running(self, upstream: str, sent_s: float) -> None:
-        """Record that an upstream, by id and start, answered a request."""
-        self._evidence.record_answer(upstream, sent_s)
-
     def record_crash(
         self,
         upstream: str,
--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -250,9 +250,6 @@
         if request is None:
             return []
         self.placement.health.record_success(request.upstream, event.now_s)
-        self.crashing_requests.record_running(
-            _incarnation_of(request), request.sent_s
-        )
         self._end_attempt(request)
         if not event.end_marked:
             return []
@@ -612,7 +609,8 @@
             prompt, fingerprint = Prompt(), ""
         return self._hold_effects(
             self.crashing_requests.record_crash(
-                _incarnation_of(request),
+                # It may have started again since the request was sent.
+                f"{request.upstream}/{request.upstream_started_ms}",
                 request.service,
                 prompt,
                 now_s,
@@ -648,8 +646,3 @@
         if request.upstream:
             self.placement.loads.end_request(request.upstream, request.request)
             request.upstream = ""
-
-
-def _incarnation_of(request: _OpenRequest) -> str:
-    """Return the upstream of an attempt with the start that it then had."""
-    return f"{request.upstream}/{request.upstream_started_ms}"
