Refill the budget of news of crashes in a step of its own

Cause: a function that lists what is known also filled the budget up, which its name didn't say.

Result: no behaviour changes; tests/gateway/peers, test_departed_callers, tests/layout and tests/docs pass (247).

--- a/src/shallotfold/_gateway/peers/crash_news.py
+++ b/src/shallotfold/_gateway/peers/crash_news.py
@@ -56,6 +56,7 @@
             now_s: Time on the boot clock.
             recipients: Number of peers that get the message.
         """
+        self._refill(now_s)
         items = [
             item
             for item in self._items(knowledge, now_s)
@@ -67,6 +68,7 @@
         self, knowledge: CrashKnowledge, now_s: float, recipients: int
     ) -> CrashKnowledge:
         """Return what was sent least often; arguments as for `select_news`."""
+        self._refill(now_s)
         items = sorted(
             self._items(knowledge, now_s),
             key=lambda item: self._send_count_by_key[item.key],
@@ -82,6 +84,7 @@
 
         Arguments as for `select_news`.
         """
+        self._refill(now_s)
         for item in self._items(knowledge, now_s):
             if not self._send_count_by_key[item.key]:
                 needed_bytes = (item.size + _MESSAGE_BYTES) * recipients
@@ -91,13 +94,18 @@
                 return max(0.0, missing_bytes / CRASH_BYTES_PER_S)
         return None
 
-    def _items(self, knowledge: CrashKnowledge, now_s: float) -> list[_Item]:
-        """Return what is known, the most important first."""
+    def _refill(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._updated_s)
         self._updated_s = now_s
         self._saved_bytes = min(
             MAX_SAVED_BYTES, self._saved_bytes + elapsed_s * CRASH_BYTES_PER_S
         )
+
+    def _items(self, knowledge: CrashKnowledge, now_s: float) -> list[_Item]:
+        """Return what is known, the most important first.
+
+        Send counts of what is no longer known are dropped.
+        """
         items = [
             _Item(
                 (hold.traits, hold.trials),
@@ -134,7 +142,7 @@
         if not items or not recipients:
             return CrashKnowledge()
         limit = min(MAX_KNOWLEDGE_BYTES, budget_bytes / recipients)
-        # In a fleet of this size not even one item fits into the budget.
+        # In a very large fleet not even one item fits into the budget.
         is_first_allowed = self._saved_bytes >= MAX_SAVED_BYTES
         size = _MESSAGE_BYTES
         selected: list[_Item] = []
--- a/src/shallotfold/_gateway/serving/attempt.py
+++ b/src/shallotfold/_gateway/serving/attempt.py
@@ -35,7 +35,11 @@
         ...
 
     def drop_if_caller_left(self) -> bool:
-        """Stop all work on the request if its caller has left."""
+        """Stop all work on the request if its caller has left.
+
+        Returns:
+            Whether the caller has left.
+        """
         ...
 
     def matches_response(
