--- a/review/standins.py
+++ b/review/standins.py
@@ -381,7 +381,7 @@
         self.runs: list[str] = []
         self.record = record
         self._store = store
-        self._work_s = work_s
+        self.work_s = work_s
         self._sequence_number = 0
         self._born_ms = int(time.time() * 1000)
         self._beat_task: asyncio.Task[None] | None = None
@@ -456,7 +456,7 @@
     async def run(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         """Work on a request and answer it."""
         self.begin(request)
-        await asyncio.sleep(self._work_s)
+        await asyncio.sleep(self.work_s)
         self.answer(request, writer)
         return True
 
