--- a/review/standins.py
+++ b/review/standins.py
@@ -68,11 +68,28 @@
         self._file.close()
 
 
-def free_port(ip: str) -> int:
-    """Return a free TCP port of an address."""
+def free_ports(ips: Iterable[str], count: int) -> list[int]:
+    """Return TCP ports that are free on all of some addresses.
+
+    The ports of a service are the same on all machines of a day.
+    """
+    addresses = list(ips)
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randint(10_000, 30_000)
+        if port not in ports and all(is_free(ip, port) for ip in addresses):
+            ports.append(port)
+    return ports
+
+
+def is_free(ip: str, port: int) -> bool:
+    """Whether nothing listens at an address."""
     with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return int(probe.getsockname()[1])
+        try:
+            probe.bind((ip, port))
+        except OSError:
+            return False
+    return True
 
 
 def free_loopback_ip() -> str:
@@ -80,11 +97,7 @@
     while True:
         numbers = [random.randint(1, 250) for _ in range(3)]
         ip = "127." + ".".join(map(str, numbers))
-        with socket.socket() as probe:
-            try:
-                probe.bind((ip, METRICS_PORT))
-            except OSError:
-                continue
+        if is_free(ip, METRICS_PORT):
             return ip
 
 
@@ -502,13 +515,17 @@
     """One gateway process with a loopback address of its own."""
 
     def __init__(
-        self, name: str, folder: pathlib.Path, store: Store, cloud: Cloud
+        self,
+        name: str,
+        ip: str,
+        ports: list[int],
+        folder: pathlib.Path,
+        store: Store,
+        cloud: Cloud,
     ) -> None:
         self.name = name
-        self.ip = free_loopback_ip()
-        self.port = free_port(self.ip)
-        self.ready_port = free_port(self.ip)
-        self._control_port = free_port(self.ip)
+        self.ip = ip
+        self.port, self.ready_port, self._control_port = ports
         self._folder = folder
         self._store = store
         self._cloud = cloud
@@ -836,9 +853,18 @@
         for worker in workers:
             await worker.start()
             self.workers.append(worker)
+        ips = [free_loopback_ip() for _ in range(self._count)]
+        ports = free_ports(ips, 3)
         self.gateways = [
-            Gateway(f"frontend-{n}", self._folder, self.store, self.cloud)
-            for n in range(1, self._count + 1)
+            Gateway(
+                f"frontend-{n}",
+                ip,
+                ports,
+                self._folder,
+                self.store,
+                self.cloud,
+            )
+            for n, ip in enumerate(ips, 1)
         ]
         self.peer_port = 20000 + random.randint(0, 9000)
         seeds = [gateway.seed for gateway in self.gateways[:3]]
