--- a/review/standins.py
+++ b/review/standins.py
@@ -397,18 +397,14 @@
         self.work_s = work_s
         self._sequence_number = 0
         self._born_ms = int(time.time() * 1000)
-        self._beat_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        """Listen, register and send heartbeats."""
+        """Listen and register; heartbeats alone change no entry."""
         await super().start()
         self.register()
-        self._beat_task = asyncio.create_task(self._beat())
 
     async def close(self) -> None:
         """End; the entry is removed."""
-        if self._beat_task is not None:
-            self._beat_task.cancel()
         self._store.remove(f"servers/{self.worker_id}")
         await super().close()
 
@@ -428,11 +424,6 @@
         }
         self._store.put(f"servers/{self.worker_id}", json.dumps(entry).encode())
 
-    async def _beat(self) -> None:
-        while True:
-            await asyncio.sleep(HEARTBEAT_S)
-            self.register()
-
     def answer_headers(self, request: Request) -> list[str]:
         """Return the headers of a proper answer."""
         headers = [
@@ -887,8 +878,6 @@
     async def close(self) -> None:
         """End everything that was started."""
         for gateway in self.gateways:
-            with contextlib.suppress(ProcessLookupError):
-                gateway.send_signal(signal.SIGCONT)
             gateway.kill()
         for worker in self.workers:
             await worker.close()
