Log how long a lost watch had waited, and suspension of the host

The log couldn't tell a watch on a dead connection from a store that is away, nor a suspended host from a busy event loop: hypotheses 1, 3 and 4 of docs/incidents/silent-connections.md.

--- a/src/shallotfold/_gateway/core/loop_delay.py
+++ b/src/shallotfold/_gateway/core/loop_delay.py
@@ -21,14 +21,27 @@
     interval_s: float
     metrics: Metrics
     _expected_s: float | None = None
-
-    def record(self, now_s: float) -> None:
-        """Record that the call came now, on the boot clock."""
+    _suspended_s: float = 0.0
+
+    def record(self, now_s: float, running_s: float) -> None:
+        """Record that the call came now.
+
+        Args:
+            now_s: Time on the boot clock.
+            running_s: Time on the clock that stands still while the host is
+                suspended.
+        """
+        suspended_before_s = self._suspended_s
+        self._suspended_s = now_s - running_s
         if self._expected_s is not None:
             delay_s = max(0.0, now_s - self._expected_s)
             self.metrics.observe_loop_delay(delay_s)
             if delay_s >= LOGGED_DELAY_S:
                 decision_log.record(
-                    "loop_delayed", delay_ms=round(delay_s * 1000)
+                    "loop_delayed",
+                    delay_ms=round(delay_s * 1000),
+                    suspended_ms=round(
+                        (self._suspended_s - suspended_before_s) * 1000
+                    ),
                 )
         self._expected_s = now_s + self.interval_s
--- a/src/shallotfold/_gateway/following/prefix_watcher.py
+++ b/src/shallotfold/_gateway/following/prefix_watcher.py
@@ -9,6 +9,7 @@
 from shallotfold._errors import HistoryLostError
 from shallotfold._errors import StoreUnavailableError
 from shallotfold._gateway.core import decision_log
+from shallotfold._gateway.core.clocks import boot_s
 from shallotfold._gateway.core.ports import WatchedStore
 from shallotfold._services.ports import StoreChanges
 
@@ -68,6 +69,7 @@
         self._is_enabled = is_enabled
         self._revision: int | None = None
         self._reachable: bool | None = None
+        self._called_s = self._answered_s = boot_s()
         self._task: asyncio.Task[None] | None = None
         self._watch_task: asyncio.Task[StoreChanges] | None = None
         self._restart_requested = False
@@ -83,6 +85,11 @@
         """Whether the last call failed."""
         return self._reachable is False
 
+    @property
+    def read_age_s(self) -> float:
+        """Time since the store last answered a read of the prefix."""
+        return boot_s() - self._answered_s
+
     def check_enabled(self) -> None:
         """End the open watch if this host no longer watches the prefix."""
         if not self._is_enabled():
@@ -111,6 +118,7 @@
                 self._reachable = None
                 await asyncio.sleep(ENABLED_CHECK_INTERVAL_S)
                 continue
+            self._called_s = boot_s()
             try:
                 changed = await self._poll()
             except HistoryLostError as error:
@@ -140,6 +148,7 @@
     async def _poll(self) -> bool:
         if self._revision is None:
             snapshot = await self._store.snapshot(self._prefix)
+            self._answered_s = boot_s()
             self._revision = snapshot.revision
             self._on_snapshot(snapshot)
             if not self._has_settled:
@@ -162,6 +171,7 @@
                 raise
             self._restart_requested = False
             return False
+        self._answered_s = boot_s()
         self._revision = max(self._revision, changes.revision)
         self._on_changes(changes)
         return bool(changes.changed or changes.deleted)
@@ -176,5 +186,7 @@
                 prefix=self._prefix,
                 error=None if error is None else str(error),
                 revision=self._revision,
+                waited_ms=round((boot_s() - self._called_s) * 1000),
+                answered_ms_ago=round(self.read_age_s * 1000),
             )
         self._on_call(error)
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -496,6 +496,7 @@
             "upstreams": len(self._gateway.dispatcher.upstreams_by_id),
             "peers_alive": len(self._peers.alive()),
             "configuration_version": self._fleet_view.configuration_version,
+            "configuration_read_age_seconds": self._watchers[0].read_age_s,
             "upstream_connections_made": self._gateway.pool.connections_made,
             "store_era": self._store.era,
             "holds_duties": float(self._duty_lease.is_held),
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -12,6 +12,7 @@
 
 from shallotfold._gateway.core import decision_log
 from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.core.clocks import running_s
 from shallotfold._gateway.core.loop_delay import LoopDelayMonitor
 from shallotfold._gateway.core.metrics import Metrics
 from shallotfold._gateway.core.model import RequestLimits
@@ -411,7 +412,7 @@
 
     async def _tick(self) -> None:
         now_s = boot_s()
-        self._loop_delay.record(now_s)
+        self._loop_delay.record(now_s, running_s())
         self.deliver(
             events.TimePassed(
                 now_s=now_s,
