--- a/benchmarks/soak/external_services.py
+++ b/benchmarks/soak/external_services.py
@@ -9,6 +9,7 @@
 import re
 import time
 from typing import Any
+import weakref
 
 import attrs
 
@@ -104,11 +105,28 @@
         super().__init__()
         self.standin = StoreStandIn()
         self._renewed_s_by_lease: dict[int, float] = {}
+        self._busy_writers: set[asyncio.StreamWriter] = set()
+        self._silent_writers: weakref.WeakSet[asyncio.StreamWriter] = (
+            weakref.WeakSet()
+        )
+
+    def silence_connections(self) -> None:
+        """Never answer on the connections that wait for a response now."""
+        self._silent_writers |= self._busy_writers
 
     async def handle(
         self, head: bytes, body: bytes, writer: asyncio.StreamWriter
     ) -> None:
         """Answer a call; a watch waits for events until its timeout."""
+        self._busy_writers.add(writer)
+        try:
+            await self._wait_for_events(head)
+        finally:
+            self._busy_writers.discard(writer)
+        if writer not in self._silent_writers:
+            writer.write(self.standin.respond(head + body))
+
+    async def _wait_for_events(self, head: bytes) -> None:
         target = head.split(b" ", 2)[1].decode()
         self._end_leases(target)
         wait_match = re.search(r"WaitTimeoutMs=(\d+)", target)
@@ -116,7 +134,6 @@
         while remaining_s > 0 and not self._has_events(target):
             await asyncio.sleep(WATCH_POLL_INTERVAL_S)
             remaining_s -= WATCH_POLL_INTERVAL_S
-        writer.write(self.standin.respond(head + body))
 
     def _end_leases(self, target: str) -> None:
         """End the leases that were not renewed in time."""
--- a/tests/gateway/fleet_harness.py
+++ b/tests/gateway/fleet_harness.py
@@ -203,6 +203,10 @@
             process._peer_link._transport = None
             await process.close()
 
+    def configuration_version(self, host: int) -> int:
+        """Return the version of the configuration in force on a host."""
+        return self._process_by_host[host]._fleet_view.configuration_version
+
     async def send(self, host: int, *part_ids: str) -> Answer:
         """Send a request whose prompt has these shared parts and its own."""
         request_id = f"{next(self._request_numbers):016x}"
