Let the hosts that watch the store take turns in renewing their watches

Callers got answers by an older version, or 404 on routes that had been added, for up to five seconds after a change had been confirmed.

Cause: a watch whose connection has gone silent looks like one without changes until its timeout (4.5 s in a fleet of nine, 20 s in large ones, and 0.6 s more). A change makes all hosts open their watches at the same moment, so that no host renews its own sooner than the others and none can tell them.

Change: after a change, the first timeouts of the hosts that watch differ by their place among them, so that one of them opens a new watch each half second; each host's timeout is half a second times their number, at least 1 s.

--- a/src/shallotfold/_gateway/following/catch_up.py
+++ b/src/shallotfold/_gateway/following/catch_up.py
@@ -19,7 +19,7 @@
 # A host that is behind a peer first restarts its watches of the store. It
 # fetches the peer's snapshot if it is still behind later, or if the store can't
 # be reached.
-RESTART_WATCHES_AFTER_S = 0.4
+RESTART_WATCHES_AFTER_S = 0.2
 PEER_FETCH_AFTER_S = 1.0
 # Hosts that don't watch the store fetch at different times, so that the later
 # ones find more peers to fetch from.
--- a/src/shallotfold/_gateway/following/prefix_watcher.py
+++ b/src/shallotfold/_gateway/following/prefix_watcher.py
@@ -11,13 +11,15 @@
 from shallotfold._gateway.core import decision_log
 from shallotfold._gateway.core.clocks import boot_s
 from shallotfold._gateway.core.ports import WatchedStore
+from shallotfold._gateway.following.store_followers import WatchTurn
 from shallotfold._services.ports import StoreChanges
 
-# Each watch is a priced call. A single host must soon notice that a response
-# was lost; among many, some other host gets the change and announces it.
-MIN_WATCH_TIMEOUT_S = 4.0
-MAX_WATCH_TIMEOUT_S = 20.0
-WATCH_TIMEOUT_S_PER_HOST = 0.5
+# A watch whose connection is dead looks like one without changes until its
+# timeout. The hosts take turns in ending their watches, so that one of them
+# opens a new one this often, and tells the others what it gets. Each watch is a
+# priced call, so that each host's timeout grows with their number.
+RENEWAL_INTERVAL_S = 0.5
+MIN_WATCH_TIMEOUT_S = 1.0
 # After a failure, a watch this short shows whether the store is back.
 PROBE_TIMEOUT_S = 0.05
 # Changes that follow each other quickly are read as one batch.
@@ -29,10 +31,18 @@
 MAX_BACKOFF_S = 0.8
 
 
-def watch_timeout_s(host_count: int) -> float:
-    """Return the timeout of a watch in a fleet of `host_count` hosts."""
-    scaled_s = host_count * WATCH_TIMEOUT_S_PER_HOST
-    return min(MAX_WATCH_TIMEOUT_S, max(MIN_WATCH_TIMEOUT_S, scaled_s))
+def watch_timeout_s(turn: WatchTurn, *, is_aligned: bool) -> float:
+    """Return the timeout of a watch.
+
+    Args:
+        turn: This host's place among those that watch.
+        is_aligned: Whether the others may open theirs at the same moment, as
+            after a change; the first timeouts then differ by the place.
+    """
+    period_s = max(MIN_WATCH_TIMEOUT_S, turn.count * RENEWAL_INTERVAL_S)
+    if is_aligned:
+        return period_s * (turn.position + 1) / turn.count
+    return period_s
 
 
 class PrefixWatcher:
@@ -45,7 +55,7 @@
         on_snapshot: Callable[[StoreChanges], None],
         on_changes: Callable[[StoreChanges], None],
         on_call: Callable[[Exception | None], None],
-        host_count: Callable[[], int],
+        turn: Callable[[], WatchTurn],
         is_enabled: Callable[[], bool],
     ) -> None:
         """Make a watcher.
@@ -56,7 +66,7 @@
             on_snapshot: Called with all values under the prefix.
             on_changes: Called with the changes of each watch, even if empty.
             on_call: Called after each call with its error, or `None`.
-            host_count: Returns the size of the fleet.
+            turn: Returns this host's place among those that watch.
             is_enabled: Returns whether this host watches the prefix. It reads
                 the prefix once in any case.
         """
@@ -65,9 +75,10 @@
         self._on_snapshot = on_snapshot
         self._on_changes = on_changes
         self._on_call = on_call
-        self._host_count = host_count
+        self._turn = turn
         self._is_enabled = is_enabled
         self._revision: int | None = None
+        self._is_aligned = True
         self._reachable: bool | None = None
         self._called_s = self._answered_s = boot_s()
         self._task: asyncio.Task[None] | None = None
@@ -156,11 +167,13 @@
                 self._record_call(None)
                 await asyncio.sleep(SETTLE_S)
             return False
+        is_probe = not self._reachable
         wait_s = (
-            watch_timeout_s(self._host_count())
-            if self._reachable
-            else PROBE_TIMEOUT_S
+            PROBE_TIMEOUT_S
+            if is_probe
+            else watch_timeout_s(self._turn(), is_aligned=self._is_aligned)
         )
+        self._is_aligned = True
         self._watch_task = asyncio.create_task(
             self._store.watch(self._prefix, self._revision, wait_s)
         )
@@ -174,7 +187,9 @@
         self._answered_s = boot_s()
         self._revision = max(self._revision, changes.revision)
         self._on_changes(changes)
-        return bool(changes.changed or changes.deleted)
+        has_changes = bool(changes.changed or changes.deleted)
+        self._is_aligned = has_changes or is_probe
+        return has_changes
 
     def _record_call(self, error: Exception | None) -> None:
         reachable = error is None
--- a/src/shallotfold/_gateway/following/store_followers.py
+++ b/src/shallotfold/_gateway/following/store_followers.py
@@ -9,6 +9,8 @@
 from collections.abc import Sequence
 import hashlib
 
+import attrs
+
 from shallotfold._gateway.peers.peers import PeerState
 from shallotfold._gateway.peers.peers import StoreAccess
 
@@ -24,12 +26,30 @@
 MAX_TRYING = 12
 
 
+@attrs.frozen(kw_only=True)
+class WatchTurn:
+    """Place of a host among those that watch the store.
+
+    Attributes:
+        position: Number of these hosts before it.
+        count: Number of these hosts, itself included.
+    """
+
+    position: int = 0
+    count: int = 1
+
+
 class StoreFollowers:
-    """Decides whether this host watches the store."""
+    """Decides whether this host watches the store.
+
+    Attributes:
+        turn: This host's place among those that watch, if it does.
+    """
 
     def __init__(self, host: str) -> None:
         self._order_key = _order_key(host)
         self._is_follower = True
+        self.turn = WatchTurn()
 
     @property
     def is_follower(self) -> bool:
@@ -53,9 +73,17 @@
         ]
         working = sum(access is not StoreAccess.FAILING for access in ahead)
         limit = MAX_FOLLOWERS if self._is_follower else FOLLOWERS
-        self._is_follower = len(alive) < SMALL_FLEET or (
+        is_small = len(alive) < SMALL_FLEET
+        self._is_follower = is_small or (
             working < limit and len(ahead) < MAX_TRYING
         )
+        if is_small:
+            count = 1 + sum(
+                peer.store_access is not StoreAccess.FAILING for peer in alive
+            )
+        else:
+            count = FOLLOWERS
+        self.turn = WatchTurn(position=working % count, count=count)
         return self._is_follower
 
 
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -205,7 +205,7 @@
                 fleet_view.apply_configuration,
                 fleet_view.apply_configuration,
                 lambda error: None,
-                self._host_count,
+                lambda: self._followers.turn,
                 self._is_follower,
             ),
             PrefixWatcher(
@@ -214,7 +214,7 @@
                 fleet_view.apply_upstream_snapshot,
                 fleet_view.apply_upstream_changes,
                 fleet_view.record_store_call,
-                self._host_count,
+                lambda: self._followers.turn,
                 self._is_follower,
             ),
         ]
@@ -332,9 +332,6 @@
     def _upstreams(self) -> Iterable[Upstream]:
         return self._gateway.dispatcher.upstreams_by_id.values()
 
-    def _host_count(self) -> int:
-        return len(self._peers.alive()) + 1
-
     def _sharing_host_count(self) -> int:
         """Return between how many hosts a common allowance is divided.
 
--- a/tests/gateway/following/test_store_followers.py
+++ b/tests/gateway/following/test_store_followers.py
@@ -4,6 +4,7 @@
 """
 
 from shallotfold._gateway.core.clocks import boot_s
+from shallotfold._gateway.following.store_followers import FOLLOWERS
 from shallotfold._gateway.following.store_followers import MAX_TRYING
 from shallotfold._gateway.following.store_followers import StoreFollowers
 from shallotfold._gateway.peers.peers import PeerState
@@ -105,3 +106,30 @@
 
 def test_a_host_that_knows_no_peer_watches() -> None:
     assert StoreFollowers("h1").update([])
+
+
+def test_hosts_that_watch_have_different_turns() -> None:
+    """Two hosts with one turn leave a gap in which none renews its watch."""
+    fleet = Fleet(9)
+    fleet.watching()
+    turns = [f.turn for f in fleet.followers_by_name.values()]
+    assert sorted(turn.position for turn in turns) == list(range(9))
+    assert {turn.count for turn in turns} == {9}
+    # The store refuses three of them: their turns go to the others.
+    fleet.without_store = set(list(fleet.followers_by_name)[:3])
+    fleet.watching()
+    turns = [
+        followers.turn
+        for name, followers in fleet.followers_by_name.items()
+        if name not in fleet.without_store
+    ]
+    assert sorted(turn.position for turn in turns) == list(range(6))
+    assert {turn.count for turn in turns} == {6}
+
+
+def test_turns_of_a_large_fleet_are_all_taken() -> None:
+    fleet = Fleet(195)
+    watching = fleet.watching()
+    turns = [fleet.followers_by_name[name].turn for name in watching]
+    assert {turn.position for turn in turns} == set(range(FOLLOWERS))
+    assert {turn.count for turn in turns} == {FOLLOWERS}
