Check the type and range of every field of the store's documents

Callers' requests went to a server that is no upstream, or on to one that was leaving; versions of the configuration after an invalid one weren't taken, where that had text for its version.

Cause: the decoder converted values instead of checking them: int() and float() take text, booleans, fractions and infinities, and raise errors of other types for some. Such an error left the decoder, and ended each change of the whole list of upstreams.

Registrations are decoded once for each change of theirs instead of at every change of the list. What is invalid is logged with its field and revision and counted.

--- a/src/shallotfold/_gateway/core/metrics.py
+++ b/src/shallotfold/_gateway/core/metrics.py
@@ -37,6 +37,12 @@
             ["signal"],
             registry=self._registry,
         )
+        self._invalid_documents = Counter(
+            f"{PREFIX}_invalid_documents",
+            "Documents in the store, or from peers, that were ignored.",
+            ["kind"],
+            registry=self._registry,
+        )
         self._peer_datagrams = Counter(
             f"{PREFIX}_peer_datagrams",
             "Datagrams between hosts by what they carry.",
@@ -76,6 +82,10 @@
         """Count a wish that an upstream stated in a response."""
         self._upstream_signals.labels(signal).inc()
 
+    def count_invalid_document(self, kind: str) -> None:
+        """Count a document that was ignored because it is invalid."""
+        self._invalid_documents.labels(kind).inc()
+
     def count_peer_datagrams(
         self, direction: str, message_type: str, count: int, size: int
     ) -> None:
--- a/src/shallotfold/_gateway/following/fleet_view.py
+++ b/src/shallotfold/_gateway/following/fleet_view.py
@@ -9,7 +9,6 @@
 import zlib
 
 import attrs
-from loguru import logger
 import msgpack
 
 from shallotfold._gateway.core import decision_log
@@ -18,6 +17,12 @@
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.core.ports import Dialect
 from shallotfold._gateway.following.leaving_upstreams import LeavingUpstreams
+from shallotfold._gateway.following.registration_decoder import (
+    MAX_LOGGED_CHARACTERS,
+)
+from shallotfold._gateway.following.registration_decoder import (
+    RegistrationDecoder,
+)
 from shallotfold._gateway.following.upstream_registry import UpstreamRegistry
 from shallotfold._gateway.peers.change_messages import UpstreamChanges
 from shallotfold._gateway.serving.gateway import Gateway
@@ -70,6 +75,7 @@
         self._on_store_restored = on_store_restored
         # Up to here peers have got the changes, or can fetch a snapshot.
         self._announced_revision = 0
+        self._decoder = RegistrationDecoder(dialect, gateway.metrics)
         self._encoded_snapshot: tuple[tuple[int, int, int], bytes] | None = None
         self._configuration = StoredValue("", b"", 0)
         self.registry = UpstreamRegistry()
@@ -302,7 +308,14 @@
         try:
             configuration = self._dialect.read_configuration(value.value)
         except ValueError as error:
-            logger.error("Configuration from {} rejected: {}", source, error)
+            self._gateway.metrics.count_invalid_document("configuration")
+            decision_log.record(
+                "configuration_refused",
+                source=source,
+                revision=value.revision,
+                version_in_force=self.configuration_version,
+                error=str(error)[:MAX_LOGGED_CHARACTERS],
+            )
             return
         previous_version = self.configuration_version
         if configuration.version <= previous_version:
@@ -329,21 +342,10 @@
         }
 
     def _apply_upstreams(self, source: str) -> None:
-        usable: dict[str, Upstream] = {}
-        documents = self.registry.documents_by_id()
-        for upstream_id, (document, _) in documents.items():
-            try:
-                upstream = self._dialect.read_upstream(upstream_id, document)
-            except ValueError as error:
-                logger.info(
-                    "Upstream {} ignored; its registration is invalid: {}",
-                    upstream_id,
-                    error,
-                )
-                continue
+        usable = self._decoder.decode(self.registry.documents_by_id())
+        for upstream_id, upstream in usable.items():
             if self.leaving.includes(upstream, boot_s()):
-                upstream = attrs.evolve(upstream, draining=True)
-            usable[upstream_id] = upstream
+                usable[upstream_id] = attrs.evolve(upstream, draining=True)
         previous = self._gateway.dispatcher.upstreams_by_id
         if dict(previous) == usable:
             return
--- a/tests/gateway/following/test_fleet_view.py
+++ b/tests/gateway/following/test_fleet_view.py
@@ -1,14 +1,17 @@
 """Check a host's view of the fleet and how it catches up with peers."""
 
 import asyncio
+from collections.abc import Mapping
 import json
 from typing import Any
 import zlib
 
 import pytest
 
+from shallotfold._gateway.core import decision_log
 from shallotfold._gateway.core.clocks import boot_s
 from shallotfold._gateway.core.metrics import Metrics
+from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.core.periodic_task import PeriodicTask
 from shallotfold._gateway.deciding.dispatcher import Dispatcher
 from shallotfold._gateway.deciding.placement import Placement
@@ -470,3 +473,152 @@
     def test_bad_snapshot_is_refused(self, data: bytes) -> None:
         with pytest.raises(ValueError, match="snapshot"):
             Host().view.apply_peer_snapshot("h1", data)
+
+
+class TestOddDocuments:
+    """One odd entry stopped all changes of the list on all hosts.
+
+    Upstreams that left went on getting requests, and new ones got none.
+    """
+
+    ODD = (
+        b"[" * 100_000,
+        json.dumps({**REGISTRATION, "Slots": float("inf")}).encode(),
+        json.dumps({**REGISTRATION, "Slots": 10**400}).encode(),
+        json.dumps({**REGISTRATION, "Address": "10.0.0.9:99999"}).encode(),
+        json.dumps({**REGISTRATION, "Slots": "16"}).encode(),
+    )
+
+    @staticmethod
+    def values(
+        documents_by_name: Mapping[str, bytes], revision: int
+    ) -> tuple[StoredValue, ...]:
+        return tuple(
+            StoredValue(f"{DIALECT.upstreams_prefix}{name}", document, revision)
+            for name, document in documents_by_name.items()
+        )
+
+    @pytest.mark.parametrize("odd", ODD)
+    def test_odd_entry_in_a_watch_hides_no_change(self, odd: bytes) -> None:
+        host = Host()
+        host.register("a", "b")
+        host.view.apply_upstream_changes(
+            StoreChanges(6, self.values({"odd": odd}, 6), (), 6)
+        )
+        host.register("c", revision=7)
+        host.unregister("a", revision=8)
+        assert host.upstreams == {"b", "c"}
+
+    @pytest.mark.parametrize("odd", ODD)
+    def test_odd_entry_in_a_snapshot_hides_no_other(self, odd: bytes) -> None:
+        host = Host()
+        sound = json.dumps(REGISTRATION).encode()
+        values = self.values({"a": sound, "odd": odd, "b": sound}, 6)
+        host.view.apply_upstream_snapshot(StoreChanges(6, values, ()))
+        assert host.upstreams == {"a", "b"}
+
+    @pytest.mark.parametrize("odd", ODD)
+    def test_odd_entry_from_a_peer_hides_no_other(self, odd: bytes) -> None:
+        peer, host = Host(), Host()
+        sound = json.dumps(REGISTRATION).encode()
+        values = self.values({"a": sound, "odd": odd, "b": sound}, 6)
+        peer.view.apply_upstream_snapshot(StoreChanges(6, values, ()))
+        host.view.apply_peer_snapshot("peer", peer.view.encode_snapshot())
+        assert host.upstreams == {"a", "b"}
+
+    @pytest.mark.parametrize("odd", ODD)
+    def test_entry_names_an_upstream_while_it_is_sound(
+        self, odd: bytes
+    ) -> None:
+        host = Host()
+        host.register("a", "b", revision=5)
+        host.view.apply_upstream_changes(
+            StoreChanges(6, self.values({"a": odd}, 6), (), 6)
+        )
+        assert host.upstreams == {"b"}
+        host.register("a", revision=7)
+        assert host.upstreams == {"a", "b"}
+
+    def test_odd_entry_is_counted_and_logged_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        lines: list[dict[str, Any]] = []
+        monkeypatch.setattr(
+            decision_log,
+            "record",
+            lambda decision, **inputs: lines.append(
+                {"decision": decision, **inputs}
+            ),
+        )
+        host = Host()
+        host.view.apply_upstream_changes(
+            StoreChanges(6, self.values({"odd": self.ODD[4]}, 6), (), 6)
+        )
+        host.register("a", revision=7)
+        host.register("b", revision=8)
+        ignored = [x for x in lines if x["decision"] == "registration_ignored"]
+        assert [(x["upstream"], x["revision"]) for x in ignored] == [("odd", 6)]
+        assert "Slots" in ignored[0]["error"]
+        page = host.gateway.metrics.render({}).decode()
+        assert 'invalid_documents_total{kind="registration"} 1.0' in page
+
+    def test_registration_is_decoded_only_when_it_changes(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        decoded: list[str] = []
+        read_upstream = PlatformDialect.read_upstream
+
+        def count(
+            dialect: PlatformDialect, upstream_id: str, document: bytes
+        ) -> Upstream:
+            decoded.append(upstream_id)
+            return read_upstream(dialect, upstream_id, document)
+
+        monkeypatch.setattr(PlatformDialect, "read_upstream", count)
+        host = Host()
+        host.register("a", "b")
+        host.register("c", revision=6)
+        host.register("a", revision=7, started_ms=2000)
+        assert decoded == ["a", "b", "c", "a"]
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"Version": "900"},
+            {"Version": 900.5},
+            {"Version": True},
+            {"Version": float("inf")},
+            {"Version": 2**70},
+            {
+                "Routes": [
+                    {
+                        "Name": "lost",
+                        "Host": "a.example",
+                        "PathPrefix": "/",
+                        "Kind": "idempotent",
+                        "TimeoutMs": 500,
+                        "Service": "absent",
+                    }
+                ]
+            },
+        ],
+    )
+    def test_invalid_configuration_doesn_t_keep_the_next_one_out(
+        self, changes: dict[str, Any], monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Text for a version was in force with a number that none exceeded."""
+        decisions: list[str] = []
+        monkeypatch.setattr(
+            decision_log,
+            "record",
+            lambda decision, **_: decisions.append(decision),
+        )
+        host = Host()
+        host.configure(7)
+        host.configure(8, **changes)
+        assert host.view.configuration_version == 7
+        assert "configuration_refused" in decisions
+        host.configure(9)
+        assert host.view.configuration_version == 9
+        page = host.gateway.metrics.render({}).decode()
+        assert 'invalid_documents_total{kind="configuration"} 1.0' in page
