Answer requests that are open when a planned stop ends

Report of another operator: requests that came late in the grace were passed on and cut at its end without an answer.

Cause: the end of the grace period closed the connections of open requests.

Change: at the end, the dispatcher ends each open request: with the held failure of its upstream if there is one, else with 502, which promises nothing. A stream that has begun is broken off. What arrives after that is refused unrun.

--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -133,6 +133,7 @@
             events.PeerLimitsReceived: self._on_peer_limits,
             events.PeerCrashesReceived: self._on_peer_crashes,
             events.StoredHoldsRead: self._on_stored_holds,
+            events.ServingEnded: self._on_serving_ended,
             events.TimePassed: self._on_time_passed,
         }
 
@@ -360,6 +361,13 @@
                 due_effects += self._switch_upstream(request, event.now_s)
         return due_effects
 
+    def _on_serving_ended(self, event: events.ServingEnded) -> Effects:
+        del event
+        ending_effects: Effects = []
+        for request in list(self._open_requests.values()):
+            ending_effects += self._abandon(request, "this host has stopped")
+        return ending_effects
+
     # Attempts, retries and final responses.
 
     def _send(self, request: _OpenRequest, now_s: float) -> Effects:
@@ -504,16 +512,22 @@
         return [effects.CancelAttempt(request=request.request), *retry_effects]
 
     def _time_out(self, request: _OpenRequest, now_s: float) -> Effects:
+        if request.upstream and request.last_progress_s is None:
+            self.placement.health.record_failure(request.upstream, now_s)
+        return self._abandon(request, "time ran out", timed_out=True)
+
+    def _abandon(
+        self, request: _OpenRequest, reason: str, *, timed_out: bool = False
+    ) -> Effects:
+        """End a request although an upstream may still work on it."""
         cancel: Effects = []
         if request.upstream:
-            if request.last_progress_s is None:
-                self.placement.health.record_failure(request.upstream, now_s)
             self._end_attempt(request)
             request.may_have_run = True
             cancel = [effects.CancelAttempt(request=request.request)]
         if request.failure_held and not request.response_started:
             return cancel + self._deliver_failure(request)
-        return cancel + self._fail(request, "time ran out", timed_out=True)
+        return cancel + self._fail(request, reason, timed_out=timed_out)
 
     def _give_up(
         self, request: _OpenRequest, reason: str, now_s: float
--- a/src/shallotfold/_gateway/deciding/events.py
+++ b/src/shallotfold/_gateway/deciding/events.py
@@ -211,6 +211,11 @@
     holds: Sequence[tuple[str, ...]]
 
 
+@attrs.frozen(kw_only=True)
+class ServingEnded(Event):
+    """The host is about to stop; what is open now can't be answered later."""
+
+
 @attrs.frozen(kw_only=True)
 class TimePassed(Event):
     """Time has passed; sent periodically while the process runs.
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -167,6 +167,8 @@
 
         Callers may use an idle connection until it is closed, so idle ones stay
         open at first. What arrives in the last moments couldn't be answered.
+        Requests that are still open at the end get their final response then:
+        without one, a caller can't tell what became of them.
         """
         last_request_s = self.shutdown_ends_s - LAST_REQUESTS_BEFORE_END_S
         await asyncio.sleep(max(0.0, last_request_s - boot_s()))
@@ -175,6 +177,7 @@
         while self._connections and boot_s() < self.shutdown_ends_s:
             self._close_idle_connections()
             await asyncio.sleep(TICK_INTERVAL_S)
+        self.deliver(events.ServingEnded(now_s=boot_s()))
 
     def _close_idle_connections(self) -> None:
         for connection in list(self._connections):
@@ -372,6 +375,8 @@
         if self.shutdown_started_s is None:
             return False
         now_s = boot_s()
+        if now_s >= self.shutdown_ends_s:
+            return True
         return (
             now_s > self.shutdown_started_s + SHUTDOWN_ACCEPT_ALL_S
             and now_s + timeout_s > self.shutdown_ends_s
--- a/tests/gateway/serving/test_shutdown.py
+++ b/tests/gateway/serving/test_shutdown.py
@@ -1,7 +1,7 @@
 """Check that a planned stop under load cuts off no request.
 
-Requests that arrived in the last moments of the grace period were passed on and
-then cut off without an answer.
+Requests that arrived late in the grace period were passed on, and cut off
+without an answer at its end, among them ones that may run only once.
 """
 
 import asyncio
@@ -9,8 +9,12 @@
 import pytest
 
 from shallotfold._gateway.serving import gateway
+from tests.gateway.backends import Backend
 from tests.gateway.serving.harness import GatewayHarness
+from tests.gateway.serving.harness import request
 from tests.gateway.serving.harness import run_scenario
+from tests.gateway.serving.harness import signed_response
+from tests.gateway.serving.harness import status_of
 
 WORK_S = 0.2
 GRACE_S = 1.0
@@ -96,3 +100,110 @@
         assert answered >= 8
 
     run_scenario([backend], scenario)  # type: ignore[list-item]
+
+
+def answer_nothing(_: bytes) -> bytes:
+    return b""
+
+
+@pytest.mark.parametrize(
+    ("path", "method"),
+    [
+        ("/book/1", "POST"),
+        ("/lookup/1", "GET"),
+        ("/talk/1", "POST"),
+        ("/chat/1", "POST"),
+    ],
+)
+def test_request_that_is_open_at_the_end_gets_a_final_answer(
+    path: str, method: str
+) -> None:
+    """It may have run, so that the answer must not promise that it hasn't."""
+    grace_s = 0.4
+
+    async def scenario(harness: GatewayHarness) -> None:
+        caller = asyncio.create_task(
+            harness.send(request(path, method=method, body=b"x"))
+        )
+        await asyncio.sleep(0.1)
+        harness.gateway.begin_shutdown(grace_s)
+        await harness.gateway.drain()
+        await harness.gateway.close()
+        response = await caller
+        assert status_of(response) in {502, 504}
+        assert b"connection: close" in response.lower()
+        assert harness.gateway.dispatcher.open_requests == 0
+
+    run_scenario([Backend(answer_nothing)], scenario)
+
+
+def test_stream_that_has_begun_is_broken_off_at_the_end() -> None:
+    """Its end must not look like that of a whole stream."""
+
+    def begin_stream(_: bytes) -> bytes:
+        return (
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: 77\r\nResponse-Signature: s\r\n"
+            b"Content-Type: text/event-stream\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+            b"f\r\nid: 1\ndata: a\n\n\r\n"
+        )
+
+    async def scenario(harness: GatewayHarness) -> None:
+        caller = asyncio.create_task(
+            harness.send(request("/chat/1", method="POST", body=b"x"))
+        )
+        await asyncio.sleep(0.2)
+        harness.gateway.begin_shutdown(0.3)
+        await harness.gateway.drain()
+        await harness.gateway.close()
+        response = await caller
+        assert b"data: a" in response
+        assert not response.endswith(b"0\r\n\r\n")
+        assert response.count(b"HTTP/1.1") == 1
+
+    run_scenario([Backend(begin_stream)], scenario)
+
+
+def test_late_request_that_may_outlast_the_stop_is_refused_unrun(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(gateway, "SHUTDOWN_ACCEPT_ALL_S", 0.1)
+    monkeypatch.setattr(gateway, "LAST_REQUESTS_BEFORE_END_S", 0.2)
+    backend = Backend(lambda _: signed_response())
+
+    async def scenario(harness: GatewayHarness) -> None:
+        harness.gateway.begin_shutdown(1.0)
+        stop = asyncio.create_task(harness.gateway.drain())
+        # The route's timeout, 0.6 s, ends before the process does.
+        await asyncio.sleep(0.2)
+        early = await harness.send(request("/book/1", method="POST", body=b"x"))
+        assert status_of(early) == 200
+        await asyncio.sleep(0.4)
+        late = await harness.send(request("/book/1", method="POST", body=b"x"))
+        assert status_of(late) == 503
+        assert b"retry-after:" in late.lower()
+        assert len(backend.requests) == 1
+        await stop
+
+    run_scenario([backend], scenario)
+
+
+def test_request_after_the_end_is_refused_unrun() -> None:
+    """The process closes its other parts before the callers' connections."""
+    backend = Backend(lambda _: signed_response())
+
+    async def scenario(harness: GatewayHarness) -> None:
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", harness.port
+        )
+        writer.write(request("/book/1", method="POST", body=b"x")[:-1])
+        await asyncio.sleep(0.05)
+        harness.gateway.begin_shutdown(0.1)
+        await harness.gateway.drain()
+        writer.write(b"x")
+        response = await reader.read(4096)
+        assert status_of(response) == 503
+        assert not backend.requests
+        writer.close()
+
+    run_scenario([backend], scenario)
