--- a/benchmarks/platform_days.py
+++ b/benchmarks/platform_days.py
@@ -138,7 +138,32 @@
         ("replace_core", "planned", "x = 2.0"),
     ],
 }
-
+# Faults, each with a planned change that follows it.
+CHANGES_AFTER_FAULTS: dict[str, list[tuple[Event, Event]]] = {
+    "silent-connections": [
+        (
+            ("reset_conns", "silent", "share = 1.0, x = 1.0"),
+            ("config_change", "route", ""),
+        ),
+        (
+            ("reset_conns", "silent", "share = 0.6, x = 0.8"),
+            ("config_change", "weights", ""),
+        ),
+        (
+            ("reset_conns", "silent", "share = 1.0, x = 1.0"),
+            ("scale_in", "", "share = 0.2"),
+        ),
+        (
+            ("reset_conns", "silent", "share = 1.0, x = 1.0"),
+            ("config_storm", "", "for_s = 4.0, gap_s = 0.3"),
+        ),
+        (
+            ("reset_conns", "silent", "share = 1.0, x = 1.0"),
+            ("revoke", "", "count = 2, gap_s = 0.1"),
+        ),
+    ],
+}
+CHANGE_DELAY_S = 0.3
 
 PAIR_DAYS = 12
 PAIRS_PER_DAY = 4
@@ -177,6 +202,19 @@
     ]
 
 
+def followed_rows(
+    pairs: list[tuple[Event, Event]],
+) -> dict[str, list[str]]:
+    """Return rows for faults, each with its change shortly after it."""
+    gap_s = DAY_LENGTH_S * 0.8 / len(pairs)
+    rows_by_table: dict[str, list[str]] = {"plan": [], "faults": []}
+    for number, (fault, change) in enumerate(pairs):
+        at_s = 1.0 + number * gap_s
+        rows_by_table["faults"].append(render_row(at_s, fault))
+        rows_by_table["plan"].append(render_row(at_s + CHANGE_DELAY_S, change))
+    return rows_by_table
+
+
 def paired_rows(
     rng: random.Random, *, site_dependent: bool
 ) -> dict[str, list[str]]:
@@ -218,6 +256,9 @@
         for name, events in events_by_file.items():
             text = render_day(name, {table: sequential_rows(events)})
             (folder / f"{name}.toml").write_text(text)
+    for name, pairs in CHANGES_AFTER_FAULTS.items():
+        text = render_day(name, followed_rows(pairs))
+        (folder / f"{name}.toml").write_text(text)
     rng = random.Random(arguments.pairs_seed)
     for number in range(PAIR_DAYS):
         name = f"pairs-{number + 1:02}"
