Handle an upstream's small chunks in a time linear in their bytes

Cause: each chunk of a read was one call of the splitter, which copied and searched the whole incomplete event again, up to 1 MB. Each blank line was an event of its own. One read followed the other without a pause.

Change: the parts of a body in one read are passed on together; the splitter searches only what is new; further blank lines belong to the event before them. A read that takes more than 2 ms is followed by a pause as long, 20 ms at most, so that others have half of the loop.

Other readers: callers' bodies and the HTTP client append to one buffer, which is linear; they weren't changed.

--- a/src/shallotfold/_gateway/http/event_stream.py
+++ b/src/shallotfold/_gateway/http/event_stream.py
@@ -9,7 +9,11 @@
 # A line ends with CRLF, LF or CR, and a blank line ends an event. CR LF is one
 # line end, not two.
 _LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
-_EVENT_END = re.compile(_LINE_END + _LINE_END)
+# Further blank lines belong to the event before them, so that many of them
+# aren't as many events.
+_EVENT_END = re.compile(_LINE_END + _LINE_END + rb"+")
+# An event may end in the next bytes if the last ones are a line end.
+_MAX_LINE_END_BYTES = 2
 
 
 @attrs.frozen
@@ -37,12 +41,14 @@
     """Buffers stream data and returns the events that are complete."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        # No event ends before this position.
+        self._searched_to = 0
 
     @property
     def incomplete_event(self) -> bytes:
         """Bytes after the last complete event."""
-        return self._buffer
+        return bytes(self._buffer)
 
     @property
     def inside_event(self) -> bool:
@@ -55,19 +61,19 @@
         Raises:
             ValueError: An event is larger than `MAX_EVENT_BYTES`.
         """
-        data = self._buffer + data
+        self._buffer += data
         events = []
         start = 0
         while True:
-            event_end = _EVENT_END.search(data, start)
+            event_end = _EVENT_END.search(self._buffer, self._searched_to)
             if event_end is None:
                 break
             end = event_end.end()
-            events.append(
-                StreamEvent(data[start:end], _event_id(data[start:end]))
-            )
-            start = end
-        self._buffer = data[start:]
+            event = bytes(self._buffer[start:end])
+            events.append(StreamEvent(event, _event_id(event)))
+            start = self._searched_to = end
+        del self._buffer[:start]
+        self._searched_to = max(0, len(self._buffer) - _MAX_LINE_END_BYTES)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError("an event of the stream is too large")
         return events
--- a/src/shallotfold/_gateway/http/upstream_connection.py
+++ b/src/shallotfold/_gateway/http/upstream_connection.py
@@ -4,6 +4,7 @@
 import errno
 from http import HTTPStatus
 import socket
+import time
 from typing import Protocol
 from typing import cast
 
@@ -25,6 +26,11 @@
 # chunks need more framing than data.
 MAX_OVERHEAD_BYTES = 131_072
 MAX_OVERHEAD_PER_BODY_BYTE = 16
+# A read whose bytes take longer than this to handle is followed by a pause as
+# long, so that all else on the host gets its turn. The pause is bounded since
+# the process may have been stopped meanwhile.
+MAX_UNPAUSED_READ_S = 0.002
+MAX_READ_PAUSE_S = 0.02
 
 
 class ResponseListener(Protocol):
@@ -80,6 +86,10 @@
         self._received_bytes = 0
         self._body_bytes = 0
         self._head_bytes = 0
+        # Parts of the body in the bytes of one read. Each may be one byte, so
+        # that the listener gets them together.
+        self._body_parts: list[bytes] = []
+        self._resume_timer: asyncio.TimerHandle | None = None
         self.reusable = False
         self.idle_since_s = self._loop.time()
         self.keep_alive_s = 0.0
@@ -108,16 +118,6 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def pause(self) -> None:
-        """Stop reading until `resume` is called."""
-        if self._transport is not None:
-            self._transport.pause_reading()
-
-    def resume(self) -> None:
-        """Start reading again."""
-        if self._transport is not None:
-            self._transport.resume_reading()
-
     @property
     def connected(self) -> bool:
         """Whether the connection is open, as far as is known."""
@@ -140,6 +140,8 @@
         """End the current response."""
         self._transport = None
         self.reusable = False
+        if self._resume_timer is not None:
+            self._resume_timer.cancel()
         if self._close_delimited and exc is None and self._listener is not None:
             self._complete()
             return
@@ -161,7 +163,29 @@
         return False
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes."""
+        """Parse received bytes; pause reading if they took long."""
+        started_s = time.monotonic()
+        self._handle_data(data)
+        work_s = time.monotonic() - started_s
+        if work_s > MAX_UNPAUSED_READ_S and self._transport is not None:
+            self._pause_reading(self._transport, min(work_s, MAX_READ_PAUSE_S))
+
+    def _pause_reading(
+        self, transport: asyncio.Transport, pause_s: float
+    ) -> None:
+        if transport.is_closing() or not transport.is_reading():
+            return
+        transport.pause_reading()
+        self._resume_timer = self._loop.call_later(
+            pause_s, self._resume_reading
+        )
+
+    def _resume_reading(self) -> None:
+        self._resume_timer = None
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _handle_data(self, data: bytes) -> None:
         if self._listener is None:
             # No request is pending, so these bytes belong to none.
             self._close()
@@ -172,10 +196,12 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
+            self._pass_body_on()
             self._surplus_data = True
             self._fail(f"malformed answer: {e}")
             self._close()
             return
+        self._pass_body_on()
         excess = None if self._completed else self._find_excess()
         if excess is not None:
             logger.info(
@@ -233,13 +259,22 @@
         )
 
     def on_body(self, body: bytes) -> None:
-        """Pass a part of the body on."""
+        """Collect a part of the body."""
         if not self._skipping and self._listener is not None:
             self._body_bytes += len(body)
-            self._listener.on_data(body)
+            self._body_parts.append(body)
+
+    def _pass_body_on(self) -> None:
+        """Pass on the parts of the body in the bytes that were just read."""
+        if self._body_parts:
+            body = b"".join(self._body_parts)
+            self._body_parts.clear()
+            if self._listener is not None:
+                self._listener.on_data(body)
 
     def on_message_complete(self) -> None:
         """Handle the end of a response."""
+        self._pass_body_on()
         self._in_response = False
         self._in_body = False
         # The parser resets its value after the callback.
--- a/tests/gateway/http/test_endless_responses.py
+++ b/tests/gateway/http/test_endless_responses.py
@@ -33,6 +33,15 @@
         super().__init__()
         self.ended = False
 
+    def is_reading(self) -> bool:
+        return not self.ended
+
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
     def write(self, data: bytes) -> None:  # type: ignore[override]
         pass
 
