Don't take the end of a skipped answer for that of the awaited one

Cause: the framing of an answer was noted before the listener said whether the answer is its own; the orderly end of the connection then completed the request, without a head.

Change: framing is noted for the own answer only. An attempt without a head that ends counts as broken.

--- a/src/shallotfold/_gateway/http/upstream_connection.py
+++ b/src/shallotfold/_gateway/http/upstream_connection.py
@@ -244,10 +244,6 @@
             self._skipping = True
             return
         value_by_name = {name.lower(): value for name, value in self._headers}
-        self._close_delimited = (
-            response_framing(self._status, self._headers)
-            is BodyFraming.CONNECTION_CLOSE
-        )
         self.keep_alive_s = _parse_keep_alive_s(
             value_by_name.get(b"keep-alive", b"")
         )
@@ -257,6 +253,11 @@
             self._reason,
             self._headers,
         )
+        # The end of a response to another request ends no other.
+        self._close_delimited = not self._skipping and (
+            response_framing(self._status, self._headers)
+            is BodyFraming.CONNECTION_CLOSE
+        )
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
--- a/src/shallotfold/_gateway/serving/attempt.py
+++ b/src/shallotfold/_gateway/serving/attempt.py
@@ -216,6 +216,9 @@
         """Report the end of the response."""
         if not self._handler.is_current(self):
             return
+        if self.framing is None:
+            self._handler.on_broken(self, "the response has no head")
+            return
         if not self._is_stream:
             self._handler.on_response_complete(self)
             return
--- a/tests/gateway/http/test_upstream_connection.py
+++ b/tests/gateway/http/test_upstream_connection.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 
 import attrs
+from hypothesis import given
+from hypothesis import strategies as st
 import pytest
 
 from shallotfold._gateway.http.messages import Headers
@@ -12,6 +14,7 @@
 from shallotfold._runtime.loop import new_event_loop
 from tests.gateway.backends import Backend
 from tests.gateway.backends import complete_response
+from tests.gateway.http.test_endless_responses import FakeTransport
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
 
@@ -172,3 +175,74 @@
         )
     )
     assert not state.reusable
+
+
+@attrs.frozen
+class ScriptedResponse:
+    """One response that an upstream may send, and whose it is."""
+
+    data: bytes
+    is_own: bool
+    ends_connection: bool = False
+
+
+OWN_BODY = b"mine!"
+STALE_BODY = b"other"
+RESPONSES = [
+    ScriptedResponse(
+        b"HTTP/1.1 200 OK\r\n" + id_line + framing + b"\r\n" + body,
+        is_own=is_own,
+        ends_connection=not framing,
+    )
+    for is_own, id_line, content in (
+        (True, b"Id: mine\r\n", OWN_BODY),
+        (False, b"Id: other\r\n", STALE_BODY),
+    )
+    for framing, body in (
+        (b"Content-Length: 5\r\n", content),
+        (
+            b"Transfer-Encoding: chunked\r\n",
+            b"5\r\n" + content + b"\r\n0\r\n\r\n",
+        ),
+        (b"", content),
+    )
+]
+INTERIM = ScriptedResponse(b"HTTP/1.1 102 Processing\r\n\r\n", is_own=False)
+
+
+@given(
+    st.lists(st.sampled_from([*RESPONSES, INTERIM]), max_size=4),
+    st.integers(0, 400),
+    st.integers(1, 80),
+)
+def test_only_the_own_response_completes_a_request(
+    responses: list[ScriptedResponse], cut: int, part_bytes: int
+) -> None:
+    """The end of a skipped response without a length passed for the own end."""
+    sent: list[ScriptedResponse] = []
+    for response in responses:
+        sent.append(response)
+        if response.ends_connection:
+            break
+    data = b"".join(response.data for response in sent)[:cut]
+    listener = RecordingListener()
+
+    async def receive() -> None:
+        connection, transport = UpstreamConnection(), FakeTransport()
+        connection.connection_made(transport)
+        connection.send(REQUEST, listener)
+        for start in range(0, len(data), part_bytes):
+            if not transport.ended:
+                connection.data_received(data[start : start + part_bytes])
+        connection.connection_lost(None)
+
+    asyncio.run(receive())
+    own = [response for response in sent if response.is_own]
+    if listener.outcome == "complete":
+        assert own
+        # An orderly end completes what has no length.
+        assert listener.body == OWN_BODY or own[0].ends_connection
+        assert OWN_BODY.startswith(listener.body)
+    else:
+        assert listener.outcome.startswith("failed")
+    assert STALE_BODY not in listener.body
--- a/tests/gateway/serving/test_faulty_upstreams.py
+++ b/tests/gateway/serving/test_faulty_upstreams.py
@@ -188,3 +188,29 @@
     run_scenario(
         [Backend(lambda _: b"", close=True) for _ in range(2)], scenario
     )
+
+
+@pytest.mark.parametrize(("path", "method"), PATHS)
+def test_late_copy_of_an_answer_without_a_length_ends_no_other_answer(
+    path: str, method: str
+) -> None:
+    """Callers got an answer with status 0 and nothing else."""
+
+    def respond(sent: bytes) -> bytes:
+        if b"Attempt-Id: 78" not in sent:
+            return signed_response()
+        backend.close = True
+        return (
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: 77\r\n"
+            b"Response-Signature: s\r\n\r\nlate"
+        )
+
+    backend = Backend(respond)
+
+    async def scenario(harness: GatewayHarness) -> None:
+        assert status_of(await harness.send(request())) == 200
+        response = await harness.send(second_request(path, method))
+        assert status_of(response) in UNKNOWN_OUTCOMES
+        assert b"late" not in response
+
+    run_scenario([backend], scenario)
