Don't pass on a refusal that an upstream doesn't prove

Cause: an upstream's own 503, 429 or 408 without its word that it hasn't run the request counted as run, but was handed on with that status, which promises the opposite.

Change: it is a failure of the upstream. A repeatable request is tried again; the final answer is the gateway's own 502, without the upstream's signature, and names the status. Log and metrics show it as upstream_failed, as before for 503.

Weighed: handing on the status on routes whose requests may be repeated (another meaning of a status by kind of route, for nothing: callers repeat those after any failure).

--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -34,7 +34,8 @@
 from shallotfold._gateway.serving.stream_response import StreamResponse
 from shallotfold._model.events import Event
 
-# Each says that the request hasn't run.
+# To callers, each says that the request hasn't run. An upstream says so in a
+# header; its statuses alone don't.
 REFUSAL_STATUSES = (
     HTTPStatus.REQUEST_TIMEOUT,
     HTTPStatus.MISDIRECTED_REQUEST,
@@ -199,6 +200,13 @@
         if failed_attempt is None or self._head_written:
             self.respond(HTTPStatus.BAD_GATEWAY, "upstream failed", None)
             return
+        if failed_attempt.status in REFUSAL_STATUSES:
+            self.respond(
+                HTTPStatus.BAD_GATEWAY,
+                f"upstream failed with status {failed_attempt.status}",
+                None,
+            )
+            return
         self._write_response(failed_attempt)
 
     # The connection calls this.
@@ -402,7 +410,10 @@
         if self._head_written:
             self.on_broken(attempt, f"resumed with status {attempt.status}")
             return
-        if attempt.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        if (
+            attempt.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+            or attempt.status in REFUSAL_STATUSES
+        ):
             self._failed_attempt = attempt
             self._gateway.metrics.count_attempt("upstream_failed")
             self._log(
