Bound the bodies of callers' requests that a host holds

Cause: each connection buffers up to the limit of one body, and nothing bounded their sum.

A body without room is read and dropped, so that the caller gets 503 with a time to return, and keeps its connection; the request is never dispatched. Room is free again when the request has its final response or its connection ends.

--- a/src/shallotfold/_gateway/http/messages.py
+++ b/src/shallotfold/_gateway/http/messages.py
@@ -82,7 +82,8 @@
         target: Path and query as sent.
         headers: Header names in lower case with their values, in order.
         original_names: Header names as sent, in the order of `headers`.
-        body: Complete body, without chunk framing.
+        body: Complete body, without chunk framing; empty if it was refused.
+        body_refused: Whether the host had no room for the body.
         has_body: Whether Content-Length or Transfer-Encoding was sent.
         keep_alive: Whether the caller wants to reuse the connection.
         accepts_chunks: Whether the response may be chunked.
@@ -98,6 +99,7 @@
     keep_alive: bool
     accepts_chunks: bool
     started_s: float
+    body_refused: bool = False
 
     @property
     def path(self) -> str:
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -490,6 +490,7 @@
     def _gauges(self) -> dict[str, float]:
         return {
             "open_requests": self._gateway.dispatcher.open_requests,
+            "held_request_bytes": self._gateway.body_budget.held_bytes,
             "upstreams": len(self._gateway.dispatcher.upstreams_by_id),
             "peers_alive": len(self._peers.alive()),
             "configuration_version": self._fleet_view.configuration_version,
--- a/src/shallotfold/_gateway/serving/caller_connection.py
+++ b/src/shallotfold/_gateway/serving/caller_connection.py
@@ -6,12 +6,15 @@
 from typing import Protocol
 from typing import cast
 
+import attrs
 import httptools
 from loguru import logger
 
 from shallotfold._gateway.core.model import RequestLimits
 from shallotfold._gateway.http.messages import IncomingRequest
 from shallotfold._gateway.http.messages import encode_local_response
+from shallotfold._gateway.serving.body_budget import BodyBudget
+from shallotfold._gateway.serving.body_budget import BodyHold
 from shallotfold._runtime.sockets import is_closed_by_peer
 from shallotfold._runtime.sockets import reset_connection
 
@@ -35,6 +38,11 @@
 class RequestHandler(Protocol):
     """Serves the requests of caller connections."""
 
+    @property
+    def body_budget(self) -> BodyBudget:
+        """Budget of the bodies of all connections."""
+        ...
+
     def start_request(
         self, request: IncomingRequest, connection: "CallerConnection"
     ) -> Exchange | None:
@@ -54,6 +62,12 @@
         ...
 
 
+@attrs.frozen
+class _QueuedRequest:
+    request: IncomingRequest
+    body_hold: BodyHold
+
+
 class CallerConnection(asyncio.Protocol):
     """A caller's connection; its requests are served in order.
 
@@ -74,9 +88,12 @@
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
-        self._queued_requests: collections.deque[IncomingRequest] = (
+        self._queued_requests: collections.deque[_QueuedRequest] = (
             collections.deque()
         )
+        # Holds of the request that is read and of the one that is served.
+        self._body_hold = BodyHold(handler.body_budget)
+        self._served_body_hold = self._body_hold
         self._exchange: Exchange | None = None
         self._serving = False
         self._keep_alive = True
@@ -95,6 +112,7 @@
         self._body = bytearray()
         self._has_body = False
         self._body_too_large = False
+        self._body_bytes = 0
         self._head_bytes = 0
         self._head_too_large = False
         self._body_input_bytes = 0
@@ -112,7 +130,9 @@
         del exc
         self._transport = None
         self._connections.discard(self)
-        self._queued_requests.clear()
+        self._drop_queued_requests()
+        self._body_hold.release()
+        self._served_body_hold.release()
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             exchange.on_caller_disconnected()
@@ -152,6 +172,7 @@
     def on_message_begin(self) -> None:
         """Start a new request."""
         self._reset_request()
+        self._body_hold = BodyHold(self._handler.body_budget)
         self.head_complete = False
 
     def on_url(self, url: bytes) -> None:
@@ -178,10 +199,15 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
-        if len(self._body) + len(body) > self._handler.limits().max_body_bytes:
+        self._body_bytes += len(body)
+        if self._body_bytes > self._handler.limits().max_body_bytes:
             self._body_too_large = True
             return
-        self._body += body
+        if self._body_hold.add(len(body)):
+            self._body += body
+        else:
+            # The rest is read, so that the caller gets the response to it.
+            self._body = bytearray()
 
     def on_message_complete(self) -> None:
         """Queue the request, which is now complete."""
@@ -195,19 +221,19 @@
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
         started_s = self.request_started_s
-        self._queued_requests.append(
-            IncomingRequest(
-                method=self._parser.get_method(),
-                target=bytes(self._target),
-                headers=self._headers,
-                original_names=self._original_names,
-                body=bytes(self._body),
-                has_body=self._has_body,
-                keep_alive=self._parser.should_keep_alive(),
-                accepts_chunks=self._parser.get_http_version() != "1.0",
-                started_s=self._loop.time() if started_s is None else started_s,
-            )
+        request = IncomingRequest(
+            method=self._parser.get_method(),
+            target=bytes(self._target),
+            headers=self._headers,
+            original_names=self._original_names,
+            body=bytes(self._body),
+            has_body=self._has_body,
+            keep_alive=self._parser.should_keep_alive(),
+            accepts_chunks=self._parser.get_http_version() != "1.0",
+            started_s=self._loop.time() if started_s is None else started_s,
+            body_refused=self._body_hold.refused,
         )
+        self._queued_requests.append(_QueuedRequest(request, self._body_hold))
         self._body = bytearray()
         self.request_started_s = None
         self._unparsed_bytes = 0
@@ -267,6 +293,7 @@
         """End the current response and serve the next request."""
         self._exchange = None
         self._serving = False
+        self._served_body_hold.release()
         self.ends_response = False
         self.last_active_s = self._loop.time()
         if close:
@@ -283,7 +310,7 @@
     def close(self) -> None:
         """Close once written data is out; drop queued requests."""
         self._input_closed = True
-        self._queued_requests.clear()
+        self._drop_queued_requests()
         if self.ends_response:
             self._abort_transport()
         elif self._transport is not None:
@@ -302,6 +329,11 @@
         """Reject a request that wasn't received in time."""
         self._reject(HTTPStatus.REQUEST_TIMEOUT)
 
+    def _drop_queued_requests(self) -> None:
+        for queued in self._queued_requests:
+            queued.body_hold.release()
+        self._queued_requests.clear()
+
     def _abort_transport(self) -> None:
         if self._transport is None:
             return
@@ -318,9 +350,9 @@
         return max(self._head_bytes, self._unparsed_bytes) > max_bytes
 
     def _has_excess_framing(self) -> bool:
-        framing_bytes = self._body_input_bytes - len(self._body)
+        framing_bytes = self._body_input_bytes - self._body_bytes
         return framing_bytes > (
-            MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * len(self._body)
+            MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_bytes
         )
 
     def _reject(self, status: HTTPStatus) -> None:
@@ -348,7 +380,8 @@
 
     def _serve_next(self) -> None:
         while self._queued_requests and not self._serving and self._transport:
-            request = self._queued_requests.popleft()
+            queued = self._queued_requests.popleft()
+            request, self._served_body_hold = queued.request, queued.body_hold
             self._serving = True
             self._keep_alive = self._keep_alive and request.keep_alive
             if len(self._queued_requests) < MAX_QUEUED_REQUESTS:
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -28,6 +28,7 @@
 from shallotfold._gateway.http.messages import find_header
 from shallotfold._gateway.http.upstream_pool import UpstreamPool
 from shallotfold._gateway.http.upstream_pool import idle_limit
+from shallotfold._gateway.serving.body_budget import BodyBudget
 from shallotfold._gateway.serving.caller_connection import CallerConnection
 from shallotfold._gateway.serving.caller_connection import Exchange
 from shallotfold._gateway.serving.relay import Admission
@@ -78,6 +79,7 @@
     Attributes:
         dispatcher: Decides on requests; gets its events only from `deliver`.
         pool: Pool of connections to upstreams.
+        body_budget: Memory of the bodies of callers' requests.
         route_table: Current routes; `None` before the first configuration.
         shutdown_started_s: When a shutdown began, on the boot clock; `None`
             before.
@@ -101,6 +103,7 @@
         self.names = names
         self.dispatcher = dispatcher
         self.metrics = metrics
+        self.body_budget = BodyBudget()
         self.pool = UpstreamPool(self._idle_limit)
         self.route_table: RouteTable | None = None
         self.shutdown_started_s: float | None = None
@@ -259,6 +262,8 @@
         """Check a request against the configuration in force."""
         if self.route_table is None:
             return _Rejection(503, "no configuration known yet")
+        if request.body_refused:
+            return _Rejection(503, "this host holds too many large requests")
         host = find_header(request.headers, b"host") or b""
         route = self.route_table.find(host.decode("latin-1"), request.path)
         if route is None:
--- a/src/shallotfold/_gateway/serving/pages.py
+++ b/src/shallotfold/_gateway/serving/pages.py
@@ -10,6 +10,7 @@
 from shallotfold._gateway.core.model import RequestLimits
 from shallotfold._gateway.http.messages import IncomingRequest
 from shallotfold._gateway.http.messages import encode_local_response
+from shallotfold._gateway.serving.body_budget import BodyBudget
 from shallotfold._gateway.serving.caller_connection import CallerConnection
 from shallotfold._settings.addresses import Address
 
@@ -36,6 +37,7 @@
         self, page_by_path: Mapping[bytes, Callable[[], Page]]
     ) -> None:
         self._page_by_path = page_by_path
+        self.body_budget = BodyBudget()
         self._connections: set[CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
 
