Check what hosts store for each other and tell each other

A stored hold that was nested very deeply ended the step that reads holds, which then ran again at once, without the pause after a failed call; text in place of a list of traits was taken for its letters. Numbers beyond a float in messages of peers raised an error that their decoders don't handle.

--- a/src/shallotfold/_gateway/following/stored_holds.py
+++ b/src/shallotfold/_gateway/following/stored_holds.py
@@ -190,13 +190,29 @@
     return prefix + digest.hexdigest()
 
 
+def _read_hold(document: bytes) -> tuple[str, ...]:
+    """Return the traits of a stored hold.
+
+    Raises:
+        ValueError: The document names no traits.
+    """
+    try:
+        traits = json.loads(document)["parts"]
+    except (LookupError, TypeError, RecursionError) as error:
+        raise ValueError(f"the document has no traits: {error}") from error
+    if not isinstance(traits, list) or not traits:
+        raise ValueError("the traits aren't a list")
+    if not all(isinstance(trait, str) and trait for trait in traits):
+        raise ValueError("a trait isn't text")
+    return tuple(traits)
+
+
 def _read_parts(values: Sequence[StoredValue]) -> list[tuple[str, ...]]:
     holds = []
     for value in values:
         try:
-            parts = json.loads(value.value)["parts"]
-            holds.append(tuple(str(trait) for trait in parts))
-        except (ValueError, TypeError, LookupError) as error:
+            holds.append(_read_hold(value.value))
+        except ValueError as error:
             decision_log.record(
                 "stored_hold_ignored", key=value.key, error=str(error)
             )
--- a/src/shallotfold/_gateway/peers/change_messages.py
+++ b/src/shallotfold/_gateway/peers/change_messages.py
@@ -80,5 +80,11 @@
             },
             deleted=[str(upstream_id) for upstream_id in deleted],
         )
-    except (ValueError, TypeError, LookupError, AttributeError) as error:
+    except (
+        ValueError,
+        TypeError,
+        LookupError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise ValueError(f"not a message of changes: {error}") from error
--- a/src/shallotfold/_gateway/peers/limit_messages.py
+++ b/src/shallotfold/_gateway/peers/limit_messages.py
@@ -93,7 +93,7 @@
     """
     try:
         return {str(service): _rate(rate) for service, rate in fields.items()}
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ValueError(f"not a demand: {error}") from error
 
 
--- a/tests/gateway/following/test_stored_holds.py
+++ b/tests/gateway/following/test_stored_holds.py
@@ -74,6 +74,39 @@
     run_with_store(scenario)
 
 
+@pytest.mark.parametrize(
+    "document",
+    [
+        b"?",
+        b"[" * 100_000,
+        b'{"parts": "bad"}',
+        b'{"parts": []}',
+        b'{"parts": [5]}',
+        b'{"parts": [""]}',
+        b'{"parts": {"bad": 1}}',
+        b"{}",
+        b"5",
+    ],
+)
+def test_odd_document_holds_nothing_and_hides_no_hold(
+    run_with_store: RunWithStore, document: bytes
+) -> None:
+    """One that was nested deeply made each host read the store without pause.
+
+    The letters of a text were taken for parts of prompts.
+    """
+
+    async def scenario(store: PlatformStore, standin: StoreStandIn) -> None:
+        await Keeper(store).keeper.step()
+        standin.put(f"{HOLDS_PREFIX}odd", document)
+        host = Keeper(store, decided_here=False, is_first_start=False)
+        await host.keeper.step()
+        await host.keeper.step()
+        assert host.read == [[("bad",)]]
+
+    run_with_store(scenario)
+
+
 def test_host_that_starts_reads_what_others_stored(
     run_with_store: RunWithStore,
 ) -> None:
--- a/tests/gateway/peers/test_change_messages.py
+++ b/tests/gateway/peers/test_change_messages.py
@@ -45,6 +45,7 @@
         ("upstream_changes",),
         ("upstream_changes", 1, 2, False, [], []),
         ("upstream_changes", 1, None, False, {}, []),
+        ("upstream_changes", 1, float("inf"), False, {}, []),
         ("upstream_changes", 1, 2, False, {"u1": 5}, []),
         ("upstream_changes", 1, 2, False, {"u1": ("text", 5)}, []),
     ],
--- a/tests/gateway/peers/test_limit_messages.py
+++ b/tests/gateway/peers/test_limit_messages.py
@@ -68,3 +68,9 @@
 def test_damaged_demand_is_refused(fields: object) -> None:
     with pytest.raises(ValueError, match="not a demand"):
         read_demand(fields)
+
+
+@pytest.mark.parametrize("rate", [10**400, float("nan"), -1, "x", None])
+def test_demand_that_is_no_rate_is_refused(rate: object) -> None:
+    with pytest.raises(ValueError, match="not a demand"):
+        read_demand({"writers": rate})
