--- a/src/shallotfold/platform/fields.py
+++ b/src/shallotfold/platform/fields.py
@@ -40,11 +40,11 @@
         """Return a list of texts."""
         return [self._check_text(name, value) for value in self._list(name)]
 
-    def flag(self, name: str, default: bool = _REQUIRED) -> bool:  # noqa: FBT001
+    def flag(self, name: str, *, default: bool = _REQUIRED) -> bool:
         """Return true or false."""
         value = self._get(name, default)
         if not isinstance(value, bool):
-            self._fail(name, f"expected true or false, not {_show(value)}")
+            self.fail(name, f"expected true or false, not {_show(value)}")
         return value
 
     def whole_number(
@@ -58,7 +58,7 @@
         """Return a number that is written without fraction or exponent."""
         value = self._get(name, default)
         if type(value) is not int:
-            self._fail(name, f"expected a whole number, not {_show(value)}")
+            self.fail(name, f"expected a whole number, not {_show(value)}")
         self._check_range(name, value, minimum, maximum)
         return value
 
@@ -79,7 +79,7 @@
         """Return an object whose values are numbers; empty if absent."""
         value_by_name = self._get(name, {})
         if not isinstance(value_by_name, dict):
-            self._fail(name, f"expected an object, not {_show(value_by_name)}")
+            self.fail(name, f"expected an object, not {_show(value_by_name)}")
         return {
             self._check_text(name, key): self._check_number(
                 name, value, 0.0, maximum
@@ -99,39 +99,39 @@
         ]
 
     def fail(self, name: str, reason: str) -> NoReturn:
-        """Reject the value of a field for a reason of the caller.
+        """Reject the value of a field.
 
         Raises:
             ValueError: Always.
         """
-        self._fail(name, reason)
+        raise ValueError(f"{self._path}{name}: {reason}")
 
     def _get(self, name: str, default: Any = _REQUIRED) -> Any:
         value = self._value_by_name.get(name)
         if value is not None:
             return value
         if default is _REQUIRED:
-            self._fail(name, "missing")
+            self.fail(name, "missing")
         return default
 
     def _list(self, name: str) -> list[Any]:
         values = self._get(name)
         if not isinstance(values, list):
-            self._fail(name, f"expected a list, not {_show(values)}")
+            self.fail(name, f"expected a list, not {_show(values)}")
         return values
 
     def _check_text(self, name: str, value: Any) -> str:
         if not isinstance(value, str):
-            self._fail(name, f"expected text, not {_show(value)}")
+            self.fail(name, f"expected text, not {_show(value)}")
         if not value or not value.isprintable():
-            self._fail(name, f"expected printable text, not {_show(value)}")
+            self.fail(name, f"expected printable text, not {_show(value)}")
         return value
 
     def _check_number(
         self, name: str, value: Any, minimum: float, maximum: float
     ) -> float:
         if type(value) is not int and type(value) is not float:
-            self._fail(name, f"expected a number, not {_show(value)}")
+            self.fail(name, f"expected a number, not {_show(value)}")
         self._check_range(name, value, minimum, maximum)
         return float(value)
 
@@ -140,19 +140,16 @@
     ) -> None:
         # Comparisons with NaN are false.
         if not minimum <= value <= maximum:
-            self._fail(
+            self.fail(
                 name,
                 f"expected {minimum} to {maximum}, not {_show(value)}",
             )
 
     def _check_object(self, name: str, value: Any) -> "Fields":
         if not isinstance(value, dict):
-            self._fail(name, f"expected an object, not {_show(value)}")
+            self.fail(name, f"expected an object, not {_show(value)}")
         return Fields(value, f"{self._path}{name}.")
 
-    def _fail(self, name: str, reason: str) -> NoReturn:
-        raise ValueError(f"{self._path}{name}: {reason}")
-
 
 def parse_document(document: bytes) -> Fields:
     """Parse a document that is one JSON object.
