Let the soak's upstreams register whole; find a run that serves nothing

Since the fields of registrations are checked, the stand-in's upstreams, which left their version out, named no upstream. The soak's runs passed: gateways without upstreams refuse everything, and break no guarantee.

Change: the stand-in writes the version, as all upstreams do; a run of 20 requests or more in which none is served is a violation.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+from http import HTTPStatus
 import itertools
 import math
 import re
@@ -53,6 +54,10 @@
 MAX_REPORT_DELAY_S = 60.0
 
 
+# A run of so many requests in which none is served shows nothing.
+MIN_JUDGED_REQUESTS = 20
+
+
 def find_violations(
     outcomes: Iterable[Outcome],
     runs: Runs,
@@ -79,6 +84,9 @@
                 outcome, runs, disturbed_spans
             )
         ]
+    served = sum(o.status == HTTPStatus.OK for o in outcome_by_id.values())
+    if len(outcome_by_id) >= MIN_JUDGED_REQUESTS and not served:
+        violations.append(f"none of {len(outcome_by_id)} requests was served")
     for window, counts in duties.counts_by_window.items():
         if len(counts) > 1:
             violations.append(
--- a/benchmarks/soak/external_services.py
+++ b/benchmarks/soak/external_services.py
@@ -446,6 +446,7 @@
         "Service": service,
         "Address": address,
         "Zone": "a",
+        "Version": "v1",
         "Slots": 16,
         "State": "draining" if draining else "ready",
         "ColdRemainingMs": 0,
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -64,6 +64,19 @@
         ), expected
 
 
+def test_run_in_which_nothing_is_served_is_found() -> None:
+    """Gateways that knew no upstream refused all, and broke no guarantee."""
+    outcomes = [
+        make_outcome(request_id=f"r{n}", status=503, body=b"")
+        for n in range(checks.MIN_JUDGED_REQUESTS)
+    ]
+    found = checks.find_violations(outcomes, Runs(), DutyService(), [])
+    assert found == ["none of 20 requests was served"]
+    outcomes[0] = make_outcome(request_id="r0", body=b"r0")
+    runs = Runs(starts_by_id=collections.Counter({"r0": 1}))
+    assert not checks.find_violations(outcomes, runs, DutyService(), [])
+
+
 def test_request_to_an_upstream_known_to_be_leaving_is_found() -> None:
     outcomes = [
         make_outcome(request_id="r1", began_s=10.0, body=b"r1"),
