Play connections that go silent inside the fleet and to the store

Tests of the cause with a share of the hosts, and with fetches from peers that go silent, which hosts that don't watch the store depend on.

--- a/benchmarks/soak/external_services.py
+++ b/benchmarks/soak/external_services.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import itertools
 import json
 import math
 import random
@@ -110,9 +111,10 @@
             weakref.WeakSet()
         )
 
-    def silence_connections(self) -> None:
-        """Never answer on the connections that wait for a response now."""
-        self._silent_writers |= self._busy_writers
+    def silence_connections(self, share: float = 1.0) -> None:
+        """Never answer on a share of those that wait for a response now."""
+        count = math.ceil(share * len(self._busy_writers))
+        self._silent_writers |= set(itertools.islice(self._busy_writers, count))
 
     async def handle(
         self, head: bytes, body: bytes, writer: asyncio.StreamWriter
--- a/tests/gateway/test_silent_connections.py
+++ b/tests/gateway/test_silent_connections.py
@@ -11,6 +11,10 @@
 
 import pytest
 
+from shallotfold._gateway.following import catch_up
+from shallotfold._gateway.http.http_client import CallFailedError
+from shallotfold._gateway.http.http_client import HttpClient
+from shallotfold._gateway.http.http_client import HttpResponse
 from shallotfold.platform import names
 from tests.gateway.fleet_harness import CONFIGURATION
 from tests.gateway.fleet_harness import FleetHarness
@@ -92,3 +96,77 @@
         assert sorted(in_time) == list(hosts)
 
     run_fleet(monkeypatch, scenario, hosts=hosts)
+
+
+@pytest.mark.parametrize("share", [0.3, 0.7])
+@pytest.mark.parametrize(
+    ("host_count", "bound_s"),
+    [(9, SMALL_FLEET_BOUND_S), (14, LARGE_FLEET_BOUND_S)],
+)
+def test_change_while_some_connections_are_silent_is_in_force_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+    host_count: int,
+    bound_s: float,
+    share: float,
+) -> None:
+    """Where some watches are answered, their hosts tell the others."""
+    hosts = range(host_count)
+
+    async def scenario(fleet: FleetHarness) -> None:
+        await asyncio.sleep(0.5)
+        fleet.store.silence_connections(share)
+        confirm_version(fleet, 2)
+        in_time = await delays_s(fleet, hosts, 2, bound_s)
+        assert sorted(in_time) == list(hosts)
+
+    run_fleet(monkeypatch, scenario, hosts=hosts)
+
+
+class SilentFetches:
+    """Lets fetches from peers that begin soon wait until their timeout.
+
+    Attributes:
+        count: How many fetches got no response.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._ends_s = 0.0
+
+    def begin(self, duration_s: float) -> None:
+        self._ends_s = time.monotonic() + duration_s
+
+    def make_client(self, ip: str, port: int) -> HttpClient:
+        client = HttpClient(ip, port)
+        if time.monotonic() > self._ends_s:
+            return client
+        self.count += 1
+
+        async def wait(
+            method: str, target: str, *, timeout_s: float
+        ) -> HttpResponse:
+            del method, target
+            await asyncio.sleep(timeout_s)
+            raise CallFailedError("no response in time", may_have_run=True)
+
+        client.call = wait  # type: ignore[assignment, method-assign]
+        return client
+
+
+def test_change_is_in_force_in_time_where_fetches_from_peers_go_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Hosts that don't watch the store waited for one peer that is silent."""
+    hosts = range(14)
+    fetches = SilentFetches()
+    monkeypatch.setattr(catch_up, "HttpClient", fetches.make_client)
+
+    async def scenario(fleet: FleetHarness) -> None:
+        await asyncio.sleep(0.5)
+        fetches.begin(0.9)
+        confirm_version(fleet, 2)
+        in_time = await delays_s(fleet, hosts, 2, LARGE_FLEET_BOUND_S)
+        assert fetches.count
+        assert sorted(in_time) == list(hosts)
+
+    run_fleet(monkeypatch, scenario, hosts=hosts)
