Split an engine's stream in a time linear in its bytes, in entries too

Cause: each part copied the whole incomplete event, replaced its line ends and split it again. A CR at the end of a part was also taken for a part of the event's data when the LF of a blank line followed.

Change: only what is new is searched; a CR at the end of a part waits for the next one.

The gateway has a splitter of its own still.

--- a/src/shallotfold/_entry/serving/sse.py
+++ b/src/shallotfold/_entry/serving/sse.py
@@ -10,6 +10,7 @@
 
 END_DATA = b"[DONE]"
 END_EVENT = b"data: [DONE]\n\n"
+_EVENT_END = b"\n\n"
 # `json.loads` would detect the encoding again for each token.
 _decode = json.JSONDecoder().decode
 _PLAIN_DELTA_KEYS = frozenset({"role", "content", "refusal"})
@@ -24,7 +25,9 @@
 
     def __init__(self, max_event_bytes: int) -> None:
         self._max_event_bytes = max_event_bytes
-        self._buffer = b""
+        self._buffer = bytearray()
+        # The first half of a line end that may be CR LF.
+        self._carriage_return = b""
 
     @property
     def has_partial_event(self) -> bool:
@@ -37,15 +40,31 @@
         Raises:
             StreamError: An incomplete event is larger than the limit.
         """
-        # A line end may be split between reads, so the buffer is parsed again.
-        data = self._buffer + data
-        if b"\r" in data:
-            data = data.replace(b"\r\n", b"\n")
-        blocks = data.split(b"\n\n")
-        self._buffer = blocks.pop()
+        if self._carriage_return or b"\r" in data:
+            data = self._normalize_line_ends(data)
+        buffer = self._buffer
+        # What is buffered has no end of an event, except its first half.
+        search_start = len(buffer) - 1 if buffer else 0
+        buffer += data
+        end = buffer.rfind(_EVENT_END, search_start)
+        if end < 0:
+            self._check_size()
+            return []
+        blocks = bytes(buffer[:end]).split(_EVENT_END)
+        del buffer[: end + len(_EVENT_END)]
+        self._check_size()
+        return [d for block in blocks for d in _read_event_data(block)]
+
+    def _normalize_line_ends(self, data: bytes) -> bytes:
+        data = self._carriage_return + data
+        self._carriage_return = b"\r" if data.endswith(b"\r") else b""
+        if self._carriage_return:
+            data = data[:-1]
+        return data.replace(b"\r\n", b"\n")
+
+    def _check_size(self) -> None:
         if len(self._buffer) > self._max_event_bytes:
             raise StreamError("an event of the stream is too large")
-        return [d for block in blocks for d in _read_event_data(block)]
 
 
 def _read_event_data(block: bytes) -> Iterator[bytes]:
