Keep polling engines when one of them answers with a nested document

Cause: the JSON client turned ValueError into its own error, but not RecursionError, and the polling ended with the first error that it didn't expect.

Change: RecursionError is an unusable response like others, for all services that the client calls. An unexpected error of one engine is logged with its trace, and the others are read as before.

Result: both new tests fail on (RecursionError; the other engine isn't read again) and pass. Other tasks that run for the life of entries and controllers weren't looked through.

--- a/src/shallotfold/_entry/serving/upstream_watch.py
+++ b/src/shallotfold/_entry/serving/upstream_watch.py
@@ -8,6 +8,8 @@
 from typing import Any
 from typing import Protocol
 
+from loguru import logger
+
 from shallotfold._entry import events
 from shallotfold._entry.pools import pools
 from shallotfold._entry.state.entry_state import EntryState
@@ -67,10 +69,23 @@
     async def _poll(self, read: ReadUpstream, interval_s: float) -> None:
         while True:
             watched = pools.watched_upstreams(self._state)
-            await asyncio.gather(*(read(upstream) for upstream in watched))
+            await asyncio.gather(
+                *(self._read_one(read, upstream) for upstream in watched)
+            )
             # Jitter keeps entries from polling at the same time.
             await asyncio.sleep(interval_s * random.uniform(0.8, 1.2))
 
+    async def _read_one(self, read: ReadUpstream, upstream: Upstream) -> None:
+        try:
+            await read(upstream)
+        except Exception:  # noqa: BLE001
+            # One upstream's answer must not end the polling of all others.
+            logger.exception(
+                "Reading from upstream {} failed; it is read again after the "
+                "usual pause",
+                upstream.name,
+            )
+
     async def _read_load(self, upstream: Upstream) -> None:
         try:
             async with self._call_slots:
--- a/src/shallotfold/_services/http_json.py
+++ b/src/shallotfold/_services/http_json.py
@@ -83,7 +83,14 @@
             return await self._exchange(
                 self._session, method, path, body, timeout_s, etag
             )
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as e:
+        except (
+            aiohttp.ClientError,
+            OSError,
+            TimeoutError,
+            ValueError,
+            # The body is nested too deeply.
+            RecursionError,
+        ) as e:
             raise self.error_class(
                 f"{method} {self.base_url}{path}: no usable response "
                 f"({type(e).__name__}: {e}); the outcome is unknown, read it "
--- a/tests/entry/serving/test_upstream_watch.py
+++ b/tests/entry/serving/test_upstream_watch.py
@@ -93,3 +93,41 @@
         (("t",), False),
     ]
     assert cache.requested_after == [0, 2, 4, 1]
+
+
+class OddLoads:
+    """Load reports of which one raises an error that nobody expects."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+        self.read_often = asyncio.Event()
+
+    async def fetch(self, url: str) -> UpstreamLoad:
+        if url == "http://odd":
+            raise RecursionError
+        self.reads += 1
+        if self.reads == 5:
+            self.read_often.set()
+        return LOAD
+
+
+def test_odd_upstream_does_not_end_the_polling_of_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One nested load report ended the polling for the life of the entry."""
+    monkeypatch.setattr(upstream_watch, "LOAD_INTERVAL_S", 0.01)
+    state = EntryState(host="e1", data_centre="a", incarnation=1)
+    state.configuration.current = s.make_configuration(
+        {"m1": "http://odd", "m2": "http://sound"}
+    )
+    state.configuration.version = 1
+    loads = OddLoads()
+
+    async def main() -> None:
+        watch = UpstreamWatch(state, loads, FakeCacheEvents([]), lambda _: None)
+        await watch.start()
+        async with asyncio.timeout(2.0):
+            await loads.read_often.wait()
+        await watch.close()
+
+    s.run(main())
--- a/tests/services/test_http_reads.py
+++ b/tests/services/test_http_reads.py
@@ -130,3 +130,24 @@
             await loads.close()
 
     serve(app, scenario)
+
+
+def test_nested_response_is_a_platform_error() -> None:
+    """`RecursionError` left the client, and ended whoever had called it."""
+
+    async def respond(_: web.Request) -> web.Response:
+        return web.Response(body=b"[" * 100_000)
+
+    app = web.Application()
+    app.router.add_get("/{path:.*}", respond)
+
+    async def scenario(url: str) -> None:
+        loads = HttpLoadReports()
+        await loads.start()
+        try:
+            with pytest.raises(PlatformError):
+                await loads.fetch(url)
+        finally:
+            await loads.close()
+
+    serve(app, scenario)
