Refuse load reports and cache events with values of other types

Cause: the default converter converts values instead of checking them.

Change: a converter that accepts only the declared types, and numbers that are finite, not negative and not larger than 2**53. What is refused is an unusable response of that engine, as before for other malformed ones.

Other messages of the own protocol still use converters that convert.

--- a/src/shallotfold/_services/http_cache_events.py
+++ b/src/shallotfold/_services/http_cache_events.py
@@ -5,8 +5,10 @@
 
 from shallotfold._errors import PlatformError
 from shallotfold._services.http_json import JsonClient
+from shallotfold._services.strict_values import make_strict_converter
 
 CALL_TIMEOUT_S = 1.0
+_CONVERTER = make_strict_converter()
 
 
 @attrs.frozen
@@ -66,7 +68,7 @@
             "GET", f"{url}/cache-events?after={after}", None, self.timeout_s
         )
         try:
-            return cattrs.structure(response.content, CacheEvents)
+            return _CONVERTER.structure(response.content, CacheEvents)
         except (cattrs.BaseValidationError, ValueError, TypeError) as error:
             raise PlatformError(
                 f"{url}: malformed cache events (status {response.status}); "
--- a/src/shallotfold/_services/http_loads.py
+++ b/src/shallotfold/_services/http_loads.py
@@ -6,8 +6,10 @@
 from shallotfold._errors import PlatformError
 from shallotfold._model.upstreams import UpstreamLoad
 from shallotfold._services.http_json import JsonClient
+from shallotfold._services.strict_values import make_strict_converter
 
 CALL_TIMEOUT_S = 1.0
+_CONVERTER = make_strict_converter()
 
 
 @attrs.define
@@ -39,7 +41,7 @@
             "GET", f"{url}/load", None, self.timeout_s
         )
         try:
-            return cattrs.structure(response.content, UpstreamLoad)
+            return _CONVERTER.structure(response.content, UpstreamLoad)
         except (cattrs.BaseValidationError, ValueError, TypeError) as error:
             raise PlatformError(
                 f"{url}: malformed load report (status {response.status}); "
