Refuse configurations that are lists or nested too deeply

Cause: the document was structured without a check that it is an object, and the JSON parser's RecursionError isn't a ValueError.

Change: both readers parse documents in one place, with errors that they already handle.

--- a/src/shallotfold/_model/serialization.py
+++ b/src/shallotfold/_model/serialization.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+from typing import Any
 
 import cattrs
 from cattrs.preconf.json import make_converter
@@ -30,7 +31,7 @@
             all faults.
     """
     try:
-        return _CONVERTER.structure(json.loads(document), Configuration)
+        return _CONVERTER.structure(_parse_object(document), Configuration)
     except ValueError as error:
         raise InvalidInputError(
             [
@@ -65,10 +66,17 @@
         ValueError: The document is not a JSON object.
         cattrs.BaseValidationError: The document has wrong fields.
     """
-    content = json.loads(document)
+    return _CONVERTER.structure(_parse_object(document), dict[str, Workspace])
+
+
+def _parse_object(document: bytes) -> dict[str, Any]:
+    try:
+        content = json.loads(document)
+    except RecursionError as error:
+        raise ValueError("the document is nested too deeply") from error
     if not isinstance(content, dict):
         raise ValueError("expected a JSON object")
-    return _CONVERTER.structure(content, dict[str, Workspace])
+    return content
 
 
 def document_sha256(document: bytes) -> str:
--- a/tests/model/test_serialization.py
+++ b/tests/model/test_serialization.py
@@ -19,6 +19,16 @@
         serialization.load_configuration(b'{"colour": 1}')
 
 
-def test_malformed_document_is_a_usage_error() -> None:
+@pytest.mark.parametrize(
+    "document", [b"{", b"[]", b"7", b"null", b"\xff", b"[" * 100_000]
+)
+def test_malformed_document_is_a_usage_error(document: bytes) -> None:
+    """A list or a nested document raised errors that nothing handled."""
     with pytest.raises(InvalidInputError, match="JSON object"):
-        serialization.load_configuration(b"{")
+        serialization.load_configuration(document)
+
+
+@pytest.mark.parametrize("document", [b"[]", b"[" * 100_000])
+def test_malformed_workspaces_are_a_value_error(document: bytes) -> None:
+    with pytest.raises(ValueError, match=r"object|nested"):
+        serialization.load_workspaces(document)
