--- a/src/shallotfold/_gateway/http/read_pacing.py
+++ b/src/shallotfold/_gateway/http/read_pacing.py
@@ -1,9 +1,9 @@
 """Share the event loop between connections whose bytes take long to handle."""
 
-# Bytes that are handled before the event loop gets its turn.
+# Bytes that are handled before the event loop goes on to other connections.
 READ_BUFFER_BYTES = 16_384
-# A connection whose bytes took longer than this in one window waits for its
-# turn. A sound stream needs less: some hundred events a second at 0.1 ms each.
+# The reads of a connection whose bytes took longer than this in one window are
+# paced. A sound stream needs less: some hundred events a second, 0.1 ms each.
 MAX_UNPACED_WORK_S = 0.002
 WINDOW_S = 0.1
 # The process may have been stopped while it handled a read.
@@ -14,14 +14,14 @@
     """Lets connections that send much have half of the loop's time together.
 
     Attributes:
-        buffer: Buffer that all connections read into, by turns. Its content is
-            valid until the next read of any of them.
+        buffer: Buffer that all connections read into. Its content is valid
+            until the next read of any of them.
     """
 
     def __init__(self) -> None:
         self.buffer = bytearray(READ_BUFFER_BYTES)
         # When the reads so far have had their share of the time.
-        self._next_turn_s = 0.0
+        self._next_read_s = 0.0
 
     def wait_s(self, work_s: float, now_s: float) -> float:
         """Return how long a connection waits until it may read again.
@@ -32,10 +32,10 @@
         """
         work_s = min(work_s, MAX_COUNTED_WORK_S)
         read_started_s = now_s - work_s
-        self._next_turn_s = (
-            max(self._next_turn_s, read_started_s) + 2.0 * work_s
+        self._next_read_s = (
+            max(self._next_read_s, read_started_s) + 2.0 * work_s
         )
-        return self._next_turn_s - now_s
+        return self._next_read_s - now_s
 
 
 class ReadMeter:
--- a/src/shallotfold/_gateway/http/upstream_connection.py
+++ b/src/shallotfold/_gateway/http/upstream_connection.py
@@ -71,7 +71,7 @@
         """Make a connection that isn't established yet.
 
         Args:
-            pacer: Shared by connections that wait for each other's turn.
+            pacer: Shared by the connections whose reads are paced together.
         """
         self._loop = asyncio.get_running_loop()
         self._pacer = pacer or ReadPacer()
@@ -208,8 +208,8 @@
         self._waited_s += pause_s
         if self._waited_s > LOGGED_WAIT_S and not is_logged:
             logger.info(
-                "The {} bytes of a response from {} take long to handle; "
-                "further reads wait for their turn",
+                "The first {} bytes of a response from {} took long to "
+                "handle; its further reads are delayed",
                 self._received_bytes,
                 transport.get_extra_info("peername"),
             )
