--- a/tests/entry/serving/test_parsing.py
+++ b/tests/entry/serving/test_parsing.py
@@ -57,6 +57,16 @@
         read_chunk(data)
 
 
+def feed_in_parts(stream: bytes, cuts: list[int]) -> list[bytes]:
+    splitter = EventSplitter(1000)
+    received: list[bytes] = []
+    start = 0
+    for cut in [*sorted(cuts), len(stream)]:
+        received.extend(splitter.feed(stream[start:cut]))
+        start = max(start, cut)
+    return received
+
+
 @settings(derandomize=True, max_examples=200, deadline=None)
 @given(
     events=st.lists(st.sampled_from([b"a", b"bc", b"[DONE]", b"{}"])),
@@ -66,13 +76,7 @@
     events: list[bytes], cuts: list[int]
 ) -> None:
     stream = b"".join(b"data: " + event + b"\r\n\r\n" for event in events)
-    splitter = EventSplitter(1000)
-    received: list[bytes] = []
-    start = 0
-    for cut in [*sorted(cuts), len(stream)]:
-        received.extend(splitter.feed(stream[start:cut]))
-        start = max(start, cut)
-    assert received == events
+    assert feed_in_parts(stream, cuts) == events
 
 
 @pytest.mark.parametrize("part", [b"a" * 16, b"\r" * 16, b"a\r\n" * 5])
@@ -103,13 +107,7 @@
     parts: list[bytes], cuts: list[int]
 ) -> None:
     stream = b"".join(parts) + b"\n\n"
-    splitter = EventSplitter(1000)
-    received: list[bytes] = []
-    start = 0
-    for cut in [*sorted(cuts), len(stream)]:
-        received.extend(splitter.feed(stream[start:cut]))
-        start = max(start, cut)
-    assert received == EventSplitter(1000).feed(stream)
+    assert feed_in_parts(stream, cuts) == EventSplitter(1000).feed(stream)
 
 
 def test_normalized_body_has_each_name_once() -> None:
