Keep on-demand upstreams that boot through a shortage of spot capacity

Cause: while spot capacity is lacking, spot upstreams are tried again every 3 s, and the plan of that moment ordered on-demand ones as if there were no shortage. Change: a shortage lasts until an order of spot upstreams succeeds; ordered on-demand upstreams are kept until as many spot ones serve, and those that boot count for the total. Result: the new test fails before (an order lowered from 3 to 1) and passes now; tests/gateway/duties pass.

--- a/src/shallotfold/_gateway/duties/scaling.py
+++ b/src/shallotfold/_gateway/duties/scaling.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 import attrs
 
@@ -44,6 +45,8 @@
 
     _order_by_key: dict[OrderKey, _SentOrder] = attrs.field(factory=dict)
     _unavailable_until_s: dict[OrderKey, float] = attrs.field(factory=dict)
+    # Where the last order of spot upstreams found no capacity.
+    _shortages: set[OrderKey] = attrs.field(factory=set)
 
     def forget_orders(self) -> None:
         """Forget the sent orders: another host may have sent others since."""
@@ -57,8 +60,10 @@
         if outcome is DutyOutcome.UNAVAILABLE:
             self._unavailable_until_s[key] = now_s + UNAVAILABLE_RETRY_S
             self._order_by_key.pop(key, None)
+            self._shortages.add(key)
         elif outcome is DutyOutcome.DONE:
             self._order_by_key[key] = _SentOrder(order.count, now_s)
+            self._shortages.discard(key)
 
     def plan(
         self, service: Service, upstreams: Iterable[Upstream], now_s: float
@@ -80,6 +85,7 @@
             limits.maximum * len(data_centre_prices) * SHORTAGE_CAPACITY_SHARE
         )
         shortfall = min_total - sum(live_counts.values())
+        shortfall -= self._booting_on_demand(service.name, live_counts)
         for data_centre, _ in data_centre_prices:
             spot_live = live_counts.get((data_centre, True), 0)
             on_demand_live = live_counts.get((data_centre, False), 0)
@@ -89,10 +95,9 @@
                 data_centre,
                 spot_live,
                 on_demand_live,
-                now_s,
             )
             if shortfall > 0 and self._lacks_spot_capacity(
-                service.name, data_centre, now_s
+                service.name, data_centre
             ):
                 added = min(shortfall, limits.maximum - on_demand - spot_live)
                 on_demand += max(0, added)
@@ -119,6 +124,16 @@
             ]
         return orders
 
+    def _booting_on_demand(
+        self, service: str, live_counts: Mapping[tuple[str, bool], int]
+    ) -> int:
+        """Return how many ordered on-demand upstreams don't serve yet."""
+        return sum(
+            max(0, order.count - live_counts.get((data_centre, False), 0))
+            for (name, data_centre, spot), order in self._order_by_key.items()
+            if name == service and not spot
+        )
+
     def _on_demand_count(
         self,
         service: str,
@@ -126,29 +141,28 @@
         data_centre: str,
         spot_live: int,
         on_demand_live: int,
-        now_s: float,
     ) -> int:
         """Return how many on-demand upstreams to run besides spot ones."""
         if limits.spot_price_ratio > MAX_SPOT_PRICE_RATIO:
             return limits.maximum
-        if spot_live >= limits.minimum:
+        if spot_live >= max(limits.minimum, on_demand_live):
             return 0
-        # No on-demand upstream is released before its replacement serves.
-        if self._lacks_spot_capacity(service, data_centre, now_s):
-            return max(limits.minimum, on_demand_live)
-        return max(limits.minimum - spot_live, on_demand_live)
+        # No on-demand upstream is released before its replacement serves, and
+        # none that boots is given up when spot upstreams are tried again: a
+        # boot takes longer than the time between the tries.
+        order = self._order_by_key.get((service, data_centre, False))
+        on_demand = max(on_demand_live, order.count if order else 0)
+        if self._lacks_spot_capacity(service, data_centre):
+            return max(limits.minimum, on_demand)
+        return max(limits.minimum - spot_live, on_demand)
 
     def _spot_count(self, limits: ScalingLimits, on_demand: int) -> int:
         if limits.spot_price_ratio > MAX_SPOT_PRICE_RATIO:
             return 0
         return max(0, limits.maximum - on_demand)
 
-    def _lacks_spot_capacity(
-        self, service: str, data_centre: str, now_s: float
-    ) -> bool:
-        return now_s < self._unavailable_until_s.get(
-            (service, data_centre, True), 0.0
-        )
+    def _lacks_spot_capacity(self, service: str, data_centre: str) -> bool:
+        return (service, data_centre, True) in self._shortages
 
     def _is_due(
         self,
--- a/tests/gateway/duties/test_scaling.py
+++ b/tests/gateway/duties/test_scaling.py
@@ -115,6 +115,36 @@
     assert sum(cloud.counts.values()) == 6
 
 
+def test_on_demand_upstreams_boot_while_spot_ones_are_tried_again() -> None:
+    """A boot takes 4 s; each retry after 3 s cancelled those that booted.
+
+    For six seconds after a loss of two data centres nothing was replaced.
+    """
+    planner = ScalingPlanner()
+    service = make_service()
+    counts_by_data_centre: dict[str, list[int]] = {"b": [], "d": []}
+    live = [
+        make_upstream(f"{name}1", data_centre=name, spot=True)
+        for name in ("a", "c")
+    ]
+    for tick in range(40):
+        now_s = tick * 0.5
+        for order in planner.plan(service, live, now_s):
+            counts = counts_by_data_centre.get(order.data_centre)
+            is_unavailable = order.spot and counts is not None
+            if not order.spot and counts is not None:
+                counts.append(order.count)
+            planner.record_outcome(
+                order,
+                DutyOutcome.UNAVAILABLE if is_unavailable else DutyOutcome.DONE,
+                now_s,
+            )
+    for counts in counts_by_data_centre.values():
+        assert counts == sorted(counts)
+    # Four of the six that a shortage may have, with the two that live.
+    assert sum(counts[-1] for counts in counts_by_data_centre.values()) == 4
+
+
 def test_expensive_spot_upstreams_are_not_ordered() -> None:
     cloud = FakeCloud(spot_price_ratio=0.9)
     cloud.run(0.0, 20)
