Let the division of engines between long and short prompts follow the load

Nothing was refused: long prompts began up to 2.6 s late. Change: hosts announce their requests at engines by kind and divide the engines accordingly; a long prompt needs a free slot of its engines or a nearly idle other one, and begins within 0.7 targets, or is refused at once. In force where the platform's settings name overloads (`pressure`). `done` has the longest gap of a stream.

--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -21,6 +21,8 @@
 from shallotfold._gateway.deciding.engine_set import EngineSet
 from shallotfold._gateway.deciding.engine_set import is_long
 from shallotfold._gateway.deciding.named_limits import LimitStatement
+from shallotfold._gateway.deciding.partition_shares import PartitionShares
+from shallotfold._gateway.deciding.partition_shares import PromptLoad
 from shallotfold._gateway.deciding.placement import Placement
 from shallotfold._gateway.deciding.request_holds import HoldChange
 from shallotfold._gateway.deciding.request_holds import RequestHold
@@ -55,6 +57,9 @@
 # multiple of its latency target. In an overload, further ones would delay each
 # other and the streams of other requests.
 ADMITTED_WAIT_PER_TARGET = 2.0
+# The same with load control. Hosts learn of each other's requests with a delay,
+# so that in a burst the wait is about twice as long as expected.
+CONTROLLED_WAIT_PER_TARGET = 0.7
 # A resumable stream that stalls for this multiple of the route's gap target,
 # and at least for the minimum, is resumed at another upstream.
 STALL_TIMEOUT_PER_GAP_TARGET = 3.0
@@ -106,6 +111,8 @@
         placement: Chooses upstreams.
         budget: Bounds retries.
         crashing_requests: Requests that are held back.
+        partition_shares: Shares of engines for long prompts; they follow the
+            load where `placement.controls_load` is set.
         upstreams_by_id: Upstreams that may get requests.
     """
 
@@ -113,6 +120,7 @@
         self.placement = placement
         self.budget = budget
         self.crashing_requests = CrashingRequests()
+        self.partition_shares = PartitionShares()
         self.upstreams_by_id: Mapping[str, Upstream] = {}
         self._engines_by_service: dict[str, EngineSet] = {}
         self._open_requests: dict[int, _OpenRequest] = {}
@@ -301,7 +309,9 @@
             if not upstream.draining:
                 serving.setdefault(upstream.service, []).append(upstream)
         self._engines_by_service = {
-            service: EngineSet.of(upstreams)
+            service: EngineSet.of(
+                upstreams, self.partition_shares.share_of(service)
+            )
             for service, upstreams in serving.items()
         }
         self.placement.health.keep_only(set(event.upstreams_by_id))
@@ -316,6 +326,9 @@
         self.placement.limits.shares.record_peer_demand(
             event.peer, event.demand_by_service, event.now_s
         )
+        self.partition_shares.record_peer(
+            event.peer, event.prompts_by_service, event.now_s
+        )
         return []
 
     def _on_peer_limits(self, event: events.PeerLimitsReceived) -> Effects:
@@ -354,6 +367,10 @@
                 *self.crashing_requests.decide_settled(event.now_s),
             ]
         )
+        if self.placement.controls_load and self.partition_shares.is_due(
+            event.now_s
+        ):
+            due_effects += self._divide_engines(event.now_s)
         for request in list(self._open_requests.values()):
             if event.now_s >= request.deadline_s:
                 due_effects += self._time_out(request, event.now_s)
@@ -368,6 +385,30 @@
             ending_effects += self._abandon(request, "this host has stopped")
         return ending_effects
 
+    def _divide_engines(self, now_s: float) -> Effects:
+        """Let the partitions of long and short prompts follow the load."""
+        loads_by_service: dict[str, PromptLoad] = {}
+        for request in self._open_requests.values():
+            if not request.upstream or not request.prompt.prompt_tokens:
+                continue
+            load = loads_by_service.get(request.service, PromptLoad(0, 0))
+            loads_by_service[request.service] = (
+                attrs.evolve(load, long=load.long + 1)
+                if is_long(request.prompt)
+                else attrs.evolve(load, short=load.short + 1)
+            )
+        changed = self.partition_shares.update(loads_by_service, now_s)
+        for service, share in changed.items():
+            engines = self._engines_by_service.get(service)
+            if engines is not None:
+                self._engines_by_service[service] = EngineSet(
+                    engines.by_id, share
+                )
+        return [
+            effects.LogPartition(service=service, long_share=share)
+            for service, share in changed.items()
+        ]
+
     # Attempts, retries and final responses.
 
     def _send(self, request: _OpenRequest, now_s: float) -> Effects:
@@ -461,7 +502,12 @@
         wait_s = self.placement.rates.prefill_s(
             request.service, load.pending_tokens
         )
-        return wait_s > ADMITTED_WAIT_PER_TARGET * request.route.target_s
+        wait_per_target = (
+            CONTROLLED_WAIT_PER_TARGET
+            if self.placement.controls_load
+            else ADMITTED_WAIT_PER_TARGET
+        )
+        return wait_s > wait_per_target * request.route.target_s
 
     def _retry(self, request: _OpenRequest, now_s: float) -> Effects:
         if request.attempts >= request.route.max_attempts:
--- a/src/shallotfold/_gateway/deciding/effects.py
+++ b/src/shallotfold/_gateway/deciding/effects.py
@@ -95,6 +95,14 @@
     change: LimitChange
 
 
+@attrs.frozen(kw_only=True)
+class LogPartition(Effect):
+    """Log that another share of a service's engines is for long prompts."""
+
+    service: str
+    long_share: float
+
+
 @attrs.frozen(kw_only=True)
 class AnnounceLimits(Effect):
     """Tell all peers at once what responses here said about limits."""
--- a/src/shallotfold/_gateway/deciding/engine_set.py
+++ b/src/shallotfold/_gateway/deciding/engine_set.py
@@ -39,9 +39,11 @@
 
     Attributes:
         by_id: The upstreams.
+        long_share: Share of the engines that long prompts prefer.
     """
 
     by_id: Mapping[str, Upstream]
+    long_share: float = LONG_PROMPT_ENGINE_SHARE
     _all: _Partition = attrs.field(init=False)
     _long: _Partition = attrs.field(init=False)
     _short: _Partition = attrs.field(init=False)
@@ -62,14 +64,18 @@
         if len(sorted_engines) < MIN_PARTITIONED_ENGINES:
             self._long = self._short = self._all
         else:
-            long_count = round(len(sorted_engines) * LONG_PROMPT_ENGINE_SHARE)
+            long_count = round(len(sorted_engines) * self.long_share)
             self._long = _Partition.of(sorted_engines[:long_count])
             self._short = _Partition.of(sorted_engines[long_count:])
 
     @classmethod
-    def of(cls, upstreams: Iterable[Upstream]) -> "EngineSet":
+    def of(
+        cls,
+        upstreams: Iterable[Upstream],
+        long_share: float = LONG_PROMPT_ENGINE_SHARE,
+    ) -> "EngineSet":
         """Build the set from upstreams."""
-        return cls({u.upstream_id: u for u in upstreams})
+        return cls({u.upstream_id: u for u in upstreams}, long_share)
 
     def preferred_ids(self, prompt: Prompt) -> frozenset[str]:
         """Return the ids of the partition for prompts of this length."""
--- a/src/shallotfold/_gateway/deciding/events.py
+++ b/src/shallotfold/_gateway/deciding/events.py
@@ -13,6 +13,7 @@
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
 from shallotfold._gateway.deciding.named_limits import LimitStatement
+from shallotfold._gateway.deciding.partition_shares import PromptLoad
 from shallotfold._model.events import Event
 
 
@@ -176,12 +177,14 @@
         prefixes_sent: Prompt prefixes that it sent lately: prefix id and
             upstream id of each.
         demand_by_service: Requests a second of its callers.
+        prompts_by_service: Its requests at engines, by length of the prompt.
     """
 
     peer: str
     loads_by_upstream: Mapping[str, RequestLoad]
     prefixes_sent: Sequence[tuple[str, str]] = ()
     demand_by_service: Mapping[str, float] = attrs.field(factory=dict)
+    prompts_by_service: Mapping[str, PromptLoad] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_gateway/deciding/placement.py
+++ b/src/shallotfold/_gateway/deciding/placement.py
@@ -52,6 +52,9 @@
 TOKENS_PER_DATA_CENTRE_CROSSING = 150.0
 # An upstream gets no more requests while this many per slot are queued there.
 MAX_QUEUED_PER_SLOT = 1.5
+# With load control, a long prompt goes to an engine of the other partition only
+# while at most this share of its slots is used.
+MAX_BUSY_SLOTS_FOR_LONG = 0.25
 # Hosts learn of each other's requests with a delay. If each compared all
 # engines, all would choose the one that last looked idle. So each compares a
 # random sample: the hosts share the fleet's number of engines, but each samples
@@ -121,6 +124,8 @@
 
     Attributes:
         data_centre: Data centre of this host.
+        controls_load: Whether long prompts wait for a slot elsewhere than at
+            engines, and keep away from those of short ones.
         host_count: Number of hosts that send to the same upstreams, this one
             included.
         loads: Estimated loads.
@@ -131,6 +136,7 @@
     """
 
     data_centre: str
+    controls_load: bool = False
     host_count: int = 1
     loads: UpstreamLoads = attrs.field(factory=UpstreamLoads)
     health: UpstreamHealth = attrs.field(factory=UpstreamHealth)
@@ -173,9 +179,21 @@
                 engines, engines.by_id.keys() - tried, now_s
             )
             candidates = self._available(candidates, now_s) or candidates
+        preferred_ids = engines.preferred_ids(prompt)
+        if self.controls_load and is_long(prompt):
+            candidates = self._with_room_for_long(
+                candidates, preferred_ids
+            ) or self._with_room_for_long(
+                self._available(
+                    self._with_capacity(
+                        engines, engines.by_id.keys() - tried, now_s
+                    ),
+                    now_s,
+                ),
+                preferred_ids,
+            )
         if not candidates:
             return None
-        preferred_ids = engines.preferred_ids(prompt)
         wrong_partition_tokens = TOKENS_PER_WRONG_PARTITION
         if is_long(prompt) and any(
             self._has_free_slot(upstream)
@@ -286,6 +304,22 @@
             if self.health.is_available(u.upstream_id, now_s)
         ]
 
+    def _with_room_for_long(
+        self, upstreams: list[Upstream], preferred_ids: Set[str]
+    ) -> list[Upstream]:
+        """Return the upstreams whose streams a long prompt may delay."""
+        return [
+            upstream
+            for upstream in upstreams
+            if self.loads.total_load(upstream.upstream_id).requests
+            < upstream.slots
+            * (
+                1.0
+                if upstream.upstream_id in preferred_ids
+                else MAX_BUSY_SLOTS_FOR_LONG
+            )
+        ]
+
     def _has_free_slot(self, upstream: Upstream) -> bool:
         load = self.loads.total_load(upstream.upstream_id)
         return load.requests < upstream.slots
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -28,6 +28,7 @@
 from shallotfold._gateway.deciding.events import RequestLoad
 from shallotfold._gateway.deciding.limit_shares import FORGET_AFTER_S
 from shallotfold._gateway.deciding.named_limits import LimitStatement
+from shallotfold._gateway.deciding.partition_shares import PromptLoad
 from shallotfold._gateway.peers.change_messages import MAX_MESSAGE_BYTES
 from shallotfold._gateway.peers.change_messages import UpstreamChanges
 from shallotfold._gateway.peers.change_messages import decode_changes
@@ -43,6 +44,7 @@
 from shallotfold._gateway.peers.limit_messages import statement_fields
 from shallotfold._gateway.peers.peer_traffic import HEARTBEAT
 from shallotfold._gateway.peers.peer_traffic import PeerTraffic
+from shallotfold._gateway.peers.prompt_loads import read_prompt_loads
 
 PROTOCOL_VERSION = 5
 _NUMBER = (int, float)
@@ -69,6 +71,7 @@
     list,
     list,
     dict,
+    dict,
 )
 MIN_HEARTBEAT_INTERVAL_S = 0.4
 # The datagrams of all hosts grow with the square of their number, so each
@@ -153,6 +156,7 @@
         crash_knowledge: What it knows of requests under which upstreams end.
         limit_statements: What responses to it said about limits of upstreams.
         demand_by_service: Requests a second of its callers.
+        prompts_by_service: Its requests at engines, by length of the prompt.
     """
 
     name: str
@@ -176,6 +180,7 @@
     crash_knowledge: CrashKnowledge = attrs.field(factory=CrashKnowledge)
     limit_statements: Sequence[LimitStatement] = ()
     demand_by_service: Mapping[str, float] = attrs.field(factory=dict)
+    prompts_by_service: Mapping[str, PromptLoad] = attrs.field(factory=dict)
 
     @property
     def origin(self) -> str:
@@ -208,6 +213,7 @@
     crash_knowledge: CrashKnowledge = attrs.field(factory=CrashKnowledge)
     limit_statements: Sequence[LimitStatement] = ()
     demand_by_service: Mapping[str, float] = attrs.field(factory=dict)
+    prompts_by_service: Mapping[str, PromptLoad] = attrs.field(factory=dict)
 
 
 def heartbeat_interval_s(host_count: int) -> float:
@@ -392,6 +398,10 @@
                     knowledge_fields(local.crash_knowledge),
                     statement_fields(local.limit_statements, boot_s()),
                     local.demand_by_service,
+                    {
+                        service: (load.short, load.long)
+                        for service, load in local.prompts_by_service.items()
+                    },
                 )
             ),
         )
@@ -454,6 +464,9 @@
             demand_by_service=(
                 read_demand(fields[19]) if len(fields) > 19 else {}
             ),
+            prompts_by_service=(
+                read_prompt_loads(fields[20]) if len(fields) > 20 else {}
+            ),
         )
         return state, fields[12]
 
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -95,7 +95,10 @@
             settings.host, self._incarnation, settings.ip, settings.seed_ips
         )
         dispatcher = Dispatcher(
-            Placement(data_centre=settings.data_centre),
+            Placement(
+                data_centre=settings.data_centre,
+                controls_load=settings.controls_load,
+            ),
             FleetRetryBudget(
                 ratio=settings.retry_ratio,
                 extra=settings.retry_extra,
@@ -413,6 +416,9 @@
             ),
             limit_statements=placement.limits.own_statements(),
             demand_by_service=placement.limits.shares.announced_demand(),
+            prompts_by_service=(
+                self._gateway.dispatcher.partition_shares.local_loads()
+            ),
         )
 
     def _on_peer_state(self, state: PeerState) -> None:
@@ -433,6 +439,7 @@
                 loads_by_upstream=state.loads_by_upstream,
                 prefixes_sent=state.prefixes_sent,
                 demand_by_service=state.demand_by_service,
+                prompts_by_service=state.prompts_by_service,
             )
         )
         if state.limit_statements:
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -134,6 +134,7 @@
             effects.AnnounceCrashes: self._announce_crashes,
             effects.LogLimitChange: self._log_limit_change,
             effects.AnnounceLimits: self._announce_limits,
+            effects.LogPartition: self._log_partition,
         }
 
     async def start(self, ip: str, port: int) -> None:
@@ -374,6 +375,13 @@
         del effect
         self.announce_limits()
 
+    def _log_partition(self, effect: effects.LogPartition) -> None:
+        decision_log.record(
+            "engines_divided",
+            service=effect.service,
+            long_share=round(effect.long_share, 2),
+        )
+
     # Helpers.
 
     def _rejects_during_shutdown(self, timeout_s: float) -> bool:
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -128,6 +128,8 @@
         last_event = find_header(request.headers, names.last_event) or b""
         self._last_event_id = int(last_event) if last_event.isdigit() else None
         self._first_event_s: float | None = None
+        self._last_event_s: float | None = None
+        self._longest_gap_s = 0.0
         self._head_written = False
         self._stream_response = StreamResponse(
             connection, chunked=request.accepts_chunks
@@ -362,6 +364,12 @@
             new_events.append(event.data)
         if not new_events:
             return
+        now_s = boot_s()
+        if self._last_event_s is not None:
+            self._longest_gap_s = max(
+                self._longest_gap_s, now_s - self._last_event_s
+            )
+        self._last_event_s = now_s
         if not self._head_written:
             self._write_stream_head(attempt)
         self._stream_response.write(b"".join(new_events))
@@ -573,6 +581,7 @@
         return {
             "framing": attempt.framing.value if attempt.framing else None,
             "last_event": self._last_event_id,
+            "longest_gap_ms": round(self._longest_gap_s * _MS_PER_S),
             "incomplete_event_bytes": len(attempt.splitter.incomplete_event),
         }
 
--- a/src/shallotfold/platform/settings.py
+++ b/src/shallotfold/platform/settings.py
@@ -12,6 +12,8 @@
 
 SETTINGS_VARIABLE = "SHALLOTFOLD_CONFIG"
 _MS_PER_S = 1000.0
+# Among the active contracts where upstreams are overloaded at times.
+LOAD_CONTRACT = "pressure"
 
 
 def load_platform_settings(path: pathlib.Path) -> GatewaySettings:
@@ -79,6 +81,7 @@
                 read_value("ContractParameters", "UsageLatenessS")
             ),
             is_first_start=bool(content.get("Bootstrap", False)),
+            controls_load=LOAD_CONTRACT in content.get("ActiveContracts", ()),
         )
     except (KeyError, IndexError, TypeError, ValueError) as error:
         raise _invalid(
