Follow evacuations of data centres that operators ask for

Change: where the settings name EvacuationMs, the watch of the configuration covers the operator's prefix; the set of evacuated data centres is known as of a store revision, passed on in heartbeats, and makes their upstreams draining; nothing is ordered there.

--- a/src/shallotfold/_gateway/core/ports.py
+++ b/src/shallotfold/_gateway/core/ports.py
@@ -114,6 +114,16 @@
         """Store key of the newest configuration."""
         ...
 
+    @property
+    def operator_prefix(self) -> str:
+        """Store prefix of all that operators write."""
+        ...
+
+    @property
+    def evacuations_prefix(self) -> str:
+        """Store prefix under which operators name evacuated data centres."""
+        ...
+
     @property
     def upstreams_prefix(self) -> str:
         """Store prefix under which upstreams register."""
--- a/src/shallotfold/_gateway/core/settings.py
+++ b/src/shallotfold/_gateway/core/settings.py
@@ -34,6 +34,8 @@
         usage_lateness_s: Time after the end of a window until its report is
             due.
         is_first_start: Whether the whole fleet starts for the first time.
+        follows_evacuations: Whether operators may ask that the upstreams of a
+            data centre get nothing new.
         controls_load: Whether long prompts are kept apart from short ones, and
             refused while their engines are full.
     """
@@ -57,4 +59,5 @@
     usage_window_s: float
     usage_lateness_s: float
     is_first_start: bool = False
+    follows_evacuations: bool = False
     controls_load: bool = False
--- a/src/shallotfold/_gateway/duties/scaling.py
+++ b/src/shallotfold/_gateway/duties/scaling.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Set
 
 import attrs
 
@@ -66,9 +67,20 @@
             self._shortages.discard(key)
 
     def plan(
-        self, service: Service, upstreams: Iterable[Upstream], now_s: float
+        self,
+        service: Service,
+        upstreams: Iterable[Upstream],
+        now_s: float,
+        evacuated: Set[str] = frozenset(),
     ) -> list[CapacityOrder]:
-        """Return the orders to send now."""
+        """Return the orders to send now.
+
+        Args:
+            service: The service.
+            upstreams: All upstreams.
+            now_s: Time on the boot clock.
+            evacuated: Data centres for which nothing is ordered.
+        """
         limits = service.scaling
         if limits is None:
             return []
@@ -79,7 +91,12 @@
                 live_counts[kind] = live_counts.get(kind, 0) + 1
         orders = []
         data_centre_prices = sorted(
-            limits.price_by_data_centre.items(), key=lambda item: item[1]
+            (
+                item
+                for item in limits.price_by_data_centre.items()
+                if item[0] not in evacuated
+            ),
+            key=lambda item: item[1],
         )
         min_total = round(
             limits.maximum * len(data_centre_prices) * SHORTAGE_CAPACITY_SHARE
--- a/src/shallotfold/_gateway/duties/upstream_ordering.py
+++ b/src/shallotfold/_gateway/duties/upstream_ordering.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Set
 
 from shallotfold._gateway.core import decision_log
 from shallotfold._gateway.core.clocks import boot_s
@@ -25,6 +26,7 @@
         lease: DutyLease,
         services: Callable[[], Iterable[Service]],
         upstreams: Callable[[], Iterable[Upstream]],
+        evacuated: Callable[[], Set[str]],
     ) -> None:
         """Make an instance.
 
@@ -33,11 +35,13 @@
             lease: The lease of the duties.
             services: Returns the configured services.
             upstreams: Returns the registered upstreams.
+            evacuated: Returns the data centres where nothing is ordered.
         """
         self._calls = calls
         self._lease = lease
         self._services = services
         self._upstreams = upstreams
+        self._evacuated = evacuated
         self._planner = ScalingPlanner()
         self._last_fencing_token = 0
         self._periodic_task = PeriodicTask(
@@ -62,7 +66,9 @@
             self._last_fencing_token = fencing
             self._planner.forget_orders()
         for service in self._services():
-            orders = self._planner.plan(service, self._upstreams(), boot_s())
+            orders = self._planner.plan(
+                service, self._upstreams(), boot_s(), self._evacuated()
+            )
             for order in orders:
                 term = self._lease.term
                 if term is None or term.fencing_token != fencing:
--- a/src/shallotfold/_gateway/following/fleet_view.py
+++ b/src/shallotfold/_gateway/following/fleet_view.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 import zlib
 
@@ -16,6 +17,7 @@
 from shallotfold._gateway.core.model import Service
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.core.ports import Dialect
+from shallotfold._gateway.following.evacuations import Evacuations
 from shallotfold._gateway.following.leaving_upstreams import LeavingUpstreams
 from shallotfold._gateway.following.registration_decoder import (
     MAX_LOGGED_CHARACTERS,
@@ -46,6 +48,7 @@
     Attributes:
         registry: The upstreams' registrations.
         leaving: Upstreams that said that they are leaving.
+        evacuations: Data centres whose upstreams get nothing new.
         era: Era of the store that the view follows; see `_services.revisions`.
     """
 
@@ -80,6 +83,7 @@
         self._configuration = StoredValue("", b"", 0)
         self.registry = UpstreamRegistry()
         self.leaving = LeavingUpstreams()
+        self.evacuations = Evacuations()
         self.era: int | None = None
 
     @property
@@ -104,6 +108,25 @@
             if value.key == self._dialect.configuration_key:
                 self._adopt(value, FROM_STORE)
 
+    def apply_operator_snapshot(self, changes: StoreChanges) -> None:
+        """Apply all that operators have written."""
+        self.apply_configuration(changes)
+        if self.evacuations.replace(
+            self._evacuated(value.key for value in changes.changed),
+            changes.revision,
+        ):
+            self._record_evacuations(FROM_STORE)
+
+    def apply_operator_changes(self, changes: StoreChanges) -> None:
+        """Apply the changes of what operators have written."""
+        self.apply_configuration(changes)
+        if self.evacuations.apply_changes(
+            self._evacuated(value.key for value in changes.changed),
+            self._evacuated(changes.deleted),
+            changes.revision,
+        ):
+            self._record_evacuations(FROM_STORE)
+
     def record_store_call(self, error: Exception | None) -> None:
         """Record whether the last call to the store succeeded."""
         if error is None:
@@ -185,6 +208,13 @@
             )
             self._apply_upstreams(peer)
 
+    def record_evacuations_at_peer(
+        self, peer: str, data_centres: Iterable[str], revision: int
+    ) -> None:
+        """Record the evacuations that a peer knows as of a revision."""
+        if self.evacuations.replace(data_centres, revision):
+            self._record_evacuations(peer)
+
     def apply_peer_changes(self, changes: UpstreamChanges) -> None:
         """Apply changes that a peer got from the store.
 
@@ -260,6 +290,24 @@
 
     # Helpers.
 
+    def _evacuated(self, keys: Iterable[str]) -> list[str]:
+        """Return the data centres that keys of evacuations name."""
+        prefix = self._dialect.evacuations_prefix
+        return [
+            key.removeprefix(prefix) for key in keys if key.startswith(prefix)
+        ]
+
+    def _record_evacuations(self, source: str) -> None:
+        decision_log.record(
+            "evacuations",
+            data_centres=sorted(self.evacuations.data_centres),
+            revision=self.evacuations.revision,
+            source=source,
+        )
+        self._apply_upstreams(source)
+        if source == FROM_STORE:
+            self._on_configuration()
+
     def _announce(
         self, values_by_id: dict[str, StoredValue], deleted: list[str]
     ) -> None:
@@ -284,7 +332,11 @@
         now_s = boot_s()
         self.registry.record_restore(now_s)
         upstreams = self._gateway.dispatcher.upstreams_by_id.values()
-        draining = [u for u in upstreams if u.draining]
+        draining = [
+            u
+            for u in upstreams
+            if u.draining and u.data_centre not in self.evacuations.data_centres
+        ]
         # The backup may say that they are still ready.
         for upstream in draining:
             self.leaving.add(
@@ -344,7 +396,10 @@
     def _apply_upstreams(self, source: str) -> None:
         usable = self._decoder.decode(self.registry.documents_by_id())
         for upstream_id, upstream in usable.items():
-            if self.leaving.includes(upstream, boot_s()):
+            if (
+                upstream.data_centre in self.evacuations.data_centres
+                or self.leaving.includes(upstream, boot_s())
+            ):
                 usable[upstream_id] = attrs.evolve(upstream, draining=True)
         previous = self._gateway.dispatcher.upstreams_by_id
         if dict(previous) == usable:
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -72,6 +72,8 @@
     list,
     dict,
     dict,
+    list,
+    int,
 )
 MIN_HEARTBEAT_INTERVAL_S = 0.4
 # The datagrams of all hosts grow with the square of their number, so each
@@ -157,6 +159,9 @@
         limit_statements: What responses to it said about limits of upstreams.
         demand_by_service: Requests a second of its callers.
         prompts_by_service: Its requests at engines, by length of the prompt.
+        evacuated: Evacuated data centres that it knows.
+        evacuations_revision: Store revision as of which it knows them; 0: it
+            knows none.
     """
 
     name: str
@@ -181,6 +186,8 @@
     limit_statements: Sequence[LimitStatement] = ()
     demand_by_service: Mapping[str, float] = attrs.field(factory=dict)
     prompts_by_service: Mapping[str, PromptLoad] = attrs.field(factory=dict)
+    evacuated: Sequence[str] = ()
+    evacuations_revision: int = 0
 
     @property
     def origin(self) -> str:
@@ -214,6 +221,8 @@
     limit_statements: Sequence[LimitStatement] = ()
     demand_by_service: Mapping[str, float] = attrs.field(factory=dict)
     prompts_by_service: Mapping[str, PromptLoad] = attrs.field(factory=dict)
+    evacuated: Sequence[str] = ()
+    evacuations_revision: int = 0
 
 
 def heartbeat_interval_s(host_count: int) -> float:
@@ -402,6 +411,8 @@
                         service: (load.short, load.long)
                         for service, load in local.prompts_by_service.items()
                     },
+                    local.evacuated,
+                    local.evacuations_revision,
                 )
             ),
         )
@@ -467,6 +478,8 @@
             prompts_by_service=(
                 read_prompt_loads(fields[20]) if len(fields) > 20 else {}
             ),
+            evacuated=_read_names(fields[21]) if len(fields) > 22 else (),
+            evacuations_revision=fields[22] if len(fields) > 22 else 0,
         )
         return state, fields[12]
 
@@ -508,6 +521,12 @@
         return addresses
 
 
+def _read_names(fields: list[Any]) -> list[str]:
+    if not all(isinstance(name, str) for name in fields):
+        raise ValueError("a data centre isn't text")
+    return fields
+
+
 def _check_types(fields: Sequence[Any]) -> None:
     """Check the fields that the decoder uses as they are.
 
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -181,6 +181,7 @@
             self._duty_lease,
             self._fleet_view.services,
             self._upstreams,
+            lambda: self._fleet_view.evacuations.data_centres,
         )
         self._page_server = PageServer(
             {
@@ -202,15 +203,7 @@
     ) -> list[PrefixWatcher]:
         fleet_view = self._fleet_view
         return [
-            PrefixWatcher(
-                store,
-                dialect.configuration_key,
-                fleet_view.apply_configuration,
-                fleet_view.apply_configuration,
-                lambda error: None,
-                lambda: self._followers.turn,
-                self._is_follower,
-            ),
+            self._make_operator_watcher(dialect, store),
             PrefixWatcher(
                 store,
                 dialect.upstreams_prefix,
@@ -222,6 +215,27 @@
             ),
         ]
 
+    def _make_operator_watcher(
+        self, dialect: Dialect, store: WatchedStore
+    ) -> PrefixWatcher:
+        fleet_view = self._fleet_view
+        if self._settings.follows_evacuations:
+            prefix = dialect.operator_prefix
+            on_snapshot = fleet_view.apply_operator_snapshot
+            on_changes = fleet_view.apply_operator_changes
+        else:
+            prefix = dialect.configuration_key
+            on_snapshot = on_changes = fleet_view.apply_configuration
+        return PrefixWatcher(
+            store,
+            prefix,
+            on_snapshot,
+            on_changes,
+            lambda error: None,
+            lambda: self._followers.turn,
+            self._is_follower,
+        )
+
     async def start(self) -> None:
         """Start serving."""
         settings = self._settings
@@ -416,6 +430,8 @@
             ),
             limit_statements=placement.limits.own_statements(),
             demand_by_service=placement.limits.shares.announced_demand(),
+            evacuated=sorted(self._fleet_view.evacuations.data_centres),
+            evacuations_revision=self._fleet_view.evacuations.revision,
             prompts_by_service=(
                 self._gateway.dispatcher.partition_shares.local_loads()
             ),
@@ -431,6 +447,9 @@
         self._fleet_view.record_leaving_at_peer(
             state.name, state.leaving_started_ms_by_id
         )
+        self._fleet_view.record_evacuations_at_peer(
+            state.name, state.evacuated, state.evacuations_revision
+        )
         self._duty_lease.record_peer_token(state.fencing_token)
         self._gateway.deliver(
             PeerLoadsReceived(
@@ -504,6 +523,9 @@
             "configuration_read_age_seconds": self._watchers[0].read_age_s,
             "upstream_connections_made": self._gateway.pool.connections_made,
             "store_era": self._store.era,
+            "evacuated_data_centres": len(
+                self._fleet_view.evacuations.data_centres
+            ),
             "holds_duties": float(self._duty_lease.is_held),
             "limited_upstreams": len(self._gateway.dispatcher.placement.limits),
             "held_prompts": len(
--- a/src/shallotfold/platform/documents.py
+++ b/src/shallotfold/platform/documents.py
@@ -36,6 +36,8 @@
 
     headers: HeaderNames = names.HEADERS
     configuration_key = names.CONFIGURATION_KEY
+    operator_prefix = names.OPERATOR_PREFIX
+    evacuations_prefix = names.EVACUATIONS_PREFIX
     upstreams_prefix = names.UPSTREAMS_PREFIX
 
     def read_configuration(self, document: bytes) -> GatewayConfiguration:
--- a/src/shallotfold/platform/names.py
+++ b/src/shallotfold/platform/names.py
@@ -32,7 +32,9 @@
 )
 
 READY_PATH = b"/shallotfold/readiness"
+OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
+EVACUATIONS_PREFIX = "op/evacuate/"
 UPSTREAMS_PREFIX = "servers/"
 
 STORE_GET_PATH = "/shallotfold/kv-key"
--- a/src/shallotfold/platform/settings.py
+++ b/src/shallotfold/platform/settings.py
@@ -81,6 +81,9 @@
                 read_value("ContractParameters", "UsageLatenessS")
             ),
             is_first_start=bool(content.get("Bootstrap", False)),
+            follows_evacuations=(
+                "EvacuationMs" in content.get("ContractParameters", ())
+            ),
             controls_load=LOAD_CONTRACT in content.get("ActiveContracts", ()),
         )
     except (KeyError, IndexError, TypeError, ValueError) as error:
--- a/tests/gateway/duties/test_scaling.py
+++ b/tests/gateway/duties/test_scaling.py
@@ -145,6 +145,11 @@
     assert sum(counts[-1] for counts in counts_by_data_centre.values()) == 4
 
 
+def test_nothing_is_ordered_in_an_evacuated_data_centre() -> None:
+    orders = ScalingPlanner().plan(make_service(), [], 0.0, {"b"})
+    assert {order.data_centre for order in orders} == {"a", "c", "d"}
+
+
 def test_expensive_spot_upstreams_are_not_ordered() -> None:
     cloud = FakeCloud(spot_price_ratio=0.9)
     cloud.run(0.0, 20)
--- a/tests/gateway/fleet_harness.py
+++ b/tests/gateway/fleet_harness.py
@@ -143,6 +143,7 @@
         cut_off: Numbers of the hosts whose datagrams are lost.
         partition: Numbers of hosts that hear each other, but no other host.
         datagram_loss: Share of all datagrams that is lost.
+        follows_evacuations: Whether hosts that start follow evacuations.
     """
 
     _networks = itertools.count(1)
@@ -156,6 +157,7 @@
         self.cut_off: set[int] = set()
         self.partition: set[int] = set()
         self.datagram_loss = 0.0
+        self.follows_evacuations = False
         self._loss_rng = random.Random(2)
         self._duties = DutyService()
         self._network = (
@@ -207,6 +209,10 @@
         """Return the version of the configuration in force on a host."""
         return self._process_by_host[host]._fleet_view.configuration_version
 
+    def evacuated(self, host: int) -> frozenset[str]:
+        """Return the evacuated data centres that a host knows."""
+        return self._process_by_host[host]._fleet_view.evacuations.data_centres
+
     async def send(self, host: int, *part_ids: str) -> Answer:
         """Send a request whose prompt has these shared parts and its own."""
         request_id = f"{next(self._request_numbers):016x}"
@@ -283,6 +289,7 @@
             usage_window_s=60.0,
             usage_lateness_s=10.0,
             is_first_start=first,
+            follows_evacuations=self.follows_evacuations,
         )
         process = GatewayProcess(
             settings,
@@ -404,6 +411,7 @@
     hosts: Sequence[int] = (0, 1, 2, 3),
     engine_count: int = 8,
     engine_type: type[CrashingEngines] = CrashingEngines,
+    follows_evacuations: bool = False,
 ) -> FleetHarness:
     """Run a scenario on a fleet that has started."""
     # Several processes share the test's standard output and its signals.
@@ -412,6 +420,7 @@
     monkeypatch.setattr(reload_signal, "ignore", lambda _: None)
     previous_handler = signal.getsignal(signal.SIGHUP)
     fleet = FleetHarness(engine_type)
+    fleet.follows_evacuations = follows_evacuations
 
     async def run() -> None:
         try:
