Add a check of a gateway configuration before it is sent

Cause: a faulty configuration was noticed only when requests failed. Hosts took two routes of one name and a document without routes, and nothing reported parts that never match or limits that contradict each other. A message about an unprintable key contained the key.

One set of checks on the decoded document: hosts refuse its errors, its warnings are for operators only. The decoder leaves rules between fields to the checks.

--- a/src/shallotfold/_cli/operator_main.py
+++ b/src/shallotfold/_cli/operator_main.py
@@ -23,6 +23,7 @@
 from shallotfold._operator.commands import audit
 from shallotfold._operator.commands import configuration
 from shallotfold._operator.commands import entries
+from shallotfold._operator.commands import gateway_configuration
 from shallotfold._operator.commands import keys
 from shallotfold._operator.commands import logs
 from shallotfold._operator.commands import status
@@ -33,6 +34,7 @@
 from shallotfold._operator.commands.context import connect_store
 from shallotfold._operator.commands.context import current_user
 from shallotfold._operator.output import Output
+from shallotfold.platform.settings import SETTINGS_VARIABLE
 
 EXIT_STORE_UNAVAILABLE = 3
 EXIT_RACE = 4
@@ -42,15 +44,17 @@
 EXIT_CODES_HELP = """\
 exit codes:
   0    done
-  1    failed; the message says why
+  1    failed; the message says why (gateway check: there are findings)
   2    wrong command line, settings or configuration; all faults are listed
+       (gateway check: a file or the store can't be read)
   3    the key-value service does not answer; nothing was changed
   4    another version was accepted first; nothing was changed
   5    the outcome of a submission is unknown; the message says how to find out
   130  interrupted
 """
 
-Command = Callable[[CommandContext, argparse.Namespace], Awaitable[None]]
+# Returns the exit code; `None` is `EXIT_OK`.
+Command = Callable[[CommandContext, argparse.Namespace], Awaitable[int | None]]
 
 
 def main(
@@ -80,7 +84,7 @@
     command: Command, context: CommandContext, options: argparse.Namespace
 ) -> int:
     try:
-        asyncio.run(_run_command(command, context, options))
+        exit_code = asyncio.run(_run_command(command, context, options))
         sys.stdout.flush()
     except SubmissionUnknownError as error:
         return _report_error(error, EXIT_UNKNOWN)
@@ -94,13 +98,13 @@
         # The interpreter flushes standard output once more when it exits.
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
         return EXIT_FAILURE
-    return EXIT_OK
+    return exit_code or EXIT_OK
 
 
 async def _run_command(
     command: Command, context: CommandContext, options: argparse.Namespace
-) -> None:
-    await command(context, options)
+) -> int | None:
+    return await command(context, options)
 
 
 def _report_error(error: Exception, exit_code: int) -> int:
@@ -125,6 +129,7 @@
     )
     commands = parser.add_subparsers(metavar="COMMAND", required=True)
     _add_configuration_commands(commands)
+    _add_gateway_commands(commands)
     _add_key_commands(commands)
     _add_monitoring_commands(commands)
     return parser
@@ -173,6 +178,46 @@
     submit.set_defaults(command=_submit)
 
 
+def _add_gateway_commands(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    group = commands.add_parser(
+        "gateway", help="check configurations of gateways"
+    )
+    actions = group.add_subparsers(metavar="ACTION", required=True)
+    check = actions.add_parser(
+        "check",
+        help="list errors, parts without effect and contradictions of a file",
+        epilog="exit codes: 0 clean, 1 errors or warnings, 2 a file or the "
+        "version in force can't be read",
+    )
+    check.add_argument(
+        "file", help="configuration in the platform's format; - for stdin"
+    )
+    check.add_argument(
+        "--against",
+        default="",
+        metavar="FILE",
+        help="compare with this file; store: with the version in force "
+        "(./store for a file of this name)",
+    )
+    check.add_argument(
+        "--store",
+        default="",
+        metavar="IP:PORT",
+        help="the platform's store; default: that of the platform's settings "
+        f"file, from --settings or ${SETTINGS_VARIABLE}",
+    )
+    check.set_defaults(
+        command=lambda context, o: gateway_configuration.check(
+            context,
+            gateway_configuration.CheckRequest(
+                path=o.file, against=o.against, store_address=o.store
+            ),
+        )
+    )
+
+
 def _add_key_commands(
     commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
 ) -> None:
--- a/src/shallotfold/platform/documents.py
+++ b/src/shallotfold/platform/documents.py
@@ -13,6 +13,8 @@
 from shallotfold._gateway.core.model import Workspace
 from shallotfold._gateway.core.wire_names import HeaderNames
 from shallotfold.platform import names
+from shallotfold.platform.configuration_checks import DeclaredConfiguration
+from shallotfold.platform.configuration_checks import find_errors
 from shallotfold.platform.fields import Fields
 from shallotfold.platform.fields import parse_document
 
@@ -23,6 +25,8 @@
 MAX_FACTOR = 1e9
 MAX_BYTES = 2**40
 MAX_PORT = 65_535
+# Errors in the message about a refused configuration, which becomes a log line.
+MAX_SHOWN_ERRORS = 3
 _KIND_BY_NAME = {
     "streaming": RouteKind.STREAM,
     "non_idempotent": RouteKind.ONCE,
@@ -41,13 +45,10 @@
     upstreams_prefix = names.UPSTREAMS_PREFIX
 
     def read_configuration(self, document: bytes) -> GatewayConfiguration:
-        """Decode a configuration; see `Dialect`."""
-        content = parse_document(document)
-        version = content.whole_number("Version", minimum=1)
-        try:
-            return _decode_configuration(version, content)
-        except ValueError as error:
-            raise ValueError(f"version {version}: {error}") from error
+        """Decode a configuration without errors; see `Dialect`."""
+        declared = decode_configuration(document)
+        _raise_errors(declared)
+        return declared.configuration
 
     def read_upstream(self, upstream_id: str, document: bytes) -> Upstream:
         """Decode an upstream's registration; see `Dialect`."""
@@ -95,51 +96,66 @@
     return ip, number
 
 
+def decode_configuration(document: bytes) -> DeclaredConfiguration:
+    """Decode a configuration without checking how its parts fit together.
+
+    Raises:
+        ValueError: A field is missing or has another type or range.
+    """
+    content = parse_document(document)
+    version = content.whole_number("Version", minimum=1)
+    try:
+        return _decode_configuration(version, content)
+    except ValueError as error:
+        raise ValueError(f"version {version}: {error}") from error
+
+
 def _decode_configuration(
     version: int, content: Fields
-) -> GatewayConfiguration:
-    services_by_name = {
-        service.name: service
-        for service in map(_decode_service, content.objects("Services"))
-    }
-    routes = tuple(map(_decode_route, content.objects("Routes")))
-    for route in routes:
-        for share in route.split:
-            if share.service not in services_by_name:
-                raise ValueError(
-                    f"route {route.name} goes to service {share.service}, "
-                    "which isn't defined"
-                )
+) -> DeclaredConfiguration:
+    services = tuple(map(_decode_service, content.objects("Services")))
     requires_keys = content.has("Tenants")
-    return GatewayConfiguration(
-        version=version,
-        routes=routes,
-        services_by_name=services_by_name,
-        workspaces_by_key=(
-            _decode_workspaces(content) if requires_keys else {}
+    tenants = content.objects("Tenants") if requires_keys else []
+    workspaces = tuple(map(_decode_workspace, tenants))
+    keys_of_workspaces = tuple(tenant.secrets("ApiKeys") for tenant in tenants)
+    workspace_by_key: dict[str, Workspace] = {}
+    for workspace, keys in zip(workspaces, keys_of_workspaces, strict=True):
+        for key in keys:
+            workspace_by_key.setdefault(key, workspace)
+    return DeclaredConfiguration(
+        configuration=GatewayConfiguration(
+            version=version,
+            routes=tuple(map(_decode_route, content.objects("Routes"))),
+            services_by_name={service.name: service for service in services},
+            workspaces_by_key=workspace_by_key,
+            requires_keys=requires_keys,
+            limits=_decode_limits(content.object("Limits")),
         ),
-        requires_keys=requires_keys,
-        limits=_decode_limits(content.object("Limits")),
+        services=services,
+        workspaces=workspaces,
+        keys_of_workspaces=keys_of_workspaces,
+        document=content.value_by_name,
     )
 
 
-def _decode_workspaces(content: Fields) -> dict[str, Workspace]:
-    workspace_by_key: dict[str, Workspace] = {}
-    for tenant in content.objects("Tenants"):
-        workspace = Workspace(
-            tenant.text("Name"),
-            tenant.whole_number("Priority", maximum=MAX_COUNT)
-            if tenant.has("Priority")
-            else None,
-        )
-        for key in tenant.texts("ApiKeys"):
-            other = workspace_by_key.setdefault(key, workspace)
-            if other.name != workspace.name:
-                # Keys are secret, so the message doesn't have it.
-                tenant.fail(
-                    "ApiKeys", f"{other.name} and {workspace.name} share a key"
-                )
-    return workspace_by_key
+def _decode_workspace(tenant: Fields) -> Workspace:
+    return Workspace(
+        tenant.text("Name"),
+        tenant.whole_number("Priority", maximum=MAX_COUNT)
+        if tenant.has("Priority")
+        else None,
+    )
+
+
+def _raise_errors(declared: DeclaredConfiguration) -> None:
+    errors = find_errors(declared)
+    if not errors:
+        return
+    shown = [f"{e.place}: {e.text}" for e in errors[:MAX_SHOWN_ERRORS]]
+    if len(errors) > len(shown):
+        shown.append(f"{len(errors) - len(shown)} more errors")
+    version = declared.configuration.version
+    raise ValueError(f"version {version}: {'; '.join(shown)}")
 
 
 def _decode_route(content: Fields) -> Route:
@@ -185,11 +201,7 @@
         )
         for share in content.objects("TrafficSplit")
     )
-    if not split:
-        return (SplitShare(content.text("Service"), 1.0),)
-    if not sum(share.weight for share in split):
-        content.fail("TrafficSplit", "all weights are 0")
-    return split
+    return split or (SplitShare(content.text("Service"), 1.0),)
 
 
 def _decode_service(content: Fields) -> Service:
@@ -206,12 +218,9 @@
 
 
 def _decode_scaling(content: Fields) -> ScalingLimits:
-    minimum = content.whole_number("Minimum", maximum=MAX_COUNT)
     return ScalingLimits(
-        minimum=minimum,
-        maximum=content.whole_number(
-            "Maximum", minimum=minimum, maximum=MAX_COUNT
-        ),
+        minimum=content.whole_number("Minimum", maximum=MAX_COUNT),
+        maximum=content.whole_number("Maximum", maximum=MAX_COUNT),
         boot_s=content.number("BootTimeS", maximum=MAX_DURATION_MS / _MS_PER_S),
         spot_price_ratio=content.number(
             "SpotPriceRatio", 1.0, maximum=MAX_FACTOR
--- a/src/shallotfold/platform/fields.py
+++ b/src/shallotfold/platform/fields.py
@@ -20,14 +20,17 @@
     Each method raises `ValueError` with the name of the field if its value has
     another type or is out of range, or if it is absent and has no default. A
     null counts as absent.
+
+    Attributes:
+        value_by_name: The object as it was parsed.
     """
 
-    _value_by_name: Mapping[str, Any]
+    value_by_name: Mapping[str, Any]
     _path: str = ""
 
     def has(self, name: str) -> bool:
         """Whether the field is there."""
-        return self._value_by_name.get(name) is not None
+        return self.value_by_name.get(name) is not None
 
     def text(self, name: str) -> str:
         """Return text that has at least one character, all of them printable.
@@ -36,9 +39,13 @@
         """
         return self._check_text(name, self._get(name))
 
-    def texts(self, name: str) -> list[str]:
-        """Return a list of texts."""
-        return [self._check_text(name, value) for value in self._list(name)]
+    def secrets(self, name: str) -> list[str]:
+        """Return a list of texts that no error message has."""
+        values = self._list(name)
+        for number, value in enumerate(values):
+            if not (isinstance(value, str) and value and value.isprintable()):
+                self.fail(f"{name}.{number}", "expected printable text")
+        return values
 
     def flag(self, name: str, *, default: bool = _REQUIRED) -> bool:
         """Return true or false."""
@@ -107,7 +114,7 @@
         raise ValueError(f"{self._path}{name}: {reason}")
 
     def _get(self, name: str, default: Any = _REQUIRED) -> Any:
-        value = self._value_by_name.get(name)
+        value = self.value_by_name.get(name)
         if value is not None:
             return value
         if default is _REQUIRED:
@@ -117,7 +124,8 @@
     def _list(self, name: str) -> list[Any]:
         values = self._get(name)
         if not isinstance(values, list):
-            self.fail(name, f"expected a list, not {_show(values)}")
+            # Not shown, since a single secret may be there.
+            self.fail(name, "expected a list")
         return values
 
     def _check_text(self, name: str, value: Any) -> str:
