--- a/src/shallotfold/_cli/operator_main.py
+++ b/src/shallotfold/_cli/operator_main.py
@@ -142,8 +142,11 @@
         "check", help="check a configuration file and list all faults"
     )
     check.add_argument("file", type=pathlib.Path, help="file; - for stdin")
+    _add_against(check)
     check.set_defaults(
-        command=lambda context, o: configuration.check(context, o.file)
+        command=lambda context, o: configuration.check(
+            context, o.file, o.against
+        )
     )
     show = commands.add_parser(
         "print", help="print the configuration in force, or a file"
@@ -194,13 +197,7 @@
     check.add_argument(
         "file", help="configuration in the platform's format; - for stdin"
     )
-    check.add_argument(
-        "--against",
-        default="",
-        metavar="FILE",
-        help="compare with this file; store: with the version in force "
-        "(./store for a file of this name)",
-    )
+    _add_against(check)
     check.add_argument(
         "--store",
         default="",
@@ -305,6 +302,16 @@
     )
 
 
+def _add_against(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--against",
+        default="",
+        metavar="FILE",
+        help="compare with this file; store: with the version in force "
+        "(./store for a file of this name)",
+    )
+
+
 def _add_audit_options(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         "--why",
--- a/src/shallotfold/_operator/commands/configuration.py
+++ b/src/shallotfold/_operator/commands/configuration.py
@@ -24,6 +24,8 @@
 READ_ATTEMPTS = 4
 FIRST_RETRY_DELAY_S = 0.1
 STANDARD_INPUT = pathlib.Path("-")
+# Value of `--against` that stands for the version in force.
+STORE = "store"
 
 
 @attrs.frozen(kw_only=True)
@@ -68,11 +70,35 @@
     return configuration
 
 
-async def check(context: CommandContext, path: pathlib.Path) -> None:
-    """Check a file and report that it has no faults."""
-    read_configuration(path)
+async def check(
+    context: CommandContext, path: pathlib.Path, against: str = ""
+) -> None:
+    """Check a file, report that it has no faults and what it would change.
+
+    Args:
+        context: Settings and output.
+        path: Configuration file; `-` for standard input.
+        against: File to compare with, `store` for the version in force, or
+            empty.
+    """
+    configuration = read_configuration(path)
+    if not against:
+        context.output.write_line(f"{path}: no faults")
+        context.output.write_json({"faults": []})
+        return
+    if against == STORE:
+        async with context.open_store() as store:
+            other = (await read_stored(store)).configuration
+    else:
+        other = read_configuration(pathlib.Path(against))
+    changes = diff_configurations(other, configuration)
     context.output.write_line(f"{path}: no faults")
-    context.output.write_json({"faults": []})
+    if not changes:
+        context.output.write_line(f"no difference to {against}")
+    _show_changes(context, changes)
+    context.output.write_json(
+        {"faults": [], "changes": [attrs.asdict(c) for c in changes]}
+    )
 
 
 async def print_configuration(
--- a/src/shallotfold/_operator/commands/gateway_configuration.py
+++ b/src/shallotfold/_operator/commands/gateway_configuration.py
@@ -10,6 +10,7 @@
 
 from shallotfold._errors import PlatformError
 from shallotfold._errors import UsageError
+from shallotfold._operator.commands.configuration import STORE
 from shallotfold._operator.commands.context import CommandContext
 from shallotfold._settings.addresses import Address
 from shallotfold._settings.addresses import parse_address
@@ -31,8 +32,6 @@
 EXIT_CLEAN = 0
 EXIT_FINDINGS = 1
 STANDARD_INPUT = "-"
-# Value of `--against` that stands for the version in force.
-STORE = "store"
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/cli/test_operator_main.py
+++ b/tests/cli/test_operator_main.py
@@ -174,6 +174,25 @@
     assert len(capsys.readouterr().err.splitlines()) == 2
 
 
+def test_check_shows_what_a_file_would_change(
+    deployment: Deployment, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Without a store at hand, two files could not be compared."""
+    assert submit(deployment) == 0
+    content = json.loads(deployment.document.read_text())
+    changed = deployment.document.with_name("changed.json")
+    changed.write_text(json.dumps({**content, "usage_window_s": 120}))
+    for against in ("store", str(deployment.document)):
+        capsys.readouterr()
+        argv = ("--json", "check", str(changed), "--against", against)
+        assert deployment.run(*argv) == 0
+        result = json.loads(capsys.readouterr().out)
+        assert result["faults"] == []
+        assert [c["path"] for c in result["changes"]] == ["usage_window_s"]
+    missing = str(changed.with_name("missing.json"))
+    assert deployment.run("check", str(changed), "--against", missing) == 2
+
+
 def test_missing_settings_are_named(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
