Bound the memory that callers' heads and unread responses take

Cause: a gateway kept three objects for each header line, one or more for each pipelined request and prompt part, and responses of any total size for callers that don't read. A transport keeps all data of a write until its end is sent, which its buffer size doesn't show (0.3 MiB reported, 3 MiB held). Connections could take all descriptors. A parser and its connection refer to each other, so that their memory waited for a garbage collection.

Two budgets, derived from Limits.MemoryLimitMb, bound all heads and all unread responses; the connections that hold the most are ended first. Callers may take 3/4 of the descriptors. Logged ids and parts are bounded. Trailers are no longer merged into the headers. Heads of 4,000 lines of four bytes were refused, since four bytes were counted for three; that is mended.

--- a/src/shallotfold/_gateway/core/metrics.py
+++ b/src/shallotfold/_gateway/core/metrics.py
@@ -55,6 +55,12 @@
             ["direction", "type"],
             registry=self._registry,
         )
+        self._ended_connections = Counter(
+            f"{PREFIX}_ended_connections",
+            "Connections of callers that were ended to free resources.",
+            ["reason"],
+            registry=self._registry,
+        )
         self._loop_delay = Histogram(
             f"{PREFIX}_loop_delay_seconds",
             "How late the event loop runs a periodic call.",
@@ -93,6 +99,10 @@
         self._peer_datagrams.labels(direction, message_type).inc(count)
         self._peer_bytes.labels(direction, message_type).inc(size)
 
+    def count_ended_connection(self, reason: str) -> None:
+        """Count a caller's connection that was ended to free resources."""
+        self._ended_connections.labels(reason).inc()
+
     def observe_loop_delay(self, delay_s: float) -> None:
         """Record how late a periodic call of the event loop came."""
         self._loop_delay.observe(delay_s)
--- a/src/shallotfold/_gateway/core/model.py
+++ b/src/shallotfold/_gateway/core/model.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Mapping
+from collections.abc import Sequence
 import enum
 
 import attrs
@@ -207,24 +208,28 @@
         parts: Parts in order; the last one isn't shared with other requests.
         prompt_tokens: Input tokens.
         max_output_tokens: Upper bound of output tokens.
+        shared_prefix_id: Id of the last part shared with other requests;
+            empty: none.
+        shared_prefix_tokens: Tokens of all parts shared with other requests.
     """
 
     model: str = ""
-    parts: tuple[PromptPart, ...] = ()
+    parts: Sequence[PromptPart] = ()
     prompt_tokens: int = 0
     max_output_tokens: int = 0
+    # Placement looks at these for each upstream.
+    shared_prefix_id: str = attrs.field(init=False, eq=False, repr=False)
+    shared_prefix_tokens: int = attrs.field(init=False, eq=False, repr=False)
 
-    @property
-    def shared_prefix_id(self) -> str:
-        """Id of the last part shared with other requests; empty: none."""
+    @shared_prefix_id.default
+    def _find_shared_prefix_id(self) -> str:
         return self.parts[-2].part_id if len(self.parts) > 1 else ""
 
+    @shared_prefix_tokens.default
+    def _sum_shared_tokens(self) -> int:
+        return sum(part.tokens for part in self.parts[:-1])
+
     @property
     def shared_part_ids(self) -> tuple[str, ...]:
         """Ids of the parts that other requests may share, in order."""
         return tuple(part.part_id for part in self.parts[:-1])
-
-    @property
-    def shared_prefix_tokens(self) -> int:
-        """Tokens of all parts shared with other requests."""
-        return sum(part.tokens for part in self.parts[:-1])
--- a/src/shallotfold/_gateway/core/settings.py
+++ b/src/shallotfold/_gateway/core/settings.py
@@ -38,6 +38,8 @@
             data centre get nothing new.
         controls_load: Whether long prompts are kept apart from short ones, and
             refused while their engines are full.
+        memory_limit_mib: Memory that the process may use, in MiB; `None`: not
+            known, the smallest hosts' 160 MiB are assumed.
     """
 
     host: str
@@ -61,3 +63,4 @@
     is_first_start: bool = False
     follows_evacuations: bool = False
     controls_load: bool = False
+    memory_limit_mib: int | None = None
--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -64,6 +64,8 @@
 # and at least for the minimum, is resumed at another upstream.
 STALL_TIMEOUT_PER_GAP_TARGET = 3.0
 MIN_STALL_TIMEOUT_S = 1.2
+# Callers choose the number of parts; further ones aren't logged.
+MAX_LOGGED_PARTS = 16
 # A prompt whose answer has been written for this long doesn't end upstreams.
 WRITTEN_WITHOUT_CRASH_S = 0.5
 # A held prompt is told the whole time that the hold lasts, with this share on
@@ -481,7 +483,7 @@
                     f"requests={load.requests} candidates={len(engines.by_id)} "
                     f"expected_ms={request.expected_s * 1000:.0f}"
                 ),
-                shared_part_ids=prompt.shared_part_ids,
+                shared_part_ids=prompt.shared_part_ids[:MAX_LOGGED_PARTS],
             )
         ]
 
--- a/src/shallotfold/_gateway/http/messages.py
+++ b/src/shallotfold/_gateway/http/messages.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from shallotfold._gateway.http.compact_head import CompactHead
+
 Headers = list[tuple[bytes, bytes]]
 
 # Headers that apply to a single connection (RFC 9110, section 7.6.1).
@@ -88,6 +90,9 @@
         keep_alive: Whether the caller wants to reuse the connection.
         accepts_chunks: Whether the response may be chunked.
         started_s: Arrival of the first byte, in event loop time.
+        head_refused: Whether the host had no room for the head.
+        compact_head: Header lines as bytes, from which `restore_headers` makes
+            `headers` and `original_names`; `None`: they are always kept.
     """
 
     method: bytes
@@ -100,6 +105,18 @@
     accepts_chunks: bool
     started_s: float
     body_refused: bool = False
+    head_refused: bool = False
+    compact_head: "CompactHead | None" = None
+
+    def release_headers(self) -> None:
+        """Drop the header objects until they are needed again."""
+        if self.compact_head is not None:
+            self.headers, self.original_names = [], []
+
+    def restore_headers(self) -> None:
+        """Make the header objects unless they are there."""
+        if self.compact_head is not None and not self.headers:
+            self.headers, self.original_names = self.compact_head.expand()
 
     @property
     def path(self) -> str:
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -114,6 +114,7 @@
             self._peers.agreed_time_s,
         )
         self._gateway.host_count = ASSUMED_HOSTS_AT_START
+        self._gateway.caller_memory.set_memory_limit(settings.memory_limit_mib)
         self._created_s = boot_s()
         dispatcher.crashing_requests.trial_draw = random.random()
         dispatcher.placement.limits.shares.host = settings.host
@@ -308,6 +309,7 @@
         budget.ratio = settings.retry_ratio
         budget.extra = settings.retry_extra
         budget.window_s = settings.retry_window_s
+        self._gateway.caller_memory.set_memory_limit(settings.memory_limit_mib)
         decision_log.record("reload", changed=changed)
 
     async def wait_stopped(self) -> int:
@@ -514,9 +516,15 @@
         return Page(HTTPStatus.OK, snapshot, b"application/msgpack")
 
     def _gauges(self) -> dict[str, float]:
+        memory = self._gateway.caller_memory
         return {
             "open_requests": self._gateway.dispatcher.open_requests,
             "held_request_bytes": self._gateway.body_budget.held_bytes,
+            "caller_connections": len(memory.connections),
+            "held_head_bytes": memory.head_bytes,
+            "max_held_head_bytes": memory.max_head_bytes,
+            "unread_response_bytes": memory.unread_bytes,
+            "max_unread_response_bytes": memory.max_unread_bytes,
             "upstreams": len(self._gateway.dispatcher.upstreams_by_id),
             "peers_alive": len(self._peers.alive()),
             "configuration_version": self._fleet_view.configuration_version,
--- a/src/shallotfold/_gateway/serving/caller_connection.py
+++ b/src/shallotfold/_gateway/serving/caller_connection.py
@@ -11,15 +11,21 @@
 from loguru import logger
 
 from shallotfold._gateway.core.model import RequestLimits
+from shallotfold._gateway.http.compact_head import CompactHead
 from shallotfold._gateway.http.messages import IncomingRequest
 from shallotfold._gateway.http.messages import encode_local_response
 from shallotfold._gateway.serving.body_budget import BodyBudget
 from shallotfold._gateway.serving.body_budget import BodyHold
+from shallotfold._gateway.serving.caller_memory import CallerMemory
 from shallotfold._runtime.sockets import is_closed_by_peer
 from shallotfold._runtime.sockets import reset_connection
 
-# Reading pauses while this many pipelined requests are queued.
+# Parsing and reading pause while this many pipelined requests are queued.
 MAX_QUEUED_REQUESTS = 4
+# Input with more blank lines, each of which can end a request, is parsed in
+# parts of this size: the parser can't stop within the bytes that it is given.
+MAX_BLANK_LINES_AT_ONCE = 4
+PARSED_PART_BYTES = 256
 # A caller with more unread response data is disconnected, to bound memory.
 MAX_WRITE_BUFFER_BYTES = 4_194_304
 # Chunk framing and trailers of a request, as far as they aren't its body.
@@ -66,6 +72,7 @@
 class _QueuedRequest:
     request: IncomingRequest
     body_hold: BodyHold
+    head_bytes: int
 
 
 class CallerConnection(asyncio.Protocol):
@@ -78,15 +85,30 @@
             complete yet; `None`: there is none.
         head_complete: Whether the head of that request is complete.
         ends_response: Whether the current response ends with the connection.
+        opened_s: When it was opened, in event loop time.
+        waiting_head_bytes: Bytes of heads and raw input that aren't in service.
     """
 
     def __init__(
-        self, handler: RequestHandler, connections: "set[CallerConnection]"
+        self,
+        handler: RequestHandler,
+        connections: "set[CallerConnection]",
+        memory: CallerMemory | None = None,
     ) -> None:
+        """Make a connection that isn't open yet.
+
+        Args:
+            handler: Serves the requests.
+            connections: Set that holds the connection while it is open.
+            memory: Budgets of all connections; `None`: this one has its own.
+        """
+        self._memory = memory or CallerMemory()
         self._handler = handler
         self._connections = connections
         self._loop = asyncio.get_running_loop()
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = (
+            httptools.HttpRequestParser(self)
+        )
         self._transport: asyncio.Transport | None = None
         self._queued_requests: collections.deque[_QueuedRequest] = (
             collections.deque()
@@ -99,16 +121,27 @@
         self._keep_alive = True
         self._input_closed = False
         self._unparsed_bytes = 0
+        # Received bytes that wait until fewer requests are queued.
+        self._raw_input = b""
+        self._parsing = False
+        self._queued_head_bytes = 0
+        self._served_head_bytes = 0
+        self._unread_bytes = 0
+        # Bytes written so far, the ends of the writes that may be incomplete,
+        # and the end of the last complete one.
+        self._written_bytes = 0
+        self._write_ends: collections.deque[int] = collections.deque()
+        self._complete_bytes = 0
+        self.waiting_head_bytes = 0
         self._reset_request()
-        self.last_active_s = self._loop.time()
+        self.opened_s = self.last_active_s = self._loop.time()
         self.request_started_s: float | None = None
         self.head_complete = False
         self.ends_response = False
 
     def _reset_request(self) -> None:
         self._target = bytearray()
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._original_names: list[bytes] = []
+        self._head = CompactHead()
         self._body = bytearray()
         self._has_body = False
         self._body_too_large = False
@@ -124,13 +157,25 @@
         """Register a new connection."""
         self._transport = cast(asyncio.Transport, transport)
         self._connections.add(self)
+        if not self._memory.add(self):
+            self._input_closed = True
+            self._transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the request in progress."""
         del exc
         self._transport = None
         self._connections.discard(self)
-        self._drop_queued_requests()
+        self._memory.remove(self)
+        self._drop_input()
+        # The parser refers to this object; without it, the memory is free at
+        # once and not at the next garbage collection.
+        self._parser = None
+        self._input_closed = True
+        self._count_heads()
+        self._release_served_head()
+        self._memory.change_unread(-self._unread_bytes)
+        self._unread_bytes = 0
         self._body_hold.release()
         self._served_body_hold.release()
         exchange, self._exchange = self._exchange, None
@@ -142,6 +187,40 @@
         if self._input_closed:
             return
         self.last_active_s = self._loop.time()
+        if self._raw_input or self._parsing:
+            self._raw_input += data
+        elif _blank_lines(data) <= MAX_BLANK_LINES_AT_ONCE:
+            self._parse(data)
+            self._serve_next()
+        else:
+            self._raw_input = data
+            self._parse_raw_input()
+        self._count_heads()
+
+    def _parse_raw_input(self) -> None:
+        """Parse what was received, until too many requests are queued."""
+        if self._parsing:
+            return
+        self._parsing = True
+        data, self._raw_input = self._raw_input, b""
+        start = 0
+        while start < len(data) and not self._input_closed:
+            if self.reading_paused:
+                break
+            self._parse(data[start : start + PARSED_PART_BYTES])
+            start += PARSED_PART_BYTES
+            self._serve_next()
+        if not self._input_closed:
+            self._raw_input = data[start:] + self._raw_input
+        self._parsing = False
+        if self._transport is not None and not self._transport.is_closing():
+            if self._raw_input:
+                self._transport.pause_reading()
+            else:
+                self._transport.resume_reading()
+
+    def _parse(self, data: bytes) -> None:
+        assert self._parser is not None
         if self.request_started_s is None:
             self.request_started_s = self.last_active_s
         if not self.head_complete:
@@ -165,7 +244,6 @@
             elif self._has_excess_framing():
                 logger.info("Rejected a request: too much chunk framing")
                 self._reject(HTTPStatus.BAD_REQUEST)
-        self._serve_next()
 
     # The parser calls these.
 
@@ -180,11 +258,13 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
-        self._head_bytes += len(name) + len(value) + len(b": \r\n")
+        """Collect one header; trailers are dropped."""
+        if self.head_complete or self._input_closed:
+            return
+        # No more than was sent: white space after the colon is optional.
+        self._head_bytes += len(name) + len(value) + len(b":\r\n")
         name_lower = name.lower()
-        self._headers.append((name_lower, value))
-        self._original_names.append(name)
+        self._head.add(name, value)
         if name_lower in (b"content-length", b"transfer-encoding"):
             self._has_body = True
         elif name_lower == b"expect" and value.lower() == b"100-continue":
@@ -212,7 +292,7 @@
     def on_message_complete(self) -> None:
         """Queue the request, which is now complete."""
         self._continue_expected = False
-        if self._input_closed:
+        if self._input_closed or self._parser is None:
             return
         if self._head_too_large:
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
@@ -221,11 +301,13 @@
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
         started_s = self.request_started_s
+        head_bytes = len(self._target) + len(self._head)
         request = IncomingRequest(
             method=self._parser.get_method(),
             target=bytes(self._target),
-            headers=self._headers,
-            original_names=self._original_names,
+            headers=[],
+            original_names=[],
+            compact_head=self._head,
             body=bytes(self._body),
             has_body=self._has_body,
             keep_alive=self._parser.should_keep_alive(),
@@ -233,7 +315,12 @@
             started_s=self._loop.time() if started_s is None else started_s,
             body_refused=self._body_hold.refused,
         )
-        self._queued_requests.append(_QueuedRequest(request, self._body_hold))
+        self._queued_requests.append(
+            _QueuedRequest(request, self._body_hold, head_bytes)
+        )
+        self._queued_head_bytes += head_bytes
+        self._target = bytearray()
+        self._head = CompactHead()
         self._body = bytearray()
         self.request_started_s = None
         self._unparsed_bytes = 0
@@ -251,9 +338,15 @@
         return (
             not self._serving
             and not self._queued_requests
+            and not self._raw_input
             and self.request_started_s is None
         )
 
+    @property
+    def serving(self) -> bool:
+        """Whether a request is in service."""
+        return self._serving
+
     def caller_has_left(self) -> bool:
         """Whether the caller has closed the connection."""
         return self._transport is None or is_closed_by_peer(self._transport)
@@ -264,9 +357,34 @@
         return len(self._queued_requests) >= MAX_QUEUED_REQUESTS
 
     def disconnect(self) -> None:
-        """Drop the connection of a caller that has left."""
+        """Drop the connection; its caller has left or holds too much."""
+        self._input_closed = True
+        self._drop_input()
         if self._transport is not None:
-            self._transport.abort()
+            self._abort_transport()
+
+    def end_input(self) -> None:
+        """Drop all input that isn't in service, and close the connection.
+
+        The caller may be told 431: no request is dropped that was being served.
+        """
+        self._drop_input()
+        self._input_closed = True
+        self._keep_alive = False
+        self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        self._count_heads()
+
+    def refresh_unread_bytes(self) -> int:
+        """Measure, count and return the bytes of unread responses."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            unread_bytes = 0
+        else:
+            unread_bytes = self._kept_bytes(transport.get_write_buffer_size())
+        change_bytes = unread_bytes - self._unread_bytes
+        self._unread_bytes = unread_bytes
+        self._memory.change_unread(min(0, change_bytes))
+        return unread_bytes
 
     @property
     def must_close(self) -> bool:
@@ -283,7 +401,14 @@
         if transport is None or transport.is_closing():
             return
         transport.write(data)
-        if transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
+        self._written_bytes += len(data)
+        self._write_ends.append(self._written_bytes)
+        buffered_bytes = transport.get_write_buffer_size()
+        unread_bytes = self._kept_bytes(buffered_bytes)
+        change_bytes = unread_bytes - self._unread_bytes
+        self._unread_bytes = unread_bytes
+        self._memory.change_unread(change_bytes)
+        if buffered_bytes > MAX_WRITE_BUFFER_BYTES:
             logger.info(
                 "Aborted a connection: the caller doesn't read its responses"
             )
@@ -294,6 +419,7 @@
         self._exchange = None
         self._serving = False
         self._served_body_hold.release()
+        self._release_served_head()
         self.ends_response = False
         self.last_active_s = self._loop.time()
         if close:
@@ -310,7 +436,8 @@
     def close(self) -> None:
         """Close once written data is out; drop queued requests."""
         self._input_closed = True
-        self._drop_queued_requests()
+        self._drop_input()
+        self._count_heads()
         if self.ends_response:
             self._abort_transport()
         elif self._transport is not None:
@@ -329,10 +456,44 @@
         """Reject a request that wasn't received in time."""
         self._reject(HTTPStatus.REQUEST_TIMEOUT)
 
-    def _drop_queued_requests(self) -> None:
+    def _kept_bytes(self, buffered_bytes: int) -> int:
+        """Return the size of the writes that aren't complete.
+
+        The transport keeps the data of a write until all of it was sent; for a
+        large response that is several times what its buffer size says.
+        """
+        sent_bytes = self._written_bytes - buffered_bytes
+        while self._write_ends and self._write_ends[0] <= sent_bytes:
+            self._complete_bytes = self._write_ends.popleft()
+        return self._written_bytes - self._complete_bytes
+
+    def _drop_input(self) -> None:
+        """Drop queued requests, and input of requests that aren't complete."""
         for queued in self._queued_requests:
             queued.body_hold.release()
         self._queued_requests.clear()
+        self._queued_head_bytes = 0
+        self._raw_input = b""
+        self._unparsed_bytes = 0
+        self._target = bytearray()
+        self._head = CompactHead()
+
+    def _count_heads(self) -> None:
+        """Count what this connection holds of requests not in service."""
+        held_bytes = self._queued_head_bytes + len(self._raw_input)
+        if self.request_started_s is not None:
+            held_bytes += max(
+                self._unparsed_bytes, len(self._target) + len(self._head)
+            )
+        change_bytes = held_bytes - self.waiting_head_bytes
+        if change_bytes:
+            self.waiting_head_bytes = held_bytes
+            self._memory.change_heads(change_bytes)
+
+    def _release_served_head(self) -> None:
+        self._memory.served_head_bytes -= self._served_head_bytes
+        self._memory.change_heads(-self._served_head_bytes)
+        self._served_head_bytes = 0
 
     def _abort_transport(self) -> None:
         if self._transport is None:
@@ -383,8 +544,24 @@
             queued = self._queued_requests.popleft()
             request, self._served_body_hold = queued.request, queued.body_hold
             self._serving = True
+            self._queued_head_bytes -= queued.head_bytes
+            request.head_refused = not self._memory.admits(queued.head_bytes)
+            # Not counted as a growth: it is counted as waiting until now.
+            self.waiting_head_bytes -= queued.head_bytes
+            self._served_head_bytes = queued.head_bytes
+            self._memory.served_head_bytes += queued.head_bytes
+            request.restore_headers()
             self._keep_alive = self._keep_alive and request.keep_alive
-            if len(self._queued_requests) < MAX_QUEUED_REQUESTS:
+            if not self._raw_input and not self.reading_paused:
                 self._transport.resume_reading()
             self._exchange = self._handler.start_request(request, self)
+            request.release_headers()
+        if self._raw_input and not self.reading_paused:
+            self._parse_raw_input()
+            self._count_heads()
         self._send_continue()
+
+
+def _blank_lines(data: bytes) -> int:
+    """Return how many blank lines end in these bytes."""
+    return data.count(b"\n\r\n") + data.count(b"\n\n")
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -6,6 +6,7 @@
 import itertools
 import math
 import random
+import resource
 from typing import Any
 
 import attrs
@@ -31,6 +32,9 @@
 from shallotfold._gateway.serving.body_budget import BodyBudget
 from shallotfold._gateway.serving.caller_connection import CallerConnection
 from shallotfold._gateway.serving.caller_connection import Exchange
+from shallotfold._gateway.serving.caller_memory import CALLER_DESCRIPTOR_SHARE
+from shallotfold._gateway.serving.caller_memory import CallerMemory
+from shallotfold._gateway.serving.relay import MAX_LOGGED_ID_BYTES
 from shallotfold._gateway.serving.relay import Admission
 from shallotfold._gateway.serving.relay import Relay
 from shallotfold._gateway.serving.request_parsing import parse_deadline_s
@@ -80,6 +84,7 @@
         dispatcher: Decides on requests; gets its events only from `deliver`.
         pool: Pool of connections to upstreams.
         body_budget: Memory of the bodies of callers' requests.
+        caller_memory: Memory of heads and of unread responses.
         route_table: Current routes; `None` before the first configuration.
         shutdown_started_s: When a shutdown began, on the boot clock; `None`
             before.
@@ -104,6 +109,8 @@
         self.dispatcher = dispatcher
         self.metrics = metrics
         self.body_budget = BodyBudget()
+        self.caller_memory = CallerMemory()
+        self.caller_memory.count_ended = metrics.count_ended_connection
         self.pool = UpstreamPool(self._idle_limit)
         self.route_table: RouteTable | None = None
         self.shutdown_started_s: float | None = None
@@ -139,9 +146,16 @@
 
     async def start(self, ip: str, port: int) -> None:
         """Listen for callers."""
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if descriptors != resource.RLIM_INFINITY:
+            self.caller_memory.max_connections = max(
+                1, int(descriptors * CALLER_DESCRIPTOR_SHARE)
+            )
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: CallerConnection(self, self._connections),
+            lambda: CallerConnection(
+                self, self._connections, self.caller_memory
+            ),
             ip,
             port,
             backlog=1024,
@@ -265,6 +279,10 @@
             return _Rejection(503, "no configuration known yet")
         if request.body_refused:
             return _Rejection(503, "this host holds too many large requests")
+        if request.head_refused:
+            return _Rejection(
+                503, "this host holds too many requests with large heads"
+            )
         host = find_header(request.headers, b"host") or b""
         route = self.route_table.find(host.decode("latin-1"), request.path)
         if route is None:
@@ -404,7 +422,7 @@
         request_id = find_header(request.headers, self.names.request_id) or b""
         decision_log.record(
             "reject",
-            request_id=request_id.decode("latin-1"),
+            request_id=request_id[:MAX_LOGGED_ID_BYTES].decode("latin-1"),
             status=rejection.status,
             reason=rejection.reason,
             configuration=(
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -29,6 +29,7 @@
 from shallotfold._gateway.serving.forwarding import GatewayHeaders
 from shallotfold._gateway.serving.forwarding import forwarded_request
 from shallotfold._gateway.serving.forwarding import forwarded_response_headers
+from shallotfold._gateway.serving.request_parsing import parse_whole_number
 from shallotfold._gateway.serving.response_parsing import parse_named_rate
 from shallotfold._gateway.serving.response_parsing import parse_retry_after_s
 from shallotfold._gateway.serving.stream_response import StreamResponse
@@ -42,6 +43,8 @@
     HTTPStatus.TOO_MANY_REQUESTS,
     HTTPStatus.SERVICE_UNAVAILABLE,
 )
+# Callers choose the id of a request; the rest isn't logged.
+MAX_LOGGED_ID_BYTES = 128
 _MS_PER_S = 1000.0
 
 
@@ -126,7 +129,7 @@
         names = gateway.names
         self._request_id = find_header(request.headers, names.request_id) or b""
         last_event = find_header(request.headers, names.last_event) or b""
-        self._last_event_id = int(last_event) if last_event.isdigit() else None
+        self._last_event_id = parse_whole_number(last_event)
         self._first_event_s: float | None = None
         self._last_event_s: float | None = None
         self._longest_gap_s = 0.0
@@ -134,6 +137,11 @@
         self._stream_response = StreamResponse(
             connection, chunked=request.accepts_chunks
         )
+        # Once the header objects are released, they aren't made again for it.
+        self._has_prompt = (
+            self._route.reads_prompt
+            or find_header(request.headers, names.token_counts) is not None
+        )
         self._run_counted = False
         self._attempt: Attempt | None = None
         self._failed_attempt: Attempt | None = None
@@ -522,26 +530,23 @@
 
     def _encode_request(self, effect: effects.SendAttempt) -> bytes:
         replaces_last_event = self._head_written or effect.number > 1
-        return forwarded_request(
+        self._request.restore_headers()
+        encoded = forwarded_request(
             self._request,
             self._gateway.names,
             GatewayHeaders(
                 allowed_ms=max(1, int(effect.allowed_s * _MS_PER_S)),
                 upstream_id=effect.upstream.upstream_id,
                 workspace=self.workspace.name if self.workspace else None,
-                rank=self._rank if self._has_prompt() else None,
+                rank=self._rank if self._has_prompt else None,
                 resume_after=(
                     self._last_event_id if replaces_last_event else None
                 ),
                 replaces_last_event=replaces_last_event,
             ),
         )
-
-    def _has_prompt(self) -> bool:
-        token_counts = find_header(
-            self._request.headers, self._gateway.names.token_counts
-        )
-        return self._route.reads_prompt or token_counts is not None
+        self._request.release_headers()
+        return encoded
 
     def _write_stream_head(self, attempt: Attempt) -> None:
         self._head_written = True
@@ -608,7 +613,7 @@
     def _log(self, decision: str, **inputs: object) -> None:
         decision_log.record(
             decision,
-            request_id=self._request_id.decode("latin-1"),
+            request_id=self._request_id[:MAX_LOGGED_ID_BYTES].decode("latin-1"),
             route=self._route.name,
             workspace=self.workspace.name if self.workspace else None,
             **inputs,
--- a/src/shallotfold/_settings/reference.py
+++ b/src/shallotfold/_settings/reference.py
@@ -23,6 +23,20 @@
     ("shallotfold-controller", ControllerSettings),
     ("shallotfold", OperatorSettings),
 )
+_GATEWAY_LINES = (
+    "",
+    "## `shallotfold-gateway`",
+    "",
+    "Its settings file is JSON and written by the platform. Optional fields:",
+    "",
+    "| key | default | meaning |",
+    "| --- | --- | --- |",
+    "| `Limits.MemoryLimitMb` | `160` | Memory that the process may use, in "
+    "MiB. Heads of callers' requests may take 1/16 of it, and responses that "
+    "callers haven't read 1/8; beyond that, the connections that hold the most "
+    "are ended. Callers' connections may take 3/4 of the descriptors that the "
+    "process may open. |",
+)
 _ATTRIBUTE = re.compile(r"^    (\w+): (.*)$")
 _REQUIRED = "required"
 
@@ -63,6 +77,7 @@
             f"| `{row.key}` | {row.default} | {row.meaning} |"
             for row in list_settings(settings_class)
         ]
+    lines += _GATEWAY_LINES
     return "\n".join(lines) + "\n"
 
 
--- a/src/shallotfold/platform/settings.py
+++ b/src/shallotfold/platform/settings.py
@@ -14,6 +14,7 @@
 _MS_PER_S = 1000.0
 # Among the active contracts where upstreams are overloaded at times.
 LOAD_CONTRACT = "pressure"
+MAX_MIB = 1_048_576
 
 
 def load_platform_settings(path: pathlib.Path) -> GatewaySettings:
@@ -44,6 +45,16 @@
     def read_address(*keys: str) -> Address:
         return parse_address(str(read_value(*keys)))
 
+    def read_memory_limit() -> int | None:
+        nonlocal key
+        key = "Limits.MemoryLimitMb"
+        limit_mib = (content.get("Limits") or {}).get("MemoryLimitMb")
+        if limit_mib is None:
+            return None
+        if isinstance(limit_mib, bool) or not 1 <= int(limit_mib) <= MAX_MIB:
+            raise ValueError(limit_mib)
+        return int(limit_mib)
+
     try:
         return GatewaySettings(
             host=str(read_value("NodeName")),
@@ -85,6 +96,7 @@
                 "EvacuationMs" in content.get("ContractParameters", ())
             ),
             controls_load=LOAD_CONTRACT in content.get("ActiveContracts", ()),
+            memory_limit_mib=read_memory_limit(),
         )
     except (KeyError, IndexError, TypeError, ValueError) as error:
         raise _invalid(
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -54,9 +54,18 @@
     assert settings.seed_ips == ("10.1.0.19", "10.2.0.36")
 
 
+def test_memory_limit_is_optional(tmp_path: pathlib.Path) -> None:
+    """Files of earlier platforms have no limits."""
+    assert load_platform_settings(write(tmp_path)).memory_limit_mib is None
+    path = write(tmp_path, Limits={"MemoryLimitMb": 552})
+    assert load_platform_settings(path).memory_limit_mib == 552
+
+
 @pytest.mark.parametrize(
     ("changes", "key"),
     [
+        ({"Limits": {"MemoryLimitMb": 0}}, "Limits.MemoryLimitMb"),
+        ({"Limits": {"MemoryLimitMb": "x"}}, "Limits.MemoryLimitMb"),
         ({"Platform": {}}, "Platform.Address"),
         ({"IpAddress": None, "ListenAddresses": {}}, "ListenAddresses"),
         ({"ContractParameters": {"RetryBudgetRatio": "x"}}, "RetryBudgetRatio"),
