Use a larger demand only after peers have heard of it

Cause: a host put its newest demand in force two seconds after it announced it, also if it was cut off meanwhile. Its peers kept the old demand, so that shares added up to more than the whole: in a simulation of 72 hosts that were cut off just after a burst each took 0.66 of the slots, and an upstream that takes 1 request a second got 25.

Change: a demand is raised only if the host heard at least two thirds of its peers in the period since the announcement; lower demand takes effect as before. This also holds for limits that upstreams name.

Result: the new test failed for 2, 9 and 72 hosts before the change and passes now.

--- a/src/shallotfold/_gateway/deciding/limit_shares.py
+++ b/src/shallotfold/_gateway/deciding/limit_shares.py
@@ -27,9 +27,15 @@
 # A peer that is silent may be cut off from this host only and still send, so
 # its share isn't given to others until it is forgotten.
 FORGET_AFTER_S = 60.0
+# Peers that don't know of a larger demand leave no room for it. A host uses it
+# only if it heard at least this share of its peers since it was announced. With
+# demand in force that no peer knew of, 72 hosts that were cut off after a burst
+# took 0.66 of the slots each.
+MIN_HEARD_SHARE = 2.0 / 3.0
 # A host that hears less than half of its peers for this long can't know whether
 # they hear of its demand.
 IN_TOUCH_S = 5.0
+MIN_IN_TOUCH_SHARE = 0.5
 
 
 @attrs.frozen
@@ -138,14 +144,14 @@
             for service, demand in measured.items()
             if demand >= MIN_ANNOUNCED_PER_S
         }
-        self._in_force = self._announced
-        if self._is_in_touch(now_s):
+        if self._heard_share(now_s, period_s) >= MIN_HEARD_SHARE:
+            self._in_force = self._announced
+        else:
+            self._in_force = _lower(self._announced, self._in_force)
+        if self._heard_share(now_s, IN_TOUCH_S) >= MIN_IN_TOUCH_SHARE:
             self._announced = measured
         else:
-            self._announced = {
-                service: min(demand, self._announced.get(service, 0.0))
-                for service, demand in measured.items()
-            }
+            self._announced = _lower(measured, self._announced)
 
     def share_of(self, service: str, now_s: float) -> Share:
         """Return the share of this host for a service."""
@@ -161,9 +167,22 @@
         total += own
         return Share(before / total, (before + own) / total)
 
-    def _is_in_touch(self, now_s: float) -> bool:
+    def _heard_share(self, now_s: float, span_s: float) -> float:
+        """Return the share of peers heard within the span; 1 without peers."""
+        if not self._demand_by_peer:
+            return 1.0
         heard = sum(
-            now_s - demand.received_s < IN_TOUCH_S
+            now_s - demand.received_s <= span_s
             for demand in self._demand_by_peer.values()
         )
-        return 2 * heard >= len(self._demand_by_peer)
+        return heard / len(self._demand_by_peer)
+
+
+def _lower(
+    demand: Mapping[str, float], bound: Mapping[str, float]
+) -> dict[str, float]:
+    """Return the demand by service, bounded by another one."""
+    return {
+        service: min(rate, bound.get(service, 0.0))
+        for service, rate in demand.items()
+    }
--- a/tests/gateway/deciding/test_limit_shares.py
+++ b/tests/gateway/deciding/test_limit_shares.py
@@ -82,6 +82,20 @@
         assert sum(fleet.widths()) <= 1.0 + 1e-9
 
 
+@pytest.mark.parametrize("count", [2, 9, 72])
+def test_demand_that_no_peer_has_learned_gives_no_share(count: int) -> None:
+    """72 hosts that were cut off in a burst took 0.66 of all slots each."""
+    fleet = Fleet(count)
+    for _ in range(4):
+        fleet.run_period({})
+    fleet.run_period(dict.fromkeys(range(count), 50))
+    for _ in range(5):
+        for host in fleet.hosts:
+            host.update(fleet.now_s)
+        assert sum(fleet.widths()) <= 1.0 + 1e-9
+        fleet.now_s += DEMAND_PERIOD_S
+
+
 def test_service_without_callers_is_not_announced_for_ever() -> None:
     """Each service that was ever configured made all heartbeats longer."""
     fleet = Fleet(2)
