Limit the rate of requests to cold upstreams

Cause: hosts sent to an upstream that had just started as to a warm one, and it crashed under several times the requests that it takes.

Change: `ColdPerS` and `ColdStartS` of a service limit the rate at its cold upstreams, all hosts together. Each host follows in the registrations which upstreams are cold; the rate is divided by the shares and slots of named limits, whose unused slots expire sooner at cold upstreams. Warm upstreams go first. Without the fields nothing is limited.

--- a/src/shallotfold/_gateway/core/model.py
+++ b/src/shallotfold/_gateway/core/model.py
@@ -105,11 +105,17 @@
         scaling: Bounds of orders; `None` if no upstreams are ordered.
         connection_limit: Connections that one upstream accepts from all
             hosts together; it resets further ones. 0: unknown.
+        cold_rate_per_s: Requests a second that a cold upstream takes from all
+            hosts together. 0: the service has no cold upstreams.
+        cold_start_s: How long an upstream is cold after its start. 0: the
+            service has no cold upstreams.
     """
 
     name: str
     scaling: ScalingLimits | None = None
     connection_limit: int = 0
+    cold_rate_per_s: float = 0.0
+    cold_start_s: float = 0.0
 
 
 @attrs.frozen
@@ -172,6 +178,8 @@
         cold_remaining_s: How much longer it is slow after its start.
         started_ms: Start of this incarnation in Unix milliseconds; 0: unknown.
         spot: Whether the platform may reclaim it at short notice.
+        sequence: Number of the registration, which grows while the incarnation
+            runs. Registrations that differ in nothing else are equal.
     """
 
     upstream_id: str
@@ -184,6 +192,7 @@
     cold_remaining_s: float = 0.0
     started_ms: int = 0
     spot: bool = False
+    sequence: int = attrs.field(default=0, eq=False)
 
 
 @attrs.frozen
--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -17,6 +17,7 @@
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.deciding import effects
 from shallotfold._gateway.deciding import events
+from shallotfold._gateway.deciding.cold_upstreams import ColdChange
 from shallotfold._gateway.deciding.crashing_requests import CrashingRequests
 from shallotfold._gateway.deciding.engine_set import EngineSet
 from shallotfold._gateway.deciding.engine_set import is_long
@@ -139,6 +140,7 @@
             events.PauseRequested: self._on_pause_requested,
             events.LimitStated: self._on_limit_stated,
             events.UpstreamsChanged: self._on_upstreams_changed,
+            events.ServicesChanged: self._on_services_changed,
             events.PeerLoadsReceived: self._on_peer_loads,
             events.PeerLimitsReceived: self._on_peer_limits,
             events.PeerCrashesReceived: self._on_peer_crashes,
@@ -317,7 +319,18 @@
             for service, upstreams in serving.items()
         }
         self.placement.health.keep_only(set(event.upstreams_by_id))
-        return []
+        return _log_cold_changes(
+            self.placement.limits.record_registrations(
+                event.upstreams_by_id, event.now_s, event.source
+            )
+        )
+
+    def _on_services_changed(self, event: events.ServicesChanged) -> Effects:
+        return _log_cold_changes(
+            self.placement.limits.set_services(
+                event.services_by_name, self.upstreams_by_id, event.now_s
+            )
+        )
 
     def _on_peer_loads(self, event: events.PeerLoadsReceived) -> Effects:
         self.placement.loads.record_peer_loads(
@@ -362,8 +375,10 @@
         self.crashing_requests.host_count = event.host_count
         self.placement.loads.drop_expired(event.now_s)
         self.placement.limits.clock_offset_s = event.clock_offset_s
-        self.placement.limits.update(self.upstreams_by_id, event.now_s)
-        due_effects = self._hold_effects(
+        due_effects = _log_cold_changes(
+            self.placement.limits.update(self.upstreams_by_id, event.now_s)
+        )
+        due_effects += self._hold_effects(
             [
                 *self.crashing_requests.drop_expired(event.now_s),
                 *self.crashing_requests.decide_settled(event.now_s),
@@ -624,7 +639,12 @@
                     request=request.request,
                     retry_after_s=MIN_RETRY_AFTER_S
                     + return_s * (1.0 + RETURN_JITTER_SHARE * request.draw),
-                    reason="all upstreams named limits, which are reached",
+                    reason=(
+                        "all upstreams are cold or named limits, which are "
+                        "reached"
+                        if limits.cold
+                        else "all upstreams named limits, which are reached"
+                    ),
                 )
             ]
         pause_s = (
@@ -715,3 +735,7 @@
         if request.upstream:
             self.placement.loads.end_request(request.upstream, request.request)
             request.upstream = ""
+
+
+def _log_cold_changes(changes: Sequence[ColdChange]) -> Effects:
+    return [effects.LogColdChange(change=change) for change in changes]
--- a/src/shallotfold/_gateway/deciding/effects.py
+++ b/src/shallotfold/_gateway/deciding/effects.py
@@ -3,6 +3,7 @@
 import attrs
 
 from shallotfold._gateway.core.model import Upstream
+from shallotfold._gateway.deciding.cold_upstreams import ColdChange
 from shallotfold._gateway.deciding.named_limits import LimitChange
 from shallotfold._gateway.deciding.request_holds import HoldChange
 
@@ -103,6 +104,13 @@
     long_share: float
 
 
+@attrs.frozen(kw_only=True)
+class LogColdChange(Effect):
+    """Log that an upstream became cold or warm."""
+
+    change: ColdChange
+
+
 @attrs.frozen(kw_only=True)
 class AnnounceLimits(Effect):
     """Tell all peers at once what responses here said about limits."""
--- a/src/shallotfold/_gateway/deciding/events.py
+++ b/src/shallotfold/_gateway/deciding/events.py
@@ -10,6 +10,7 @@
 
 from shallotfold._gateway.core.model import Prompt
 from shallotfold._gateway.core.model import Route
+from shallotfold._gateway.core.model import Service
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
 from shallotfold._gateway.deciding.named_limits import LimitStatement
@@ -149,9 +150,26 @@
 
 @attrs.frozen(kw_only=True)
 class UpstreamsChanged(Event):
-    """The set of upstreams that may get requests changed."""
+    """The set of upstreams that may get requests changed.
+
+    Attributes:
+        upstreams_by_id: The upstreams.
+        source: Where the change came from, for the log.
+    """
 
     upstreams_by_id: Mapping[str, Upstream]
+    source: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class ServicesChanged(Event):
+    """Another configuration is in force.
+
+    Attributes:
+        services_by_name: Its services.
+    """
+
+    services_by_name: Mapping[str, Service]
 
 
 @attrs.frozen
--- a/src/shallotfold/_gateway/deciding/placement.py
+++ b/src/shallotfold/_gateway/deciding/placement.py
@@ -130,7 +130,7 @@
             included.
         loads: Estimated loads.
         health: Failure ratios and ejections.
-        limits: Limits that upstreams have named.
+        limits: Limits that upstreams have named, and those of cold ones.
         prefixes: Upstreams that cache shared prefixes.
         rates: Prefill rates of the engines.
     """
@@ -155,9 +155,9 @@
     ) -> Upstream | None:
         """Return the upstream with the lowest cost that has capacity, if any.
 
-        Ejected upstreams are used only when no other is left, those that asked
-        for a pause never, and those that named a limit while this host's share
-        of it isn't used up.
+        Ejected upstreams are used only when no other is left, cold ones only
+        when no warm one is, those that asked for a pause never, and those with
+        a limit while this host's share of it isn't used up.
 
         Args:
             engines: Upstreams of the service.
@@ -174,7 +174,7 @@
         sampled_ids = engines.sample(prompt, count, draw) | cached_tokens.keys()
         candidates = self._with_capacity(engines, sampled_ids - tried, now_s)
         candidates = self._available(candidates, now_s)
-        if not candidates:
+        if not candidates or self._are_cold(candidates):
             candidates = self._with_capacity(
                 engines, engines.by_id.keys() - tried, now_s
             )
@@ -192,6 +192,8 @@
                 ),
                 preferred_ids,
             )
+
+        candidates = self._warm(candidates) or candidates
         if not candidates:
             return None
         wrong_partition_tokens = TOKENS_PER_WRONG_PARTITION
@@ -237,11 +239,11 @@
     def upstreams_if_all_limited(
         self, engines: EngineSet | None, now_s: float
     ) -> list[Upstream]:
-        """Return the upstreams that are there if all of them name limits.
+        """Return the upstreams that are there if all of them are limited.
 
         Those that are paused don't count, unless all of them are.
         """
-        if engines is None or not self.limits:
+        if engines is None or not self.limits.any_limited:
             return []
         present = [
             upstream
@@ -320,6 +322,15 @@
             )
         ]
 
+    def _are_cold(self, upstreams: list[Upstream]) -> bool:
+        return bool(self.limits.cold) and not self._warm(upstreams)
+
+    def _warm(self, upstreams: list[Upstream]) -> list[Upstream]:
+        cold = self.limits.cold
+        if not cold:
+            return upstreams
+        return [u for u in upstreams if not cold.is_cold(u.upstream_id)]
+
     def _has_free_slot(self, upstream: Upstream) -> bool:
         load = self.loads.total_load(upstream.upstream_id)
         return load.requests < upstream.slots
--- a/src/shallotfold/_gateway/following/fleet_view.py
+++ b/src/shallotfold/_gateway/following/fleet_view.py
@@ -17,6 +17,7 @@
 from shallotfold._gateway.core.model import Service
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.core.ports import Dialect
+from shallotfold._gateway.deciding.events import ServicesChanged
 from shallotfold._gateway.following.evacuations import Evacuations
 from shallotfold._gateway.following.leaving_upstreams import LeavingUpstreams
 from shallotfold._gateway.following.registration_decoder import (
@@ -374,6 +375,11 @@
             return
         self._configuration = value
         self._gateway.route_table = RouteTable(configuration)
+        self._gateway.deliver(
+            ServicesChanged(
+                now_s=boot_s(), services_by_name=configuration.services_by_name
+            )
+        )
         decision_log.record(
             "configuration",
             version=configuration.version,
@@ -402,7 +408,7 @@
             ):
                 usable[upstream_id] = attrs.evolve(upstream, draining=True)
         previous = self._gateway.dispatcher.upstreams_by_id
-        if dict(previous) == usable:
+        if dict(previous) == usable and not self._has_cold_news(usable):
             return
         decision_log.record(
             "upstreams",
@@ -412,7 +418,22 @@
             removed=sorted(previous.keys() - usable.keys()),
             draining=sorted(i for i, u in usable.items() if u.draining),
         )
-        self._gateway.set_upstreams(usable)
+        self._gateway.set_upstreams(usable, source)
+
+    def _has_cold_news(self, usable: Mapping[str, Upstream]) -> bool:
+        """Whether a registration says anew that its upstream is cold.
+
+        An upstream that becomes cold again early may name the same remaining
+        time as before.
+        """
+        if not any(service.cold_rate_per_s for service in self.services()):
+            return False
+        previous = self._gateway.dispatcher.upstreams_by_id
+        return any(
+            upstream.cold_remaining_s > 0.0
+            and upstream.sequence != previous[upstream_id].sequence
+            for upstream_id, upstream in usable.items()
+        )
 
 
 def _decompress(data: bytes) -> bytes:
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -536,6 +536,9 @@
             ),
             "holds_duties": float(self._duty_lease.is_held),
             "limited_upstreams": len(self._gateway.dispatcher.placement.limits),
+            "cold_upstreams": len(
+                self._gateway.dispatcher.placement.limits.cold
+            ),
             "held_prompts": len(
                 self._gateway.dispatcher.crashing_requests.holds
             ),
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -140,6 +140,7 @@
             effects.LogHoldChange: self._log_hold_change,
             effects.AnnounceCrashes: self._announce_crashes,
             effects.LogLimitChange: self._log_limit_change,
+            effects.LogColdChange: self._log_cold_change,
             effects.AnnounceLimits: self._announce_limits,
             effects.LogPartition: self._log_partition,
         }
@@ -212,11 +213,13 @@
         for effect in self.dispatcher.reduce(event):
             self._effect_handlers[type(effect)](effect)
 
-    def set_upstreams(self, upstreams_by_id: dict[str, Upstream]) -> None:
-        """Set the upstreams that may get requests."""
+    def set_upstreams(
+        self, upstreams_by_id: dict[str, Upstream], source: str = ""
+    ) -> None:
+        """Set the upstreams that may get requests, and where they come from."""
         self.deliver(
             events.UpstreamsChanged(
-                now_s=boot_s(), upstreams_by_id=upstreams_by_id
+                now_s=boot_s(), upstreams_by_id=upstreams_by_id, source=source
             )
         )
         self.pool.retain_only(list(upstreams_by_id.values()))
@@ -385,6 +388,16 @@
             peer=change.peer,
         )
 
+    def _log_cold_change(self, effect: effects.LogColdChange) -> None:
+        change = effect.change
+        decision_log.record(
+            "upstream_cold",
+            upstream=change.upstream,
+            per_second=change.rate,
+            remaining_s=round(change.remaining_s, 3),
+            source=change.source,
+        )
+
     def _announce_crashes(self, effect: effects.AnnounceCrashes) -> None:
         del effect
         self.announce_crashes()
--- a/src/shallotfold/platform/documents.py
+++ b/src/shallotfold/platform/documents.py
@@ -58,9 +58,8 @@
         state = content.text("State")
         if state not in _DRAINING_BY_STATE:
             content.fail("State", f"unknown state {state!r}")
-        # Nothing here needs these two, but who leaves them out is no upstream.
+        # Nothing here needs it, but who leaves it out is no upstream.
         content.text("Version")
-        content.whole_number("SequenceNumber")
         ip, port = _decode_address(content)
         return Upstream(
             upstream_id=upstream_id,
@@ -77,6 +76,7 @@
             # Start of its process; the store entry itself has it, too.
             started_ms=content.whole_number("born", 0),
             spot=content.flag("SpotCapacity", default=False),
+            sequence=content.whole_number("SequenceNumber"),
         )
 
 
@@ -214,6 +214,10 @@
         connection_limit=content.whole_number(
             "ConnectionLimit", 0, maximum=MAX_COUNT
         ),
+        cold_rate_per_s=content.number("ColdPerS", 0.0, maximum=MAX_FACTOR),
+        cold_start_s=content.number(
+            "ColdStartS", 0.0, maximum=MAX_DURATION_MS / _MS_PER_S
+        ),
     )
 
 
--- a/tests/gateway/deciding/limit_simulation.py
+++ b/tests/gateway/deciding/limit_simulation.py
@@ -24,6 +24,7 @@
 
 DATAGRAM_DELAY_S = (0.001, 0.03)
 LOST_SHARE = 0.02
+CLOCK_ERROR_S = 0.02
 TICK_S = 0.05
 # Time until a request reaches its upstream, and until its response begins.
 TRANSIT_S = (0.002, 0.05)
@@ -31,7 +32,7 @@
 
 
 @attrs.define(eq=False)
-class _Host:
+class SimulatedHost:
     number: int
     limits: UpstreamLimits
     weight: float
@@ -59,6 +60,8 @@
         upstream_count: int,
         requests_per_s: float,
         weight_of: Callable[[int], float] = lambda _: 1.0,
+        lost_share: float = LOST_SHARE,
+        clock_error_s: float = CLOCK_ERROR_S,
     ) -> None:
         self.now_s = 0.0
         self.rates: dict[str, float] = {}
@@ -68,13 +71,15 @@
         self._rng = random.Random(seed)
         self._requests_per_s = requests_per_s
         self._weight_of = weight_of
+        self._lost_share = lost_share
+        self._clock_error_s = clock_error_s
         self._upstreams = {
             f"u{n}": make_upstream(f"u{n}") for n in range(upstream_count)
         }
         self._queue: list[tuple[float, int, Any, tuple[Any, ...]]] = []
         self._order = itertools.count()
         self._interval_s = heartbeat_interval_s(host_count)
-        self._hosts: dict[int, _Host] = {}
+        self._hosts: dict[int, SimulatedHost] = {}
         for number in range(host_count):
             self.start_host(number)
         self._at(0.0, self._request)
@@ -94,11 +99,13 @@
         """Start a host, or start it again without what it knew."""
         limits = UpstreamLimits()
         limits.shares.host = f"host{number:04}"
-        host = _Host(
+        host = SimulatedHost(
             number=number,
             limits=limits,
             weight=self._weight_of(number),
-            clock_error_s=self._rng.uniform(-0.02, 0.02),
+            clock_error_s=self._rng.uniform(
+                -self._clock_error_s, self._clock_error_s
+            ),
         )
         self._hosts[number] = host
         self._tick(host)
@@ -141,20 +148,20 @@
     ) -> None:
         self._at(self.now_s + self._rng.uniform(*delay_s), action, *arguments)
 
-    def _runs(self, host: _Host) -> bool:
+    def _runs(self, host: SimulatedHost) -> bool:
         return self._hosts.get(host.number) is host
 
-    def _tick(self, host: _Host) -> None:
+    def _tick(self, host: SimulatedHost) -> None:
         if not self._runs(host):
             return
         if self.now_s >= host.frozen_until_s:
             host.limits.clock_offset_s = 1e9 + host.clock_error_s
-            host.limits.update(self._upstreams, self.now_s)
+            host.limits.update(self._upstreams_of(host), self.now_s)
         self._at(
             max(self.now_s + TICK_S, host.frozen_until_s), self._tick, host
         )
 
-    def _heartbeat(self, host: _Host) -> None:
+    def _heartbeat(self, host: SimulatedHost) -> None:
         if not self._runs(host):
             return
         if self.now_s >= host.frozen_until_s:
@@ -166,7 +173,7 @@
             host,
         )
 
-    def _send_to_peers(self, host: _Host) -> None:
+    def _send_to_peers(self, host: SimulatedHost) -> None:
         message = (
             host.limits.shares.announced_demand(),
             host.limits.own_statements(),
@@ -174,12 +181,12 @@
         for peer in self._hosts.values():
             if peer is host or peer.cut_off or host.cut_off:
                 continue
-            if self._rng.random() >= LOST_SHARE:
+            if self._rng.random() >= self._lost_share:
                 self._later(
                     DATAGRAM_DELAY_S, self._receive, peer, host.number, message
                 )
 
-    def _receive(self, host: _Host, sender: int, message: Any) -> None:
+    def _receive(self, host: SimulatedHost, sender: int, message: Any) -> None:
         if not self._runs(host):
             return
         if self.now_s < host.frozen_until_s:
@@ -205,31 +212,49 @@
         else:
             self._handle(host)
 
-    def _handle(self, host: _Host) -> None:
+    def _handle(self, host: SimulatedHost) -> None:
         if not self._runs(host):
             return
         host.limits.shares.count_request(SERVICE)
         open_upstreams = [
             upstream
-            for upstream in self._upstreams.values()
+            for upstream in self._upstreams_of(host).values()
             if host.limits.may_send(upstream, self.now_s)
         ]
         if not open_upstreams:
             self.refused += 1
             return
-        upstream = self._rng.choice(open_upstreams)
+        upstream = self._choose(host, open_upstreams)
         host.limits.record_send(upstream)
         self.sent += 1
         self._later(TRANSIT_S, self._arrive, host, upstream, self.now_s)
 
-    def _arrive(self, host: _Host, upstream: Upstream, sent_s: float) -> None:
+    def _upstreams_of(self, host: SimulatedHost) -> dict[str, Upstream]:
+        """Return the upstreams as the host knows them."""
+        del host
+        return self._upstreams
+
+    def _choose(
+        self, host: SimulatedHost, upstreams: list[Upstream]
+    ) -> Upstream:
+        """Return the upstream that a request goes to."""
+        del host
+        return self._rng.choice(upstreams)
+
+    def _arrive(
+        self, host: SimulatedHost, upstream: Upstream, sent_s: float
+    ) -> None:
         upstream_id = upstream.upstream_id
         self.arrivals_s.setdefault(upstream_id, []).append(self.now_s)
         rate = self.rates.get(upstream_id, math.inf)
         self._later(RESPONSE_S, self._answer, host, upstream, rate, sent_s)
 
     def _answer(
-        self, host: _Host, upstream: Upstream, rate: float, sent_s: float
+        self,
+        host: SimulatedHost,
+        upstream: Upstream,
+        rate: float,
+        sent_s: float,
     ) -> None:
         if not self._runs(host):
             return
--- a/tests/gateway/deciding/test_limit_permits.py
+++ b/tests/gateway/deciding/test_limit_permits.py
@@ -53,6 +53,28 @@
     assert count_permits(permits, WHOLE, now_s) <= (4.0 * PERMIT_VALIDITY_S + 1)
 
 
+@pytest.mark.parametrize("rate", [0.3, 2.0, 9.5, 40.0])
+def test_burst_after_a_calm_gets_few_permits_of_a_cold_upstream(
+    rate: float,
+) -> None:
+    """A burst used all slots of the last 1.5 s, and those of the next second.
+
+    60 hosts with equal shares have had no requests, then more than they may
+    send.
+    """
+    hosts = []
+    for part in range(60):
+        permits = LimitPermits()
+        permits.begin("u0", rate, START_S, is_cold=True)
+        hosts.append((permits, Share(part / 60, (part + 1) / 60)))
+    total = sum(
+        count_permits(permits, share, START_S + 100.0 + 0.01 * step)
+        for step in range(100)
+        for permits, share in hosts
+    )
+    assert rate - 1 <= total <= 1.25 * rate + 3
+
+
 def test_permit_of_a_slow_limit_lasts_as_long_as_its_slot() -> None:
     permits = begun(0.1)
     assert permits.has_permit("u0", WHOLE, START_S + 19.9)
--- a/tests/gateway/following/test_fleet_view.py
+++ b/tests/gateway/following/test_fleet_view.py
@@ -14,6 +14,7 @@
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.core.periodic_task import PeriodicTask
 from shallotfold._gateway.deciding.dispatcher import Dispatcher
+from shallotfold._gateway.deciding.events import TimePassed
 from shallotfold._gateway.deciding.placement import Placement
 from shallotfold._gateway.deciding.retry_budget import FleetRetryBudget
 from shallotfold._gateway.duties.usage_counts import UsageCounts
@@ -24,6 +25,7 @@
 from shallotfold._gateway.peers.change_messages import UpstreamChanges
 from shallotfold._gateway.peers.peers import Peers
 from shallotfold._gateway.peers.peers import PeerState
+from shallotfold._gateway.serving import gateway
 from shallotfold._gateway.serving.gateway import Gateway
 from shallotfold._services.ports import StoreChanges
 from shallotfold._services.ports import StoredValue
@@ -71,9 +73,15 @@
         self.view.apply_configuration(StoreChanges(version, (value,), ()))
 
     def register(
-        self, *names: str, revision: int = 5, started_ms: int = 1000
+        self,
+        *names: str,
+        revision: int = 5,
+        started_ms: int = 1000,
+        **changes: Any,
     ) -> None:
-        document = json.dumps({**REGISTRATION, "born": started_ms}).encode()
+        document = json.dumps(
+            {**REGISTRATION, "born": started_ms, **changes}
+        ).encode()
         values = tuple(
             StoredValue(f"{DIALECT.upstreams_prefix}{name}", document, revision)
             for name in names
@@ -124,6 +132,44 @@
     assert host.upstreams == {"a", "b"}
 
 
+@pytest.mark.parametrize(
+    ("service", "is_cold"),
+    [({"ColdPerS": 4, "ColdStartS": 3}, True), ({}, False)],
+)
+def test_registration_that_names_the_same_cold_time_anew_is_applied(
+    service: dict[str, Any],
+    is_cold: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An upstream that became cold again before its next registration.
+
+    Where services have no cold upstreams, nothing is done for it.
+    """
+    now_s = 100.0
+    monkeypatch.setattr(fleet_view, "boot_s", lambda: now_s)
+    monkeypatch.setattr(gateway, "boot_s", lambda: now_s)
+    logged: list[str] = []
+    monkeypatch.setattr(
+        decision_log, "record", lambda decision, **_: logged.append(decision)
+    )
+    host = Host()
+    services = [
+        {**s, **service, "Name": s["Name"]} for s in CONFIGURATION["Services"]
+    ]
+    host.register("a", ColdRemainingMs=3000, SequenceNumber=1)
+    host.configure(7, Services=services)
+    assert ("upstream_cold" in logged) == is_cold
+    logged.clear()
+    now_s += 2.0
+    host.register("a", revision=6, ColdRemainingMs=3000, SequenceNumber=2)
+    assert ("upstream_cold" in logged) == is_cold
+    assert ("upstreams" in logged) == is_cold
+    now_s += 2.0
+    host.gateway.deliver(TimePassed(now_s=now_s))
+    cold = host.gateway.dispatcher.placement.limits.cold
+    assert cold.is_cold("a") == is_cold
+
+
 def test_peer_snapshot_provides_configuration_and_upstreams() -> None:
     source, receiver = Host(), Host()
     source.configure(7)
--- a/tests/gateway/limited_engines.py
+++ b/tests/gateway/limited_engines.py
@@ -67,12 +67,12 @@
     return ALLOWED_FACTOR * rate * WINDOW_S + ALLOWED_EXTRA
 
 
-def most_in_window(times_s: list[float]) -> int:
-    """Return the largest number of times in any span of `WINDOW_S`."""
+def most_in_window(times_s: list[float], window_s: float = WINDOW_S) -> int:
+    """Return the largest number of times in any span of this length."""
     ordered_s = sorted(times_s)
     most = first = 0
     for last, at_s in enumerate(ordered_s):
-        while ordered_s[first] <= at_s - WINDOW_S:
+        while ordered_s[first] <= at_s - window_s:
             first += 1
         most = max(most, last - first + 1)
     return most
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -150,6 +150,19 @@
         DIALECT.read_configuration(document)
 
 
+def test_rates_of_cold_upstreams_are_decoded() -> None:
+    """Deployments without the two fields know no cold upstreams."""
+    services = [
+        {"Name": "first", "ColdPerS": 9.5, "ColdStartS": 3},
+        {"Name": "second"},
+    ]
+    by_name = read_configuration(Services=services).services_by_name
+    assert by_name["first"].cold_rate_per_s == 9.5
+    assert by_name["first"].cold_start_s == 3.0
+    assert by_name["second"].cold_rate_per_s == 0.0
+    assert by_name["second"].cold_start_s == 0.0
+
+
 def test_a_registration_is_decoded() -> None:
     upstream = DIALECT.read_upstream("i-1", json.dumps(REGISTRATION).encode())
     assert (upstream.ip, upstream.port) == ("10.128.0.9", 8080)
