Place requests by measured speeds of upstreams

Cause: upstreams of one service differ in speed (1.0 to 1.3, 0.7 to 1.7 times) and slow down for some tenths of a second; placement knew one rate a service. Change: where load control is on, each host keeps a time factor for each incarnation of an upstream, from the times of responses, the reported percentage (the fourth figure of the load header) and its peers' samples, and weighs costs and expected starts with it.

--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -25,6 +25,7 @@
 from shallotfold._gateway.deciding.partition_shares import PartitionShares
 from shallotfold._gateway.deciding.partition_shares import PromptLoad
 from shallotfold._gateway.deciding.placement import Placement
+from shallotfold._gateway.deciding.prefill_rates import MIN_SAMPLE_TOKENS
 from shallotfold._gateway.deciding.request_holds import HoldChange
 from shallotfold._gateway.deciding.request_holds import RequestHold
 from shallotfold._gateway.deciding.retry_budget import FleetRetryBudget
@@ -91,7 +92,10 @@
     upstream: str = ""
     upstream_started_ms: int = 0
     sent_s: float = 0.0
+    predicted_s: float = 0.0
     expected_s: float = 0.0
+    running: int = 0
+    sent_to_cold: bool = False
     pending_tokens: int = 0
     last_progress_s: float | None = None
     writing_since_s: float | None = None
@@ -216,6 +220,8 @@
                     event.now_s - request.sent_s,
                 )
                 request.writing_since_s = event.now_s
+                if request.prompt.prompt_tokens:
+                    self._record_speed(request, event.now_s)
             request.last_progress_s = event.now_s
             self.placement.loads.record_first_byte(
                 request.upstream, request.request
@@ -262,6 +268,8 @@
         request = self._open_requests.pop(event.request, None)
         if request is None:
             return []
+        if not request.prompt.prompt_tokens:
+            self._record_speed(request, event.now_s)
         self.placement.health.record_success(request.upstream, event.now_s)
         self._end_attempt(request)
         if not event.end_marked:
@@ -280,9 +288,21 @@
     # Events that aren't about one request.
 
     def _on_load_reported(self, event: events.LoadReported) -> Effects:
+        if event.at_head and not self.placement.controls_load:
+            return []
         self.placement.loads.record_reported_load(
             event.upstream, event.running + event.waiting, event.now_s
         )
+        upstream = self.upstreams_by_id.get(event.upstream)
+        if (
+            self.placement.controls_load
+            and event.percent is not None
+            and upstream is not None
+            and upstream.started_ms == event.started_ms
+        ):
+            self.placement.speeds.record_reported(
+                upstream, event.percent, event.now_s
+            )
         return []
 
     def _on_pause_requested(self, event: events.PauseRequested) -> Effects:
@@ -319,6 +339,7 @@
             for service, upstreams in serving.items()
         }
         self.placement.health.keep_only(set(event.upstreams_by_id))
+        self.placement.speeds.keep_only(event.upstreams_by_id)
         return _log_cold_changes(
             self.placement.limits.record_registrations(
                 event.upstreams_by_id, event.now_s, event.source
@@ -341,6 +362,9 @@
         self.placement.limits.shares.record_peer_demand(
             event.peer, event.demand_by_service, event.now_s
         )
+        self.placement.speeds.record_peer_samples(
+            event.speed_samples, self.upstreams_by_id, event.now_s
+        )
         self.partition_shares.record_peer(
             event.peer, event.prompts_by_service, event.now_s
         )
@@ -388,6 +412,12 @@
             event.now_s
         ):
             due_effects += self._divide_engines(event.now_s)
+        due_effects += [
+            effects.LogSpeedChange(change=change)
+            for change in self.placement.speeds.review(
+                self.upstreams_by_id, event.now_s
+            )
+        ]
         for request in list(self._open_requests.values()):
             if event.now_s >= request.deadline_s:
                 due_effects += self._time_out(request, event.now_s)
@@ -459,7 +489,7 @@
         )
         if upstream is None:
             return []
-        if self._is_too_busy(request, upstream):
+        if self._is_too_busy(request, upstream, now_s):
             return self._refuse(request, "engines can't begin in time", now_s)
         if hold is not None and not request.is_trial:
             request.is_trial = True
@@ -483,9 +513,14 @@
         placement.prefixes.record_send(prompt, upstream.upstream_id, now_s)
         load = placement.loads.total_load(upstream.upstream_id)
         request.pending_tokens = load.pending_tokens
-        request.expected_s = placement.rates.prefill_s(
+        request.running = load.requests
+        request.sent_to_cold = upstream.cold_remaining_s > 0.0
+        request.predicted_s = placement.rates.prefill_s(
             request.service, load.pending_tokens
         )
+        request.expected_s = request.predicted_s * placement.speeds.time_factor(
+            upstream, now_s
+        )
         return [
             effects.SendAttempt(
                 request=request.request,
@@ -518,14 +553,16 @@
             request.prompt, now_s, request.fingerprint
         )
 
-    def _is_too_busy(self, request: _OpenRequest, upstream: Upstream) -> bool:
+    def _is_too_busy(
+        self, request: _OpenRequest, upstream: Upstream, now_s: float
+    ) -> bool:
         """Whether even the best engine can't begin a new request in time."""
         if request.attempts or not is_long(request.prompt):
             return False
         load = self.placement.loads.total_load(upstream.upstream_id)
         wait_s = self.placement.rates.prefill_s(
             request.service, load.pending_tokens
-        )
+        ) * self.placement.speeds.time_factor(upstream, now_s)
         wait_per_target = (
             CONTROLLED_WAIT_PER_TARGET
             if self.placement.controls_load
@@ -680,6 +717,34 @@
         if not health.pause_remaining_s(request.upstream, now_s):
             health.record_failure(request.upstream, now_s)
 
+    def _record_speed(self, request: _OpenRequest, now_s: float) -> None:
+        """Record the time of a response that says how fast its upstream is."""
+        placement = self.placement
+        upstream = self.upstreams_by_id.get(request.upstream)
+        if (
+            not placement.controls_load
+            or upstream is None
+            or upstream.started_ms != request.upstream_started_ms
+            or request.sent_to_cold
+            or placement.health.was_unreachable(
+                request.upstream, request.sent_s
+            )
+        ):
+            return
+        time_s = now_s - request.sent_s
+        if request.prompt.prompt_tokens:
+            # Shorter prefills say little; see `PrefillRates`.
+            if request.pending_tokens < MIN_SAMPLE_TOKENS or not (
+                request.predicted_s
+            ):
+                return
+            time_s /= request.predicted_s
+        # What peers sent at the same time is known only later.
+        load = placement.loads.total_load(request.upstream)
+        placement.speeds.record_time(
+            upstream, time_s, max(request.running, load.requests), now_s
+        )
+
     def _is_limited(self, upstream_id: str) -> bool:
         upstream = self.upstreams_by_id.get(upstream_id)
         return upstream is not None and self.placement.limits.is_limited(
--- a/src/shallotfold/_gateway/deciding/effects.py
+++ b/src/shallotfold/_gateway/deciding/effects.py
@@ -6,6 +6,7 @@
 from shallotfold._gateway.deciding.cold_upstreams import ColdChange
 from shallotfold._gateway.deciding.named_limits import LimitChange
 from shallotfold._gateway.deciding.request_holds import HoldChange
+from shallotfold._gateway.deciding.upstream_speeds import SpeedChange
 
 
 @attrs.frozen(kw_only=True)
@@ -111,6 +112,13 @@
     change: ColdChange
 
 
+@attrs.frozen(kw_only=True)
+class LogSpeedChange(Effect):
+    """Log that an upstream became slow, or is no longer."""
+
+    change: SpeedChange
+
+
 @attrs.frozen(kw_only=True)
 class AnnounceLimits(Effect):
     """Tell all peers at once what responses here said about limits."""
--- a/src/shallotfold/_gateway/deciding/events.py
+++ b/src/shallotfold/_gateway/deciding/events.py
@@ -15,6 +15,7 @@
 from shallotfold._gateway.deciding.crash_knowledge import CrashKnowledge
 from shallotfold._gateway.deciding.named_limits import LimitStatement
 from shallotfold._gateway.deciding.partition_shares import PromptLoad
+from shallotfold._gateway.deciding.upstream_speeds import SpeedSample
 from shallotfold._model.events import Event
 
 
@@ -112,11 +113,18 @@
         upstream: Id of the upstream.
         running: Requests that it is running.
         waiting: Requests in its queue.
+        started_ms: Start of the upstream, in Unix milliseconds.
+        percent: How long work takes on its machine now, 100 as usual; `None`:
+            it doesn't say.
+        at_head: Whether the response, a stream, has only begun.
     """
 
     upstream: str
     running: int
     waiting: int
+    started_ms: int = 0
+    percent: int | None = None
+    at_head: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -196,6 +204,7 @@
             upstream id of each.
         demand_by_service: Requests a second of its callers.
         prompts_by_service: Its requests at engines, by length of the prompt.
+        speed_samples: How long responses to it took lately.
     """
 
     peer: str
@@ -203,6 +212,7 @@
     prefixes_sent: Sequence[tuple[str, str]] = ()
     demand_by_service: Mapping[str, float] = attrs.field(factory=dict)
     prompts_by_service: Mapping[str, PromptLoad] = attrs.field(factory=dict)
+    speed_samples: Sequence[SpeedSample] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_gateway/deciding/placement.py
+++ b/src/shallotfold/_gateway/deciding/placement.py
@@ -18,6 +18,7 @@
 from shallotfold._gateway.deciding.upstream_health import UpstreamHealth
 from shallotfold._gateway.deciding.upstream_limits import UpstreamLimits
 from shallotfold._gateway.deciding.upstream_loads import UpstreamLoads
+from shallotfold._gateway.deciding.upstream_speeds import UpstreamSpeeds
 
 # Costs are in prefill tokens: a delay costs the number of tokens whose prefill
 # takes as long.
@@ -133,6 +134,7 @@
         limits: Limits that upstreams have named, and those of cold ones.
         prefixes: Upstreams that cache shared prefixes.
         rates: Prefill rates of the engines.
+        speeds: Time factors; without load control there are none.
     """
 
     data_centre: str
@@ -143,6 +145,7 @@
     limits: UpstreamLimits = attrs.field(factory=UpstreamLimits)
     prefixes: PrefixLocations = attrs.field(factory=PrefixLocations)
     rates: PrefillRates = attrs.field(factory=PrefillRates)
+    speeds: UpstreamSpeeds = attrs.field(factory=UpstreamSpeeds)
 
     def choose_upstream(
         self,
@@ -192,7 +195,6 @@
                 ),
                 preferred_ids,
             )
-
         candidates = self._warm(candidates) or candidates
         if not candidates:
             return None
@@ -205,14 +207,20 @@
             wrong_partition_tokens = TOKENS_PER_LONG_AMONG_SHORT
         wait_weight = min(1.0, INTERACTIVE_TARGET_S / max(target_s, 1e-3))
 
+        peers = self.host_count - 1 if len(engines.by_id) <= count else 0
+
         def cost(upstream: Upstream) -> tuple[float, str]:
             upstream_id = upstream.upstream_id
             cached = cached_tokens.get(upstream_id, 0)
-            tokens = self._cost(upstream, prompt, cached, wait_weight, now_s)
+            factor = self.speeds.time_factor(upstream, now_s)
+            spread = self.speeds.spread(upstream, draw, peers)
+            tokens = self._cost(
+                upstream, prompt, cached, wait_weight, factor * spread, now_s
+            )
             if upstream_id not in preferred_ids:
                 tokens += wrong_partition_tokens
             load = self.loads.total_load(upstream_id)
-            start_s = self.rates.prefill_s(
+            start_s = factor * self.rates.prefill_s(
                 upstream.service,
                 load.pending_tokens + prompt.prompt_tokens - cached,
             )
@@ -347,6 +355,7 @@
         prompt: Prompt,
         cached: int,
         wait_weight: float,
+        factor: float,
         now_s: float,
     ) -> float:
         load = self.loads.total_load(upstream.upstream_id)
@@ -360,6 +369,8 @@
             load.pending_tokens + TOKENS_PER_RESPONSE * waiting / slots
         )
         cost += wait_weight * wait_tokens
+        # The request itself counts too: of idle upstreams, the fastest is best.
+        cost += (factor - 1.0) * (cost + TOKENS_PER_RUNNING_REQUEST)
         cost += TOKENS_PER_COLD_S * upstream.cold_remaining_s
         cost += TOKENS_PER_FAILURE * self.health.failure_ratio(
             upstream.upstream_id, now_s
--- a/src/shallotfold/_gateway/deciding/upstream_health.py
+++ b/src/shallotfold/_gateway/deciding/upstream_health.py
@@ -86,6 +86,13 @@
         record = self._record_by_upstream.get(upstream)
         return record is not None and record.replaced
 
+    def was_unreachable(self, upstream: str, since_s: float) -> bool:
+        """Whether it is gone, or was ejected at `since_s` or after it."""
+        record = self._record_by_upstream.get(upstream)
+        return record is not None and (
+            record.replaced or record.ejected_until_s > since_s
+        )
+
     def failure_ratio(self, upstream: str, now_s: float) -> float:
         """Return the share of recent attempts that failed, 0 to 1."""
         record = self._record_by_upstream.get(upstream)
--- a/src/shallotfold/_gateway/peers/peers.py
+++ b/src/shallotfold/_gateway/peers/peers.py
@@ -29,6 +29,7 @@
 from shallotfold._gateway.deciding.limit_shares import FORGET_AFTER_S
 from shallotfold._gateway.deciding.named_limits import LimitStatement
 from shallotfold._gateway.deciding.partition_shares import PromptLoad
+from shallotfold._gateway.deciding.upstream_speeds import SpeedSample
 from shallotfold._gateway.peers.change_messages import MAX_MESSAGE_BYTES
 from shallotfold._gateway.peers.change_messages import UpstreamChanges
 from shallotfold._gateway.peers.change_messages import decode_changes
@@ -45,6 +46,8 @@
 from shallotfold._gateway.peers.peer_traffic import HEARTBEAT
 from shallotfold._gateway.peers.peer_traffic import PeerTraffic
 from shallotfold._gateway.peers.prompt_loads import read_prompt_loads
+from shallotfold._gateway.peers.speed_messages import read_samples
+from shallotfold._gateway.peers.speed_messages import sample_fields
 
 PROTOCOL_VERSION = 5
 _NUMBER = (int, float)
@@ -74,6 +77,7 @@
     dict,
     list,
     int,
+    list,
 )
 MIN_HEARTBEAT_INTERVAL_S = 0.4
 # The datagrams of all hosts grow with the square of their number, so each
@@ -162,6 +166,7 @@
         evacuated: Evacuated data centres that it knows.
         evacuations_revision: Store revision as of which it knows them; 0: it
             knows none.
+        speed_samples: How long responses to it took since its last heartbeat.
     """
 
     name: str
@@ -188,6 +193,7 @@
     prompts_by_service: Mapping[str, PromptLoad] = attrs.field(factory=dict)
     evacuated: Sequence[str] = ()
     evacuations_revision: int = 0
+    speed_samples: Sequence[SpeedSample] = ()
 
     @property
     def origin(self) -> str:
@@ -223,6 +229,7 @@
     prompts_by_service: Mapping[str, PromptLoad] = attrs.field(factory=dict)
     evacuated: Sequence[str] = ()
     evacuations_revision: int = 0
+    speed_samples: Sequence[SpeedSample] = ()
 
 
 def heartbeat_interval_s(host_count: int) -> float:
@@ -413,6 +420,7 @@
                     },
                     local.evacuated,
                     local.evacuations_revision,
+                    sample_fields(local.speed_samples),
                 )
             ),
         )
@@ -480,6 +488,9 @@
             ),
             evacuated=_read_names(fields[21]) if len(fields) > 22 else (),
             evacuations_revision=fields[22] if len(fields) > 22 else 0,
+            speed_samples=(
+                read_samples(fields[23]) if len(fields) > 23 else ()
+            ),
         )
         return state, fields[12]
 
@@ -578,6 +589,8 @@
             lambda: peers.heartbeat_interval_s() * random.uniform(0.8, 1.2),
         )
         self._contacted_ips: set[str] = set()
+        # Takes the samples that the next heartbeat carries.
+        self.pop_samples: Callable[[], Sequence[SpeedSample]] = tuple
 
     async def start(self, ip: str) -> None:
         """Open the socket and start sending heartbeats."""
@@ -608,6 +621,7 @@
         state = attrs.evolve(
             state,
             prefixes_sent=self._pop_prefixes(),
+            speed_samples=self.pop_samples(),
             crash_knowledge=self._crash_news.select_for_heartbeat(
                 state.crash_knowledge, boot_s(), len(recipients)
             ),
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -129,6 +129,9 @@
             self._on_peer_limits,
             PeerTraffic(self._metrics),
         )
+        self._peer_link.pop_samples = (
+            dispatcher.placement.speeds.take_unannounced
+        )
         self._gateway.announce_crashes = self._peer_link.announce_crashes
         self._gateway.announce_limits = self._peer_link.announce_limits
         self._followers = StoreFollowers(settings.host)
@@ -461,6 +464,7 @@
                 prefixes_sent=state.prefixes_sent,
                 demand_by_service=state.demand_by_service,
                 prompts_by_service=state.prompts_by_service,
+                speed_samples=state.speed_samples,
             )
         )
         if state.limit_statements:
@@ -539,6 +543,9 @@
             "cold_upstreams": len(
                 self._gateway.dispatcher.placement.limits.cold
             ),
+            "slow_upstreams": (
+                self._gateway.dispatcher.placement.speeds.slow_count
+            ),
             "held_prompts": len(
                 self._gateway.dispatcher.crashing_requests.holds
             ),
--- a/src/shallotfold/_gateway/serving/attempt.py
+++ b/src/shallotfold/_gateway/serving/attempt.py
@@ -139,6 +139,11 @@
         """Return all values of a response header; `name` in lower case."""
         return [value for n, value in self.headers if n.lower() == name]
 
+    @property
+    def is_stream(self) -> bool:
+        """Whether the response is an event stream."""
+        return self._is_stream
+
     @property
     def end_marked(self) -> bool:
         """Whether the response marks its end itself."""
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -143,6 +143,7 @@
             effects.LogColdChange: self._log_cold_change,
             effects.AnnounceLimits: self._announce_limits,
             effects.LogPartition: self._log_partition,
+            effects.LogSpeedChange: self._log_speed_change,
         }
 
     async def start(self, ip: str, port: int) -> None:
@@ -406,6 +407,17 @@
         del effect
         self.announce_limits()
 
+    def _log_speed_change(self, effect: effects.LogSpeedChange) -> None:
+        change = effect.change
+        decision_log.record(
+            "upstream_slow" if change.is_slow else "upstream_no_longer_slow",
+            upstream=change.upstream,
+            service=change.service,
+            factor=round(change.factor, 2),
+            limit=change.limit,
+            slots=change.slots,
+        )
+
     def _log_partition(self, effect: effects.LogPartition) -> None:
         decision_log.record(
             "engines_divided",
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -30,6 +30,7 @@
 from shallotfold._gateway.serving.forwarding import forwarded_request
 from shallotfold._gateway.serving.forwarding import forwarded_response_headers
 from shallotfold._gateway.serving.request_parsing import parse_whole_number
+from shallotfold._gateway.serving.response_parsing import parse_load
 from shallotfold._gateway.serving.response_parsing import parse_named_rate
 from shallotfold._gateway.serving.response_parsing import parse_retry_after_s
 from shallotfold._gateway.serving.stream_response import StreamResponse
@@ -306,6 +307,8 @@
                 status=attempt.status,
             )
         self._handle_limit(attempt)
+        if attempt.is_stream:
+            self._report_load(attempt, at_head=True)
         if attempt.status == HTTPStatus.SERVICE_UNAVAILABLE:
             self._handle_retry_after(attempt)
 
@@ -401,8 +404,7 @@
             (name.lower(), value) for name, value in attempt.headers
         ]
         now_s = boot_s()
-        if find_header(lowercase_headers, names.upstream_load) is not None:
-            self._report_load(attempt, lowercase_headers)
+        self._report_load(attempt, at_head=False)
         wrong_upstream = attempt.status == HTTPStatus.MISDIRECTED_REQUEST
         if (
             wrong_upstream
@@ -510,23 +512,22 @@
             )
         )
 
-    def _report_load(
-        self, attempt: Attempt, lowercase_headers: Headers
-    ) -> None:
-        value = (
-            find_header(lowercase_headers, self._gateway.names.upstream_load)
-            or b""
-        )
-        counts = value.split(b",")
-        if len(counts) >= 2 and all(c.strip().isdigit() for c in counts):
-            self._gateway.deliver(
-                events.LoadReported(
-                    now_s=boot_s(),
-                    upstream=attempt.upstream.upstream_id,
-                    running=int(counts[0]),
-                    waiting=int(counts[1]),
-                )
+    def _report_load(self, attempt: Attempt, *, at_head: bool) -> None:
+        value = attempt.header(self._gateway.names.upstream_load)
+        load = None if value is None else parse_load(value)
+        if load is None or (at_head and load.percent is None):
+            return
+        self._gateway.deliver(
+            events.LoadReported(
+                now_s=boot_s(),
+                upstream=attempt.upstream.upstream_id,
+                running=load.running,
+                waiting=load.waiting,
+                started_ms=attempt.upstream.started_ms,
+                percent=load.percent,
+                at_head=at_head,
             )
+        )
 
     def _encode_request(self, effect: effects.SendAttempt) -> bytes:
         replaces_last_event = self._head_written or effect.number > 1
--- a/tests/gateway/factories.py
+++ b/tests/gateway/factories.py
@@ -124,6 +124,7 @@
         fingerprint: str = "",
         rank: int = 0,
         deadline_s: float = 10.0,
+        draw: float = 0.5,
     ) -> list[effects.Effect]:
         return self.feed(
             events.RequestArrived(
@@ -135,7 +136,7 @@
                 prompt=prompt or Prompt(),
                 fingerprint=fingerprint,
                 deadline_s=self.now_s + deadline_s,
-                draw=0.5,
+                draw=draw,
             )
         )
 
