Keep requests in the regions of their route and workspace

Cause: routes and tenants may name AllowedRegions; nothing read them. Change: both are decoded; their intersection goes with the request into the dispatcher, which chooses among the upstreams of these regions, at retries and resumed streams too. Without the field nothing is computed.

--- a/src/shallotfold/_gateway/core/model.py
+++ b/src/shallotfold/_gateway/core/model.py
@@ -52,6 +52,8 @@
         public: Whether callers need no key.
         reads_prompt: Whether requests carry a prompt for an engine.
         resumable: Whether a broken stream may resume at another upstream.
+        allowed_regions: Regions whose upstreams may get its requests; `None`:
+            all.
     """
 
     name: str
@@ -67,6 +69,7 @@
     public: bool = False
     reads_prompt: bool = False
     resumable: bool = False
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -126,10 +129,13 @@
         name: Unique name.
         priority: Rank that takes precedence over the route's; `None`: the
             route's applies.
+        allowed_regions: Regions whose upstreams may get its requests; `None`:
+            all.
     """
 
     name: str
     priority: int | None
+    allowed_regions: frozenset[str] | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_gateway/core/settings.py
+++ b/src/shallotfold/_gateway/core/settings.py
@@ -3,6 +3,8 @@
 All times are in seconds.
 """
 
+from collections.abc import Mapping
+
 import attrs
 
 from shallotfold._settings.addresses import Address
@@ -16,6 +18,7 @@
         host: Name of this host.
         data_centre: Data centre that the host is in.
         data_centres: Names of all data centres.
+        region_by_data_centre: Region of each data centre.
         ip: IP address of this host.
         caller_address: Address on which callers connect.
         ready_address: Address of the readiness check.
@@ -60,6 +63,7 @@
     lease_s: float
     usage_window_s: float
     usage_lateness_s: float
+    region_by_data_centre: Mapping[str, str] = attrs.field(factory=dict)
     is_first_start: bool = False
     follows_evacuations: bool = False
     controls_load: bool = False
--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -75,6 +75,10 @@
 HOLD_JITTER_SHARE = 0.1
 
 
+# Sets of engines for requests that only some regions may serve.
+MAX_CACHED_ENGINE_SETS = 64
+
+
 @attrs.define(kw_only=True)
 class _OpenRequest:
     """State of a request that has no final response yet."""
@@ -88,6 +92,7 @@
     arrived_s: float
     deadline_s: float
     draw: float
+    allowed_regions: frozenset[str] | None
     attempts: int = 0
     upstream: str = ""
     upstream_started_ms: int = 0
@@ -121,15 +126,21 @@
         partition_shares: Shares of engines for long prompts; they follow the
             load where `placement.controls_load` is set.
         upstreams_by_id: Upstreams that may get requests.
+        region_by_data_centre: Region of each data centre. Upstreams in other
+            data centres are in no region.
     """
 
     def __init__(self, placement: Placement, budget: FleetRetryBudget) -> None:
         self.placement = placement
         self.budget = budget
+        self.region_by_data_centre: Mapping[str, str] = {}
         self.crashing_requests = CrashingRequests()
         self.partition_shares = PartitionShares()
         self.upstreams_by_id: Mapping[str, Upstream] = {}
         self._engines_by_service: dict[str, EngineSet] = {}
+        self._engines_by_regions: dict[
+            tuple[str, frozenset[str]], EngineSet
+        ] = {}
         self._open_requests: dict[int, _OpenRequest] = {}
         self._handlers: dict[type, Callable[[Any], Effects]] = {
             events.RequestArrived: self._on_arrived,
@@ -177,6 +188,7 @@
                 event.deadline_s, event.now_s + event.route.timeout_s
             ),
             draw=event.draw,
+            allowed_regions=event.allowed_regions,
         )
         self._open_requests[event.request] = request
         self.budget.count_request(event.service, event.now_s)
@@ -338,6 +350,7 @@
             )
             for service, upstreams in serving.items()
         }
+        self._engines_by_regions.clear()
         self.placement.health.keep_only(set(event.upstreams_by_id))
         self.placement.speeds.keep_only(event.upstreams_by_id)
         return _log_cold_changes(
@@ -458,11 +471,36 @@
                 self._engines_by_service[service] = EngineSet(
                     engines.by_id, share
                 )
+        if changed:
+            self._engines_by_regions.clear()
         return [
             effects.LogPartition(service=service, long_share=share)
             for service, share in changed.items()
         ]
 
+    def _engines_of(self, request: _OpenRequest) -> EngineSet | None:
+        """Return the engines that may get a request, if there are any."""
+        engines = self._engines_by_service.get(request.service)
+        regions = request.allowed_regions
+        if regions is None or engines is None:
+            return engines
+        key = (request.service, regions)
+        allowed = self._engines_by_regions.get(key)
+        if allowed is None:
+            allowed = EngineSet.of(
+                (
+                    upstream
+                    for upstream in engines.by_id.values()
+                    if self.region_by_data_centre.get(upstream.data_centre)
+                    in regions
+                ),
+                engines.long_share,
+            )
+            if len(self._engines_by_regions) >= MAX_CACHED_ENGINE_SETS:
+                self._engines_by_regions.clear()
+            self._engines_by_regions[key] = allowed
+        return allowed if allowed.by_id else None
+
     # Attempts, retries and final responses.
 
     def _send(self, request: _OpenRequest, now_s: float) -> Effects:
@@ -475,7 +513,7 @@
         hold = self._hold_on(request, now_s)
         if hold is not None and not self._may_try(request, hold, now_s):
             return []
-        engines = self._engines_by_service.get(request.service)
+        engines = self._engines_of(request)
         if engines is None:
             return []
         placement = self.placement
@@ -666,7 +704,7 @@
                     ),
                 )
             ]
-        engines = self._engines_by_service.get(request.service)
+        engines = self._engines_of(request)
         limited = self.placement.upstreams_if_all_limited(engines, now_s)
         if limited:
             limits = self.placement.limits
--- a/src/shallotfold/_gateway/deciding/events.py
+++ b/src/shallotfold/_gateway/deciding/events.py
@@ -32,6 +32,7 @@
         fingerprint: Digest that equal requests share; empty: not known.
         deadline_s: When the caller stops waiting.
         draw: Uniform random number in [0, 1).
+        allowed_regions: Regions whose upstreams may get it; `None`: all.
     """
 
     request: int
@@ -42,6 +43,7 @@
     fingerprint: str = ""
     deadline_s: float
     draw: float
+    allowed_regions: frozenset[str] | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -116,6 +116,7 @@
         self._gateway.host_count = ASSUMED_HOSTS_AT_START
         self._gateway.caller_memory.set_memory_limit(settings.memory_limit_mib)
         self._created_s = boot_s()
+        dispatcher.region_by_data_centre = settings.region_by_data_centre
         dispatcher.crashing_requests.trial_draw = random.random()
         dispatcher.placement.limits.shares.host = settings.host
         self._peer_link = PeerLink(
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -41,6 +41,7 @@
 from shallotfold._gateway.serving.request_parsing import parse_prompt
 from shallotfold._gateway.serving.request_parsing import request_fingerprint
 from shallotfold._gateway.serving.route_table import RouteTable
+from shallotfold._gateway.serving.route_table import allowed_regions
 from shallotfold._gateway.serving.route_table import choose_service
 from shallotfold._model.events import Event
 
@@ -273,6 +274,7 @@
                 fingerprint=fingerprint,
                 deadline_s=now_s + deadline_s,
                 draw=random.random(),
+                allowed_regions=allowed_regions(route, workspace),
             )
         )
         return relay if request_number in self._relay_by_request else None
--- a/src/shallotfold/_gateway/serving/route_table.py
+++ b/src/shallotfold/_gateway/serving/route_table.py
@@ -50,6 +50,21 @@
         return None
 
 
+def allowed_regions(
+    route: Route, workspace: Workspace | None
+) -> frozenset[str] | None:
+    """Return the regions whose upstreams may get a request; `None`: all.
+
+    If both the route and the workspace name regions, both bind.
+    """
+    of_workspace = workspace.allowed_regions if workspace else None
+    if route.allowed_regions is None:
+        return of_workspace
+    if of_workspace is None:
+        return route.allowed_regions
+    return route.allowed_regions & of_workspace
+
+
 def _priority_of(workspace: Workspace | None) -> int:
     if workspace is None or workspace.priority is None:
         return 0
--- a/src/shallotfold/platform/documents.py
+++ b/src/shallotfold/platform/documents.py
@@ -144,6 +144,7 @@
         tenant.whole_number("Priority", maximum=MAX_COUNT)
         if tenant.has("Priority")
         else None,
+        _decode_regions(tenant),
     )
 
 
@@ -189,9 +190,16 @@
         # Named after sessions, but marks requests that declare a prompt.
         reads_prompt=content.flag("SessionAffinity", default=False),
         resumable=content.flag("StreamResumption", default=False),
+        allowed_regions=_decode_regions(content),
     )
 
 
+def _decode_regions(content: Fields) -> frozenset[str] | None:
+    if not content.has("AllowedRegions"):
+        return None
+    return frozenset(content.texts("AllowedRegions"))
+
+
 def _decode_split(content: Fields) -> tuple[SplitShare, ...]:
     if not content.has("TrafficSplit"):
         return (SplitShare(content.text("Service"), 1.0),)
--- a/src/shallotfold/platform/fields.py
+++ b/src/shallotfold/platform/fields.py
@@ -39,6 +39,10 @@
         """
         return self._check_text(name, self._get(name))
 
+    def texts(self, name: str) -> list[str]:
+        """Return a list of texts."""
+        return [self._check_text(name, value) for value in self._list(name)]
+
     def secrets(self, name: str) -> list[str]:
         """Return a list of texts that no error message has."""
         values = self._list(name)
--- a/src/shallotfold/platform/settings.py
+++ b/src/shallotfold/platform/settings.py
@@ -91,6 +91,10 @@
             usage_lateness_s=float(
                 read_value("ContractParameters", "UsageLatenessS")
             ),
+            region_by_data_centre={
+                str(zone): str(region)
+                for zone, region in read_value("Zones").items()
+            },
             is_first_start=bool(content.get("Bootstrap", False)),
             follows_evacuations=(
                 "EvacuationMs" in content.get("ContractParameters", ())
--- a/tests/gateway/factories.py
+++ b/tests/gateway/factories.py
@@ -32,6 +32,7 @@
     reads_prompt: bool = False,
     resumable: bool = False,
     split: tuple[SplitShare, ...] = (SplitShare(SERVICE, 1),),
+    allowed_regions: frozenset[str] | None = None,
 ) -> Route:
     return Route(
         name=name,
@@ -42,6 +43,7 @@
         target_s=target_s,
         gap_target_s=0.2,
         split=split,
+        allowed_regions=allowed_regions,
         max_attempts=max_attempts,
         public=public,
         reads_prompt=reads_prompt,
@@ -125,6 +127,7 @@
         rank: int = 0,
         deadline_s: float = 10.0,
         draw: float = 0.5,
+        allowed_regions: frozenset[str] | None = None,
     ) -> list[effects.Effect]:
         return self.feed(
             events.RequestArrived(
@@ -137,6 +140,7 @@
                 fingerprint=fingerprint,
                 deadline_s=self.now_s + deadline_s,
                 draw=draw,
+                allowed_regions=allowed_regions,
             )
         )
 
