--- a/tests/gateway/duties/test_scaling.py
+++ b/tests/gateway/duties/test_scaling.py
@@ -146,7 +146,7 @@
 
 
 def test_spot_upstreams_replace_on_demand_ones_that_are_the_most() -> None:
-    """24 of 47 stayed on demand in each of three data centres in calm."""
+    """Those above half of a data centre's maximum were never released."""
     cloud = FakeCloud()
     cloud.counts = dict.fromkeys(cloud.counts, 2)
     cloud.run(0.0, 20)
