--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -90,6 +90,7 @@
     def __init__(self) -> None:
         self.address_by_ip: dict[str, str] = {}
         self._turned_away: set[str] = set()
+        self._watch_cuts = 0
         self._revision = 1
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
@@ -118,6 +119,11 @@
         self._turned_away = {self.address_by_ip[ip] for ip in machine_ips}
         self._wake_watches()
 
+    def cut_watches(self) -> None:
+        """End the connections of all watches that are waiting."""
+        self._watch_cuts += 1
+        self._wake_watches()
+
     def put(self, key: str, document: object) -> None:
         """Write a document, as operators and workers do."""
         self._write(key, json.dumps(document).encode(), 0)
@@ -227,7 +233,10 @@
         self, query: dict[str, str], address: str
     ) -> tuple[int, Any]:
         ends_s = time.monotonic() + int(query["WaitTimeoutMs"]) / 1000
+        cuts = self._watch_cuts
         while True:
+            if cuts != self._watch_cuts:
+                raise ConnectionAbortedError
             if address in self._turned_away:
                 return 503, {}
             events = [
@@ -455,7 +464,12 @@
 
 
 class Gateways:
-    """The project's gateways, one process for each machine."""
+    """The project's gateways, one process for each machine.
+
+    Attributes:
+        process_by_name: Newest process of each machine.
+        prepare_process: Called in each process before its program runs.
+    """
 
     def __init__(
         self,
@@ -473,11 +487,13 @@
             duties: The platform's API for duties.
             folder: For settings and logs.
         """
+        self.prepare_process: Callable[[], None] | None = None
         self._ip_by_name = ip_by_name
         self._store = store
         self._duties = duties
         self._folder = folder
         self._processes: list[asyncio.subprocess.Process] = []
+        self.process_by_name: dict[str, asyncio.subprocess.Process] = {}
 
     async def start(self, names: Iterable[str], *, first: bool = True) -> None:
         """Start processes with the command of the deploy file."""
@@ -490,16 +506,17 @@
                 "SHALLOTFOLD_CONFIG": str(path),
             }
             with (self._folder / f"{name}.log").open("wb") as log:
-                self._processes.append(
-                    await asyncio.create_subprocess_exec(
-                        *COMMAND,
-                        cwd=ROOT,
-                        env=environment,
-                        stdin=asyncio.subprocess.DEVNULL,
-                        stdout=log,
-                        stderr=log,
-                    )
+                process = await asyncio.create_subprocess_exec(
+                    *COMMAND,
+                    cwd=ROOT,
+                    env=environment,
+                    stdin=asyncio.subprocess.DEVNULL,
+                    stdout=log,
+                    stderr=log,
+                    preexec_fn=self.prepare_process,
                 )
+            self._processes.append(process)
+            self.process_by_name[name] = process
 
     def log_of(self, name: str) -> str:
         """Return the log of a machine."""
