End the review's scripts in order, whatever ends them

Cause: an exception in a script ended it with 1, the status of a broken rule, and SIGTERM left its gateways running.

Change: a common start of the scripts turns both into status 2 and ends all processes.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -8,6 +8,7 @@
 import base64
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Iterable
 import contextlib
 import hashlib
@@ -16,6 +17,7 @@
 import pathlib
 import random
 import re
+import signal
 import sys
 import time
 from typing import Any
@@ -609,6 +611,26 @@
     return f"127.{draw.randrange(20, 220)}.{draw.randrange(1, 250)}"
 
 
+def run_case(main: Callable[[], Coroutine[Any, Any, int]]) -> int:
+    """Run a case and return its exit status; SIGTERM ends it in order."""
+
+    async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
+        return await main()
+
+    try:
+        return asyncio.run(run())
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        return fail_to_run("it was ended")
+    except Exception as error:  # noqa: BLE001
+        # Without this, the interpreter exits with the status of a failure.
+        return fail_to_run(repr(error))
+
+
 def fail_to_run(reason: str) -> int:
     """Print why a case couldn't run; return its exit status."""
     sys.stderr.write(f"the case couldn't run: {reason}\n")
