Review cases 11 to 15: end all processes on SIGTERM

Cause: a script that was stopped by hand left its gateways running.

Change: SIGTERM ends a case like any error: its processes are ended, and it exits with 2.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -802,6 +802,8 @@
 
 def main(case: Any, folder: pathlib.Path) -> None:
     """Run a case and exit with its result: 0 held, 1 broken, 2 couldn't run."""
+    # The case still ends its processes then.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(case(Record(folder / "record.txt")))
     except Exception as error:  # noqa: BLE001
