Keep the bodies of requests that offer another protocol

CONNECT lost its body too.

Cause: the binding of the HTTP parser ends a request with an offer at its head, reports it as complete and stops. The connection took that for the end of the request and closed its input.

Change: RequestParser holds such an end back and parses the rest with a new parser that is given the same framing headers without the offer. The connection stays open as without an offer.

--- a/src/shallotfold/_gateway/serving/caller_connection.py
+++ b/src/shallotfold/_gateway/serving/caller_connection.py
@@ -12,8 +12,10 @@
 
 from shallotfold._gateway.core.model import RequestLimits
 from shallotfold._gateway.http.compact_head import CompactHead
+from shallotfold._gateway.http.messages import Headers
 from shallotfold._gateway.http.messages import IncomingRequest
 from shallotfold._gateway.http.messages import encode_local_response
+from shallotfold._gateway.http.request_parser import RequestParser
 from shallotfold._gateway.serving.body_budget import BodyBudget
 from shallotfold._gateway.serving.body_budget import BodyHold
 from shallotfold._gateway.serving.caller_memory import CallerMemory
@@ -106,9 +108,7 @@
         self._handler = handler
         self._connections = connections
         self._loop = asyncio.get_running_loop()
-        self._parser: httptools.HttpRequestParser | None = (
-            httptools.HttpRequestParser(self)
-        )
+        self._parser: RequestParser | None = RequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._queued_requests: collections.deque[_QueuedRequest] = (
             collections.deque()
@@ -177,7 +177,9 @@
         self._drop_input()
         # The parser refers to this object; without it, the memory is free at
         # once and not at the next garbage collection.
-        self._parser = None
+        if self._parser is not None:
+            self._parser.close()
+            self._parser = None
         self._input_closed = True
         self._count_heads()
         self._release_served_head()
@@ -237,11 +239,7 @@
         self._part_body_bytes = 0
         self._part_ends_request = False
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # Upgrades aren't supported; the request itself is served.
-            self._keep_alive = False
-            self._input_closed = True
+            self._parser.feed(data)
         except httptools.HttpParserError as error:
             logger.info("Malformed request: {}", error)
             self._reject(HTTPStatus.BAD_REQUEST)
@@ -298,6 +296,11 @@
         elif name_lower == b"expect" and value.lower() == b"100-continue":
             self._continue_expected = True
 
+    def current_headers(self) -> Headers:
+        """Return the headers of the request that is read, in lower case."""
+        headers, _ = self._head.expand()
+        return headers
+
     def on_headers_complete(self) -> None:
         """Handle the end of the header section."""
         self.head_complete = True
@@ -339,15 +342,15 @@
         started_s = self.request_started_s
         head_bytes = len(self._target) + len(self._head)
         request = IncomingRequest(
-            method=self._parser.get_method(),
+            method=self._parser.method,
             target=bytes(self._target),
             headers=[],
             original_names=[],
             compact_head=self._head,
             body=bytes(self._body),
             has_body=self._has_body,
-            keep_alive=self._parser.should_keep_alive(),
-            accepts_chunks=self._parser.get_http_version() != "1.0",
+            keep_alive=self._parser.should_keep_alive,
+            accepts_chunks=self._parser.http_version != "1.0",
             started_s=self._loop.time() if started_s is None else started_s,
             body_refused=self._body_hold.refused,
         )
