Keep end-to-end headers that a Connection header names

Callers saw: a request with `Connection: Attempt-Id, Content-Type` ran without its id and type, and a stream got no answer. An upstream could remove its signature or content type from a response alike.

Cause: the gateway removed every header that Connection names but Host.

Change: headers about the content, the resource or the sender, and those of the platform, are never hop-by-hop. Others that Connection names are removed as before.

--- a/src/shallotfold/_gateway/core/wire_names.py
+++ b/src/shallotfold/_gateway/core/wire_names.py
@@ -30,6 +30,10 @@
         token_counts: Prompt tokens and maximum number of output tokens.
         prompt_parts: Parts of the prompt with their lengths.
         reserved: Further headers that callers may not set.
+        forwarded: Further headers that are meant for whom a message reaches in
+            the end.
+        end_to_end: All headers that a message keeps on its whole way, unless
+            the gateway sets or removes them itself.
     """
 
     request_id: bytes
@@ -47,3 +51,19 @@
     token_counts: bytes
     prompt_parts: bytes
     reserved: frozenset[bytes]
+    forwarded: frozenset[bytes]
+    end_to_end: frozenset[bytes] = attrs.field(init=False)
+
+    @end_to_end.default
+    def _end_to_end(self) -> frozenset[bytes]:
+        return self.forwarded | {
+            self.request_id,
+            self.not_run,
+            self.upstream_load,
+            self.upstream_leaving,
+            self.upstream_limit,
+            self.last_event,
+            self.model,
+            self.token_counts,
+            self.prompt_parts,
+        }
--- a/src/shallotfold/_gateway/http/messages.py
+++ b/src/shallotfold/_gateway/http/messages.py
@@ -24,6 +24,48 @@
         b"upgrade",
     }
 )
+# Headers about the content, the resource or the sender (RFC 9110 and 9111), all
+# of them together with the prefix of those about the content. Without them, a
+# message has another meaning, so that a Connection header can't remove them.
+END_TO_END_HEADERS = frozenset(
+    {
+        b"accept",
+        b"accept-charset",
+        b"accept-encoding",
+        b"accept-language",
+        b"accept-ranges",
+        b"age",
+        b"allow",
+        b"authorization",
+        b"cache-control",
+        b"cookie",
+        b"date",
+        b"etag",
+        b"expires",
+        b"forwarded",
+        b"from",
+        b"host",
+        b"if-match",
+        b"if-modified-since",
+        b"if-none-match",
+        b"if-range",
+        b"if-unmodified-since",
+        b"last-modified",
+        b"location",
+        b"origin",
+        b"pragma",
+        b"range",
+        b"referer",
+        b"retry-after",
+        b"server",
+        b"set-cookie",
+        b"user-agent",
+        b"vary",
+        b"via",
+        b"www-authenticate",
+    }
+)
+CONTENT_HEADER_PREFIX = b"content-"
 LAST_CHUNK = b"0\r\n\r\n"
 # Other statuses are no responses (RFC 9110, section 15).
 INTERIM_STATUSES = range(100, 200)
@@ -51,13 +93,28 @@
     return None
 
 
-def connection_options(headers: Headers) -> frozenset[bytes]:
-    """Return the headers that Connection headers make hop-by-hop."""
-    return frozenset(
+def hop_by_hop_headers(
+    headers: Headers, end_to_end: frozenset[bytes]
+) -> frozenset[bytes]:
+    """Return the headers of a message that apply to its connection only.
+
+    Args:
+        headers: Headers of the message, in lower case.
+        end_to_end: Headers that stay, beside those of HTTP, although the
+            message's Connection headers name them.
+    """
+    options = {
         option.strip().lower()
         for name, value in headers
         if name == b"connection"
         for option in value.split(b",")
+    }
+    return HOP_BY_HOP_HEADERS.union(
+        option
+        for option in options
+        if option not in END_TO_END_HEADERS
+        and option not in end_to_end
+        and not option.startswith(CONTENT_HEADER_PREFIX)
     )
 
 
--- a/src/shallotfold/_gateway/serving/forwarding.py
+++ b/src/shallotfold/_gateway/serving/forwarding.py
@@ -3,11 +3,10 @@
 import attrs
 
 from shallotfold._gateway.core.wire_names import HeaderNames
-from shallotfold._gateway.http.messages import HOP_BY_HOP_HEADERS
 from shallotfold._gateway.http.messages import Headers
 from shallotfold._gateway.http.messages import IncomingRequest
-from shallotfold._gateway.http.messages import connection_options
 from shallotfold._gateway.http.messages import encode_request
+from shallotfold._gateway.http.messages import hop_by_hop_headers
 
 
 @attrs.frozen(kw_only=True)
@@ -42,9 +41,8 @@
     set are removed.
     """
     dropped = (
-        HOP_BY_HOP_HEADERS
+        hop_by_hop_headers(request.headers, names.end_to_end)
         | names.reserved
-        | connection_options(request.headers)
         | {b"content-length", b"expect", names.key, names.deadline}
         | {names.expected_upstream, names.priority, names.workspace}
     )
@@ -55,7 +53,7 @@
         for original_name, (name, value) in zip(
             request.original_names, request.headers, strict=True
         )
-        if name not in dropped or name == b"host"
+        if name not in dropped
     ]
     headers.append((names.deadline, b"%d" % values.allowed_ms))
     headers.append((names.expected_upstream, values.upstream_id.encode()))
@@ -70,9 +68,9 @@
     return encode_request(request.method, request.target, headers, request.body)
 
 
-def forwarded_response_headers(headers: Headers) -> Headers:
+def forwarded_response_headers(headers: Headers, names: HeaderNames) -> Headers:
     """Return an upstream's headers without the hop-by-hop ones."""
     lowercase_headers = [(name.lower(), value) for name, value in headers]
-    dropped = HOP_BY_HOP_HEADERS | connection_options(lowercase_headers)
+    dropped = hop_by_hop_headers(lowercase_headers, names.end_to_end)
     dropped |= {b"content-length"}
     return [h for h in headers if h[0].lower() not in dropped]
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -568,12 +568,14 @@
         self._stream_response.start(
             attempt.status,
             attempt.reason,
-            forwarded_response_headers(attempt.headers),
+            forwarded_response_headers(attempt.headers, self._gateway.names),
         )
 
     def _write_response(self, attempt: Attempt) -> None:
         close = self._connection.must_close
-        headers = forwarded_response_headers(attempt.headers)
+        headers = forwarded_response_headers(
+            attempt.headers, self._gateway.names
+        )
         if attempt.status != HTTPStatus.NO_CONTENT:
             headers.append((b"Content-Length", b"%d" % len(attempt.body)))
         if close:
--- a/src/shallotfold/platform/names.py
+++ b/src/shallotfold/platform/names.py
@@ -29,6 +29,9 @@
             b"fencing-token",
         }
     ),
+    forwarded=frozenset(
+        {b"output-length-hint", b"response-signature", b"weight-versions"}
+    ),
 )
 
 READY_PATH = b"/shallotfold/readiness"
--- a/tests/gateway/serving/test_forwarding.py
+++ b/tests/gateway/serving/test_forwarding.py
@@ -4,6 +4,7 @@
 
 from shallotfold._gateway.core.model import RequestLimits
 from tests.gateway.backends import Backend
+from tests.gateway.backends import complete_response
 from tests.gateway.serving.harness import GatewayHarness
 from tests.gateway.serving.harness import request
 from tests.gateway.serving.harness import run_scenario
@@ -129,3 +130,135 @@
     run_scenario([backend], scenario)
     assert b"One: 1" in backend.requests[0]
     assert b"Two: 2" not in backend.requests[0]
+
+
+REQUEST_HEADERS = (
+    "Attempt-Id: 77",
+    "Content-Type: application/json",
+    "Content-Encoding: identity",
+    "Accept: text/plain",
+    "Authorization: x",
+    "If-Match: v1",
+    "Last-Event-Id: 3",
+    "Model-Name: m",
+    "Token-Counts: 8,2",
+    "Prompt-Prefix: 5c1e:8",
+    "Output-Length-Hint: 2",
+)
+
+
+@pytest.mark.parametrize(
+    "option", [line.split(":")[0] for line in REQUEST_HEADERS]
+)
+@pytest.mark.parametrize("path", ["/lookup/1", "/book/1", "/talk/1"])
+def test_caller_can_not_name_headers_of_the_request_in_connection(
+    path: str, option: str
+) -> None:
+    """A booking with `Connection: Attempt-Id` ran without its id."""
+    backend = Backend(lambda _: signed_response())
+
+    async def scenario(harness: GatewayHarness) -> None:
+        await harness.send(
+            request(path, f"Connection: x, {option}", *REQUEST_HEADERS[1:]),
+            timeout_s=0.3,
+        )
+
+    run_scenario([backend], scenario)
+    for line in REQUEST_HEADERS:
+        assert backend.requests[0].count(f"{line}\r\n".encode()) == 1
+
+
+@pytest.mark.parametrize(
+    "option",
+    [
+        "X-Api-Key",
+        "Deadline-Remaining",
+        "Tenant-Name",
+        "Request-Priority",
+        "Expected-Instance",
+        "Content-Length",
+        "Host",
+    ],
+)
+def test_caller_can_not_name_headers_of_the_gateway_in_connection(
+    option: str,
+) -> None:
+    backend = Backend(lambda _: signed_response())
+
+    async def scenario(harness: GatewayHarness) -> None:
+        response = await harness.send(
+            request(
+                "/lookup/1",
+                f"Connection: {option}",
+                "Tenant-Name: south",
+                "Token-Counts: 8,2",
+                method="POST",
+                body=b"abc",
+            )
+        )
+        assert status_of(response) == 200
+
+    run_scenario([backend], scenario)
+    (sent,) = backend.requests
+    for line in (
+        b"Host: shop.example",
+        b"tenant-name: north",
+        b"request-priority: 0",
+        b"expected-instance: u0",
+        b"Content-Length: 3",
+    ):
+        assert sent.count(line + b"\r\n") == 1
+    assert b"deadline-remaining: " in sent
+    assert b"secret" not in sent
+    assert b"south" not in sent
+
+
+@pytest.mark.parametrize("path", ["/lookup/1", "/talk/1"])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"Attempt-Id: 77",
+        b"Response-Signature: s",
+        b"Weight-Versions: 3",
+        b"Content-Type: text/event-stream",
+        b"Content-Encoding: gzip",
+        b"ETag: x",
+    ],
+)
+def test_upstream_can_not_name_headers_of_the_response_in_connection(
+    line: bytes, path: str
+) -> None:
+    """The caller got an answer without its signature."""
+    option = line.split(b":")[0]
+    other_lines = (b"Connection: X-Hop, " + option, b"X-Hop: 1")
+    data = b"id: 1\ndata: x\n\n"
+    backend = Backend(
+        lambda _: complete_response(data, line, *other_lines),
+    )
+
+    async def scenario(harness: GatewayHarness) -> None:
+        received = await harness.send(request(path))
+        assert status_of(received) == 200
+        assert data in received
+        assert line + b"\r\n" in received
+        assert b"X-Hop" not in received
+
+    run_scenario([backend], scenario)
+
+
+def test_refusal_whose_connection_header_names_its_mark_is_not_run() -> None:
+    refusal = complete_response(
+        b"",
+        b"Attempt-Id: 77",
+        b"Not-Executed: 1",
+        b"Connection: Not-Executed",
+        status=b"503 Full",
+    )
+    responses = iter([refusal, signed_response()])
+    backends = [Backend(lambda _: next(responses)) for _ in range(2)]
+
+    async def scenario(harness: GatewayHarness) -> None:
+        data = request("/book/1", method="POST", body=b"x")
+        assert status_of(await harness.send(data)) == 200
+
+    run_scenario(backends, scenario)
