Close entries' connections behind an offer of another protocol

Callers saw: after a request with `Connection: Upgrade` on an entry of the own protocol, further requests on the connection got no answer. The operators' port did the same.

Cause: the HTTP library stops parsing behind such a request but keeps the connection.

Change: the response closes the connection.

--- a/src/shallotfold/_entry/operators/operator_server.py
+++ b/src/shallotfold/_entry/operators/operator_server.py
@@ -100,6 +100,9 @@
                 headers={"WWW-Authenticate": CHALLENGE},
             )
         response: web.StreamResponse = await handler(request)
+        if "Upgrade" in request.headers:
+            # The library reads no further requests behind such a one.
+            response.force_close()
         return response
 
     async def _serve_page(self, request: web.Request) -> web.Response:
--- a/src/shallotfold/_entry/serving/callers.py
+++ b/src/shallotfold/_entry/serving/callers.py
@@ -128,8 +128,11 @@
         writer: Any,
         task: Any,
     ) -> web.BaseRequest:
+        # The library reads no further requests behind an offer of another
+        # protocol, so that the caller has to be told to open a connection.
+        close = message.should_close or message.upgrade
         return web.BaseRequest(
-            message,
+            message._replace(should_close=close),
             payload,
             protocol,
             writer,
--- a/tests/entry/operators/test_operator_server.py
+++ b/tests/entry/operators/test_operator_server.py
@@ -1,6 +1,8 @@
 import hashlib
 import pathlib
 
+import pytest
+
 from shallotfold._entry.operators.explanations import Explanations
 from shallotfold._settings.entry import OperatorPortSettings
 from tests.entry import served_entry as s
@@ -63,6 +65,25 @@
     s.run(main())
 
 
+@pytest.mark.parametrize("protocol", ["h2c", "websocket"])
+def test_offer_of_another_protocol_closes_the_operators_connection(
+    tmp_path: pathlib.Path, protocol: str
+) -> None:
+    """Further requests on the connection got no answer."""
+
+    async def main() -> None:
+        async with s.serve_entry(tmp_path, {}, operator=SETTINGS) as served:
+            url = f"http://{served.entry.operators.address}/operator/status"
+            offer = {"Connection": "Upgrade", "Upgrade": protocol}
+            async with served.client.get(
+                url, headers={**HEADERS, **offer}
+            ) as response:
+                assert response.status == 200
+                assert response.headers["Connection"] == "close"
+
+    s.run(main())
+
+
 def test_explanations_are_bounded() -> None:
     explanations = Explanations(max_requests=2)
     for request_id in ("r1", "r2", "r3"):
--- a/tests/entry/serving/test_callers.py
+++ b/tests/entry/serving/test_callers.py
@@ -221,6 +221,52 @@
     s.run(main())
 
 
+@pytest.mark.parametrize("protocol", ["h2c", "websocket", "tcp"])
+@pytest.mark.parametrize("path", ["/booking/1", "/v1/chat/completions"])
+@pytest.mark.parametrize("streaming", [True, False])
+def test_request_with_an_offer_runs_as_sent_and_closes_the_connection(
+    tmp_path: pathlib.Path, protocol: str, path: str, *, streaming: bool
+) -> None:
+    """Further requests on the connection got no answer."""
+
+    async def main() -> None:
+        async with (
+            s.start_upstreams(s.answer_completion, answer_plain) as [
+                model,
+                booking,
+            ],
+            s.serve_entry(
+                tmp_path, {"m1": model.url, "b1": booking.url}
+            ) as served,
+        ):
+            address = served.entry.callers.address
+            reader, writer = await asyncio.open_connection(
+                address.ip, address.port
+            )
+            body = json.dumps(s.STREAM if streaming else s.CHAT).encode()
+            head = (
+                f"POST {path} HTTP/1.1\r\nHost: x\r\n"
+                f"Authorization: Bearer {s.KEY}\r\n"
+                "Content-Type: application/json\r\n"
+                f"Content-Length: {len(body)}\r\n"
+                f"Connection: Upgrade\r\nUpgrade: {protocol}\r\n\r\n"
+            )
+            writer.write(head.encode() + body)
+            async with asyncio.timeout(5.0):
+                answer = await reader.read()
+            writer.close()
+            assert answer.startswith(b"HTTP/1.1 200 ")
+            assert b"connection: close" in answer.lower()
+            plain = path.startswith("/booking")
+            (sent,) = (booking if plain else model).bodies
+            if plain:
+                assert sent == body
+            else:
+                assert json.loads(sent)["messages"] == s.CHAT["messages"]
+
+    s.run(main())
+
+
 def test_models_are_listed_for_a_known_key_only(tmp_path: pathlib.Path) -> None:
     async def main() -> None:
         async with s.serve_entry(
