Bound the work to find a route by the prefixes of the routes

Cause: RouteTable.find cut off and hashed a prefix at each slash of the path, work that grows with the square of its length. A head in one read could have a target of any length, since only header lines counted towards MaxHeaderBytes then.

Change: only prefixes as long as those of the host's routes are looked up. The target counts towards MaxHeaderBytes however the head arrives.

The new tests failed before.

--- a/src/shallotfold/_gateway/serving/caller_connection.py
+++ b/src/shallotfold/_gateway/serving/caller_connection.py
@@ -281,7 +281,10 @@
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
+        if self._input_closed:
+            return
         self._target += url
+        self._head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header; trailers are dropped."""
--- a/src/shallotfold/_gateway/serving/route_table.py
+++ b/src/shallotfold/_gateway/serving/route_table.py
@@ -21,6 +21,11 @@
             routes = self._routes_by_prefix_by_host.setdefault(route.host, {})
             routes[route.path_prefix] = route
         self._rank_by_priorities = _ranks_by_priorities(configuration)
+        # Only these can match, so that the slashes of a path don't count.
+        self._prefix_lengths_by_host = {
+            host: sorted({len(prefix) for prefix in routes}, reverse=True)
+            for host, routes in self._routes_by_prefix_by_host.items()
+        }
 
     def rank(self, route: Route, workspace: Workspace | None) -> int:
         """Return the scheduling rank inside an engine, 0 first.
@@ -41,12 +46,11 @@
         routes = self._routes_by_prefix_by_host.get(name)
         if not routes:
             return None
-        end = path.rfind("/")
-        while end >= 0:
-            route = routes.get(path[: end + 1])
-            if route is not None:
-                return route
-            end = path.rfind("/", 0, end)
+        for length in self._prefix_lengths_by_host[name]:
+            if length <= len(path):
+                route = routes.get(path[:length])
+                if route is not None:
+                    return route
         return None
 
 
--- a/src/shallotfold/platform/configuration_checks.py
+++ b/src/shallotfold/platform/configuration_checks.py
@@ -441,8 +441,8 @@
     if needed_bytes > limits.max_header_bytes:
         yield _warning(
             "Limits.MaxHeaderBytes",
-            f"{limits.max_header_bytes} is too small for the host and key of "
-            f"some requests, which need {needed_bytes} bytes",
+            f"{limits.max_header_bytes} is too small for path, host and key "
+            f"of some requests, which need {needed_bytes} bytes",
             f"Raise it well above {needed_bytes}.",
         )
     if not limits.max_body_bytes:
@@ -458,15 +458,16 @@
 
 
 def _header_bytes(route: Route, key_bytes: int) -> int:
-    """Return the size of the headers that each request on a route needs.
+    """Return the size of the head that each request on a route needs.
 
-    As in the limit, the request line doesn't count.
+    As in the limit, the target counts; the rest of the request line doesn't.
 
     Args:
         route: The route.
         key_bytes: Size of the caller's key; 0 if it needs none.
     """
-    size = len(b"Host: \r\n") + _encoded_bytes(route.host)
+    size = _encoded_bytes(route.path_prefix)
+    size += len(b"Host: \r\n") + _encoded_bytes(route.host)
     if key_bytes:
         size += len(names.HEADERS.key) + len(b": \r\n") + key_bytes
     return size
--- a/tests/gateway/serving/test_forwarding.py
+++ b/tests/gateway/serving/test_forwarding.py
@@ -1,5 +1,7 @@
 """Test that requests and responses are forwarded unchanged."""
 
+import asyncio
+
 import pytest
 
 from shallotfold._gateway.core.model import RequestLimits
@@ -262,3 +264,27 @@
         assert status_of(await harness.send(data)) == 200
 
     run_scenario(backends, scenario)
+
+
+@pytest.mark.parametrize("part_bytes", [1 << 20, 700])
+@pytest.mark.parametrize(("path_bytes", "status"), [(300, 200), (900, 431)])
+def test_target_counts_towards_the_size_of_the_head(
+    path_bytes: int, status: int, part_bytes: int
+) -> None:
+    """In one read, a head could have a target of any length."""
+    backend = Backend(lambda _: signed_response())
+    data = request("/lookup/" + "a" * path_bytes)
+
+    async def scenario(harness: GatewayHarness) -> None:
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", harness.port
+        )
+        for start in range(0, len(data), part_bytes):
+            writer.write(data[start : start + part_bytes])
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        assert status_of(await reader.read(4096)) == status
+        writer.close()
+
+    run_scenario([backend], scenario, RequestLimits(max_header_bytes=800))
+    assert len(backend.requests) == (status == 200)
