Compute ranks without a table of all pairs of priorities

Callers saw: after an operator had added 350 routes, each with a priority of its own, no gateway of a fleet with 8,700 workspaces answered any more.

Cause: the route table made, sorted and kept all pairs of a workspace's and a route's priority, 3.1 million tuples.

Change: the rank is computed from the positions of the two priorities among those of their kind, which is the same position among all pairs.

The test of memory failed before; a property test compares the ranks with the sorted pairs.

--- a/src/shallotfold/_gateway/serving/route_table.py
+++ b/src/shallotfold/_gateway/serving/route_table.py
@@ -1,6 +1,7 @@
 """Choose the route, rank and service of a request."""
 
 import bisect
+from collections.abc import Iterable
 import itertools
 
 from shallotfold._gateway.core.model import GatewayConfiguration
@@ -20,7 +21,14 @@
         for route in configuration.routes:
             routes = self._routes_by_prefix_by_host.setdefault(route.host, {})
             routes[route.path_prefix] = route
-        self._rank_by_priorities = _ranks_by_priorities(configuration)
+        self._position_by_workspace_priority = _positions(
+            {0}.union(
+                map(_priority_of, configuration.workspaces_by_key.values())
+            )
+        )
+        self._position_by_route_priority = _positions(
+            route.priority for route in configuration.routes
+        )
         # Only these can match, so that the slashes of a path don't count.
         self._prefix_lengths_by_host = {
             host: sorted({len(prefix) for prefix in routes}, reverse=True)
@@ -32,8 +40,17 @@
 
         Requests are ordered by the workspace's priority, then by the route's.
         """
-        priorities = (_priority_of(workspace), route.priority)
-        return self._rank_by_priorities.get(priorities, MAX_RANK)
+        workspace_position = self._position_by_workspace_priority.get(
+            _priority_of(workspace)
+        )
+        route_position = self._position_by_route_priority.get(route.priority)
+        if workspace_position is None or route_position is None:
+            return MAX_RANK
+        position = (
+            workspace_position * len(self._position_by_route_priority)
+            + route_position
+        )
+        return min(MAX_RANK, position)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest path prefix that matches.
@@ -75,18 +92,12 @@
     return workspace.priority
 
 
-def _ranks_by_priorities(
-    configuration: GatewayConfiguration,
-) -> dict[tuple[int, int], int]:
-    """Rank all pairs of priorities in order, up to the highest rank."""
-    workspace_priorities = {
-        _priority_of(w) for w in configuration.workspaces_by_key.values()
+def _positions(priorities: Iterable[int]) -> dict[int, int]:
+    """Return the position of each priority among all, in rising order."""
+    return {
+        priority: position
+        for position, priority in enumerate(sorted(set(priorities)))
     }
-    route_priorities = {route.priority for route in configuration.routes}
-    pairs = sorted(
-        itertools.product(workspace_priorities | {0}, route_priorities)
-    )
-    return {pair: min(MAX_RANK, n) for n, pair in enumerate(pairs)}
 
 
 def choose_service(route: Route, draw: float) -> str:
--- a/tests/gateway/serving/test_route_table.py
+++ b/tests/gateway/serving/test_route_table.py
@@ -1,10 +1,17 @@
 """Test how routes and ranks are found."""
 
+from collections.abc import Iterable
+import itertools
+import tracemalloc
 from typing import Any
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
+from shallotfold._gateway.core.model import GatewayConfiguration
+from shallotfold._gateway.core.model import Workspace
+from shallotfold._gateway.serving.route_table import MAX_RANK
 from shallotfold._gateway.serving.route_table import RouteTable
 from tests.gateway.factories import make_configuration
 from tests.gateway.factories import make_route
@@ -58,3 +65,53 @@
     assert (route.path_prefix if route else None) == max(
         matching, key=len, default=None
     )
+
+
+def _many_priorities(
+    workspace_priorities: Iterable[int], route_priorities: Iterable[int]
+) -> GatewayConfiguration:
+    routes = (
+        attrs.evolve(
+            make_route(name=f"r{n}", path_prefix=f"/r{n}/"), priority=priority
+        )
+        for n, priority in enumerate(route_priorities)
+    )
+    return attrs.evolve(
+        make_configuration(*routes),
+        workspaces_by_key={
+            f"k{n}": Workspace(f"w{n}", priority)
+            for n, priority in enumerate(workspace_priorities)
+        },
+    )
+
+
+@given(
+    workspace_priorities=st.lists(st.integers(0, 20), max_size=6),
+    route_priorities=st.lists(st.integers(0, 20), min_size=1, max_size=6),
+)
+def test_rank_is_the_position_among_all_pairs_of_priorities(
+    workspace_priorities: list[int], route_priorities: list[int]
+) -> None:
+    configuration = _many_priorities(workspace_priorities, route_priorities)
+    table = RouteTable(configuration)
+    pairs = sorted(
+        itertools.product({0, *workspace_priorities}, set(route_priorities))
+    )
+    for route in configuration.routes:
+        for workspace in (None, *configuration.workspaces_by_key.values()):
+            priority = workspace.priority if workspace else 0
+            position = pairs.index((priority or 0, route.priority))
+            assert table.rank(route, workspace) == min(MAX_RANK, position)
+
+
+def test_memory_does_not_grow_with_workspaces_times_routes() -> None:
+    """350 more routes took gateways of 8,700 workspaces past their memory."""
+    configuration = _many_priorities(range(8_700), range(355))
+    tracemalloc.start()
+    table = RouteTable(configuration)
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    (route, *_) = configuration.routes
+    assert table.rank(route, None) == 0
+    parts = len(configuration.workspaces_by_key) + len(configuration.routes)
+    assert peak_bytes < parts * 1_000
