Keep descriptors for the store and peers

Cause: nothing bounded the connections to upstreams, callers' connections beyond their share are closed only after they were accepted, and each call to the store opens a connection. A connection to an upstream that failed for want of a descriptor also counted as a failure of the upstream.

Change: connections to upstreams have a share of the descriptors; beyond it idle ones are closed, and requests are refused with 503. Both shares leave out the 200 descriptors for files. Calls to the store, fetches from peers and calls of duties use sockets opened in advance when no descriptor is free.

--- a/src/shallotfold/_cli/gateway_command.py
+++ b/src/shallotfold/_cli/gateway_command.py
@@ -11,6 +11,7 @@
 from shallotfold._cli.common import run_with_exit_code
 from shallotfold._errors import UsageError
 from shallotfold._gateway.core.settings import GatewaySettings
+from shallotfold._gateway.http.socket_reserve import SocketReserve
 from shallotfold._gateway.process import GatewayProcess
 from shallotfold._runtime.loop import run_process
 from shallotfold.platform import names
@@ -61,11 +62,13 @@
 def _make_process(
     settings: GatewaySettings, settings_path: pathlib.Path
 ) -> GatewayProcess:
+    reserve = SocketReserve()
     return GatewayProcess(
         settings,
         PlatformDialect(),
         names.READY_PATH,
-        PlatformStore(settings.store_address),
-        PlatformDutyCalls(settings.duties_address),
+        PlatformStore(settings.store_address, reserve),
+        PlatformDutyCalls(settings.duties_address, reserve),
         lambda: load_platform_settings(settings_path),
+        reserve,
     )
--- a/src/shallotfold/_gateway/deciding/dispatcher.py
+++ b/src/shallotfold/_gateway/deciding/dispatcher.py
@@ -202,6 +202,11 @@
         request = self._open_requests.get(event.request)
         if request is None:
             return []
+        if event.host_is_full:
+            self._end_attempt(request)
+            return self._give_up(
+                request, "this host has too many connections", event.now_s
+            )
         self.placement.health.record_unreachable(request.upstream, event.now_s)
         self._end_attempt(request)
         request.attempts -= 1
--- a/src/shallotfold/_gateway/deciding/events.py
+++ b/src/shallotfold/_gateway/deciding/events.py
@@ -55,7 +55,14 @@
 
 @attrs.frozen(kw_only=True)
 class AttemptUnsent(AttemptEvent):
-    """No connection could be established, so nothing was sent."""
+    """No connection could be established, so nothing was sent.
+
+    Attributes:
+        host_is_full: Whether this host has no descriptor left for one, which
+            tells nothing about the upstream.
+    """
+
+    host_is_full: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallotfold/_gateway/following/catch_up.py
+++ b/src/shallotfold/_gateway/following/catch_up.py
@@ -12,6 +12,7 @@
 from shallotfold._gateway.following.prefix_watcher import PrefixWatcher
 from shallotfold._gateway.http.http_client import CallFailedError
 from shallotfold._gateway.http.http_client import HttpClient
+from shallotfold._gateway.http.socket_reserve import SocketReserve
 from shallotfold._gateway.peers.peers import Peers
 from shallotfold._gateway.peers.peers import PeerState
 
@@ -41,6 +42,7 @@
         watchers: Sequence[PrefixWatcher],
         peer_port: int,
         is_follower: Callable[[], bool],
+        reserve: SocketReserve | None = None,
     ) -> None:
         """Set up the catch-up of this host.
 
@@ -50,12 +52,14 @@
             watchers: Watches of the store; restarted first.
             peer_port: TCP port on which peers serve their snapshot.
             is_follower: Returns whether this host watches the store.
+            reserve: Sockets for when no descriptor is free.
         """
         self._view = view
         self._peers = peers
         self._watchers = watchers
         self._peer_port = peer_port
         self._is_follower = is_follower
+        self._reserve = reserve
         self._fetch_delay_s = 0.0
         self._behind_since_s: float | None = None
         self._watches_restarted = False
@@ -148,7 +152,7 @@
             self._behind_since_s = boot_s()
 
     async def _fetch(self, peer: PeerState) -> None:
-        client = HttpClient(peer.ip, self._peer_port)
+        client = HttpClient(peer.ip, self._peer_port, self._reserve)
         try:
             response = await client.call(
                 "GET", SNAPSHOT_PATH, timeout_s=PEER_FETCH_TIMEOUT_S
--- a/src/shallotfold/_gateway/http/expiring_call.py
+++ b/src/shallotfold/_gateway/http/expiring_call.py
@@ -10,6 +10,7 @@
 from shallotfold._gateway.http.http_client import ResponseCollector
 from shallotfold._gateway.http.messages import Headers
 from shallotfold._gateway.http.messages import encode_request
+from shallotfold._gateway.http.socket_reserve import SocketReserve
 from shallotfold._gateway.http.upstream_connection import UpstreamConnection
 from shallotfold._runtime.sockets import LINGER_RESET
 from shallotfold._settings.addresses import Address
@@ -26,6 +27,7 @@
     body: bytes,
     headers: Headers,
     timeout_s: float,
+    reserve: SocketReserve | None = None,
 ) -> HttpResponse:
     """Send a request on a new connection and wait for the response.
 
@@ -42,6 +44,7 @@
         body: Body of the request.
         headers: Headers besides those of the connection and the body.
         timeout_s: Longest time to wait for the response.
+        reserve: Sockets for when no descriptor is free.
 
     Raises:
         CallFailedError: The moment has passed, or no complete response arrived
@@ -60,7 +63,9 @@
         ],
         body,
     )
-    sock, connection = await _connect(address, expires_s)
+    sock, connection = await _connect(
+        address, expires_s, reserve or SocketReserve()
+    )
     try:
         connection.expect_response(ResponseCollector(response_future))
         _send_before(expires_s, sock, request)
@@ -75,12 +80,16 @@
 
 
 async def _connect(
-    address: Address, expires_s: float
+    address: Address, expires_s: float, reserve: SocketReserve
 ) -> tuple[socket.socket, UpstreamConnection]:
     loop = asyncio.get_running_loop()
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        sock.settimeout(0.0)
+        sock = reserve.open_socket()
+    except OSError as error:
+        raise CallFailedError(
+            f"no socket ({error!r})", may_have_run=False
+        ) from error
+    try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
         async with asyncio.timeout(
             min(CONNECT_TIMEOUT_S, expires_s - boot_s())
--- a/src/shallotfold/_gateway/http/http_client.py
+++ b/src/shallotfold/_gateway/http/http_client.py
@@ -8,6 +8,8 @@
 from shallotfold._gateway.http.messages import Headers
 from shallotfold._gateway.http.messages import encode_request
 from shallotfold._gateway.http.messages import find_header
+from shallotfold._gateway.http.socket_reserve import SocketReserve
+from shallotfold._gateway.http.socket_reserve import is_out_of_descriptors
 from shallotfold._gateway.http.upstream_connection import UpstreamConnection
 
 # A lost opening packet is sent again after a second.
@@ -98,9 +100,19 @@
     for the response to the next call.
     """
 
-    def __init__(self, ip: str, port: int) -> None:
+    def __init__(
+        self, ip: str, port: int, reserve: SocketReserve | None = None
+    ) -> None:
+        """Make a client that has no connection yet.
+
+        Args:
+            ip: Address of the service.
+            port: Port of the service.
+            reserve: Sockets for when no descriptor is free.
+        """
         self._ip = ip
         self._port = port
+        self._reserve = reserve or SocketReserve()
         self.call_count = 0
 
     async def call(
@@ -145,12 +157,30 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    UpstreamConnection, self._ip, self._port
-                )
+                try:
+                    _, connection = await loop.create_connection(
+                        UpstreamConnection, self._ip, self._port
+                    )
+                except OSError as error:
+                    if not is_out_of_descriptors(error):
+                        raise
+                    connection = await self._connect_reserved()
         except (OSError, TimeoutError) as error:
             raise CallFailedError(
                 f"no connection to {self._ip}:{self._port} ({error!r})",
                 may_have_run=False,
             ) from error
         return connection
+
+    async def _connect_reserved(self) -> UpstreamConnection:
+        loop = asyncio.get_running_loop()
+        sock = self._reserve.open_socket()
+        try:
+            await loop.sock_connect(sock, (self._ip, self._port))
+            _, connection = await loop.create_connection(
+                UpstreamConnection, sock=sock
+            )
+        except BaseException:
+            sock.close()
+            raise
+        return connection
--- a/src/shallotfold/_gateway/http/upstream_pool.py
+++ b/src/shallotfold/_gateway/http/upstream_pool.py
@@ -12,6 +12,7 @@
 
 from shallotfold._gateway.core.model import Upstream
 from shallotfold._gateway.http.read_pacing import ReadPacer
+from shallotfold._gateway.http.socket_reserve import is_out_of_descriptors
 from shallotfold._gateway.http.upstream_connection import ResponseListener
 from shallotfold._gateway.http.upstream_connection import UpstreamConnection
 
@@ -53,8 +54,13 @@
         """Whether the request should still be sent on a new connection."""
         ...
 
-    def on_unsent(self, reason: str) -> None:
-        """Handle a failed connect; the request did not run."""
+    def on_unsent(self, reason: str, *, host_is_full: bool) -> None:
+        """Handle a failed connect; the request did not run.
+
+        Args:
+            reason: What failed.
+            host_is_full: Whether this host had no descriptor for it.
+        """
         ...
 
 
@@ -73,7 +79,13 @@
 
 
 class UpstreamPool:
-    """Idle connections by the address and incarnation of their upstream."""
+    """Connections to upstreams, and which of them are idle.
+
+    Attributes:
+        max_connections: Connections that may be open or being opened; `None`:
+            any number.
+        connections_made: Connections that were established so far.
+    """
 
     def __init__(self, idle_limit_of: Callable[[Upstream], int]) -> None:
         """Create an empty pool.
@@ -87,6 +99,10 @@
             tuple[str, int, str], collections.deque[UpstreamConnection]
         ] = {}
         self._connect_tasks: set[asyncio.Task[None]] = set()
+        # Those that have ended are removed when the limit is reached.
+        self._connections: set[UpstreamConnection] = set()
+        self._opening_count = 0
+        self.max_connections: int | None = None
         self._pacer = ReadPacer()
         self.connections_made = 0
 
@@ -174,6 +190,35 @@
             connection.abort()
         return None
 
+    def _has_room(self) -> bool:
+        """Whether a connection may be opened; closes an idle one for it."""
+        if self.max_connections is None:
+            return True
+        limit = self.max_connections - self._opening_count
+        if len(self._connections) < limit:
+            return True
+        self._connections = {c for c in self._connections if c.connected}
+        return len(self._connections) < limit or self._close_oldest_idle()
+
+    def _close_oldest_idle(self) -> bool:
+        """Close the connection that has been idle for longest, if any is."""
+        oldest = min(
+            (
+                connection
+                for idle in self._idle_by_upstream.values()
+                for connection in idle
+                if connection.connected
+            ),
+            key=lambda connection: connection.idle_since_s,
+            default=None,
+        )
+        if oldest is None:
+            return False
+        # Requests pass over closed connections in their deque.
+        oldest.abort()
+        self._connections.discard(oldest)
+        return True
+
     async def _connect_and_send(
         self,
         upstream: Upstream,
@@ -182,6 +227,15 @@
         send_handle: SendHandle,
     ) -> None:
         loop = asyncio.get_running_loop()
+        if not self._has_room():
+            send_handle.connect_task = None
+            if not send_handle.cancelled:
+                listener.on_unsent(
+                    f"{self.max_connections} connections to upstreams are open",
+                    host_is_full=True,
+                )
+            return
+        self._opening_count += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
@@ -197,10 +251,16 @@
                     upstream.upstream_id,
                     error,
                 )
-                listener.on_unsent(repr(error))
+                listener.on_unsent(
+                    repr(error), host_is_full=is_out_of_descriptors(error)
+                )
             return
+        finally:
+            self._opening_count -= 1
         send_handle.connect_task = None
         self.connections_made += 1
+        if self.max_connections is not None:
+            self._connections.add(connection)
         if send_handle.cancelled:
             connection.abort()
             return
--- a/src/shallotfold/_gateway/process.py
+++ b/src/shallotfold/_gateway/process.py
@@ -40,6 +40,7 @@
 from shallotfold._gateway.following.prefix_watcher import PrefixWatcher
 from shallotfold._gateway.following.store_followers import StoreFollowers
 from shallotfold._gateway.following.stored_holds import StoredHolds
+from shallotfold._gateway.http.socket_reserve import SocketReserve
 from shallotfold._gateway.peers.change_messages import UpstreamChanges
 from shallotfold._gateway.peers.peer_traffic import PeerTraffic
 from shallotfold._gateway.peers.peers import LocalState
@@ -75,6 +76,7 @@
         store: WatchedStore,
         duty_calls: DutyCalls,
         load_settings: Callable[[], GatewaySettings],
+        socket_reserve: SocketReserve | None = None,
     ) -> None:
         """Create the components; `start` runs them.
 
@@ -85,7 +87,10 @@
             store: The platform's key-value store.
             duty_calls: The platform's API for duties.
             load_settings: Reloads the settings; raises `InvalidInputError`.
+            socket_reserve: Sockets that the store and the calls of duties use
+                when no descriptor is free; started and closed by the process.
         """
+        self._socket_reserve = socket_reserve or SocketReserve()
         self._settings = settings
         self._load_settings = load_settings
         self._incarnation = f"{random.getrandbits(64):016x}"
@@ -155,6 +160,7 @@
             self._watchers,
             settings.peer_address.port,
             self._is_follower,
+            self._socket_reserve,
         )
         self._stored_holds = StoredHolds(
             store,
@@ -261,6 +267,7 @@
                 Address(settings.ip, METRICS_PORT),
             )
         )
+        self._socket_reserve.start()
         for watcher in self._watchers:
             await watcher.start()
         await self._stored_holds.start()
@@ -287,6 +294,7 @@
         await self._gateway.close()
         await self._peer_link.close()
         await self._page_server.close()
+        self._socket_reserve.close()
         decision_log.record("stop")
         decision_log.flush()
 
@@ -353,6 +361,7 @@
             next_check_s=HOUSEKEEPING_INTERVAL_S,
         )
         self._catch_up.check()
+        self._socket_reserve.refill()
         decision_log.flush()
 
     # Peers and duties.
--- a/src/shallotfold/_gateway/serving/attempt.py
+++ b/src/shallotfold/_gateway/serving/attempt.py
@@ -91,8 +91,10 @@
         """Handle a response that ended early or was invalid."""
         ...
 
-    def on_unsent(self, attempt: Attempt, reason: str) -> None:
-        """Handle an attempt that reached no upstream."""
+    def on_unsent(
+        self, attempt: Attempt, reason: str, *, host_is_full: bool
+    ) -> None:
+        """Handle an attempt that reached no upstream; see `SendListener`."""
         ...
 
 
@@ -171,10 +173,10 @@
             and not self._handler.drop_if_caller_left()
         )
 
-    def on_unsent(self, reason: str) -> None:
+    def on_unsent(self, reason: str, *, host_is_full: bool) -> None:
         """Report that no connection was established."""
         if self._handler.is_current(self):
-            self._handler.on_unsent(self, reason)
+            self._handler.on_unsent(self, reason, host_is_full=host_is_full)
 
     def on_head_part(self, count: int) -> None:
         """Count bytes of a head that isn't complete."""
--- a/src/shallotfold/_gateway/serving/caller_memory.py
+++ b/src/shallotfold/_gateway/serving/caller_memory.py
@@ -24,9 +24,6 @@
 RELIEF_SHARE = 7 / 8
 # Larger heads are refused while those in service take half of the budget.
 SMALL_HEAD_BYTES = 2_048
-# Share of the descriptors that callers may use; the others serve upstreams,
-# the store and peers.
-CALLER_DESCRIPTOR_SHARE = 3 / 4
 
 
 class MemoryHolder(Protocol):
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -32,8 +32,8 @@
 from shallotfold._gateway.serving.body_budget import BodyBudget
 from shallotfold._gateway.serving.caller_connection import CallerConnection
 from shallotfold._gateway.serving.caller_connection import Exchange
-from shallotfold._gateway.serving.caller_memory import CALLER_DESCRIPTOR_SHARE
 from shallotfold._gateway.serving.caller_memory import CallerMemory
+from shallotfold._gateway.serving.descriptor_shares import divide_descriptors
 from shallotfold._gateway.serving.relay import MAX_LOGGED_ID_BYTES
 from shallotfold._gateway.serving.relay import Admission
 from shallotfold._gateway.serving.relay import Relay
@@ -161,10 +161,9 @@
     async def start(self, ip: str, port: int) -> None:
         """Listen for callers."""
         descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if descriptors != resource.RLIM_INFINITY:
-            self.caller_memory.max_connections = max(
-                1, int(descriptors * CALLER_DESCRIPTOR_SHARE)
-            )
+        shares = divide_descriptors(descriptors)
+        self.caller_memory.max_connections = shares.callers
+        self.pool.max_connections = shares.upstreams
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: CallerConnection(
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -339,7 +339,9 @@
             self._run_counted = True
             self._gateway.count_run(self)
 
-    def on_unsent(self, attempt: Attempt, reason: str) -> None:
+    def on_unsent(
+        self, attempt: Attempt, reason: str, *, host_is_full: bool
+    ) -> None:
         """Report an attempt that reached no upstream."""
         self._gateway.metrics.count_attempt("unsent")
         self._log(
@@ -347,7 +349,11 @@
         )
         self._attempt = None
         self._gateway.deliver(
-            events.AttemptUnsent(now_s=boot_s(), request=self.request_number)
+            events.AttemptUnsent(
+                now_s=boot_s(),
+                request=self.request_number,
+                host_is_full=host_is_full,
+            )
         )
 
     def on_broken(self, attempt: Attempt, reason: str) -> None:
--- a/src/shallotfold/_settings/reference.py
+++ b/src/shallotfold/_settings/reference.py
@@ -34,8 +34,8 @@
     "| `Limits.MemoryLimitMb` | `160` | Memory that the process may use, in "
     "MiB. Heads of callers' requests may take 1/16 of it, and responses that "
     "callers haven't read 1/8; beyond that, the connections that hold the most "
-    "are ended. Callers' connections may take 3/4 of the descriptors that the "
-    "process may open. |",
+    "are ended. Of the descriptors that the process may open, without 200 for "
+    "files, callers' connections may take 3/4 and those to upstreams 3/16. |",
 )
 _ATTRIBUTE = re.compile(r"^    (\w+): (.*)$")
 _REQUIRED = "required"
--- a/src/shallotfold/platform/duty_calls.py
+++ b/src/shallotfold/platform/duty_calls.py
@@ -10,6 +10,7 @@
 from shallotfold._gateway.core.ports import DutyTerm
 from shallotfold._gateway.http.expiring_call import call_before
 from shallotfold._gateway.http.http_client import CallFailedError
+from shallotfold._gateway.http.socket_reserve import SocketReserve
 from shallotfold._settings.addresses import Address
 from shallotfold.platform import names
 
@@ -19,8 +20,17 @@
 class PlatformDutyCalls:
     """The platform's interface for duties, as the gateway's `DutyCalls`."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(
+        self, address: Address, reserve: SocketReserve | None = None
+    ) -> None:
+        """Make a client of the platform.
+
+        Args:
+            address: Address of the platform.
+            reserve: Sockets for when no descriptor is free.
+        """
         self._address = address
+        self._reserve = reserve
 
     async def report_usage(
         self, window: int, counts: dict[str, int], term: DutyTerm
@@ -71,6 +81,7 @@
                     (names.FENCING_TOKEN_HEADER, b"%d" % term.fencing_token),
                 ],
                 timeout_s=CALL_TIMEOUT_S,
+                reserve=self._reserve,
             )
         except CallFailedError as error:
             decision_log.record("duty_call_failed", path=path, error=str(error))
--- a/src/shallotfold/platform/store.py
+++ b/src/shallotfold/platform/store.py
@@ -16,6 +16,7 @@
 from shallotfold._gateway.http.http_client import CallInterruptedError
 from shallotfold._gateway.http.http_client import HttpClient
 from shallotfold._gateway.http.http_client import HttpResponse
+from shallotfold._gateway.http.socket_reserve import SocketReserve
 from shallotfold._services.ports import Lease
 from shallotfold._services.ports import StoreChanges
 from shallotfold._services.ports import StoredValue
@@ -41,9 +42,17 @@
             that don't tell it.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(
+        self, address: Address, reserve: SocketReserve | None = None
+    ) -> None:
+        """Make a client of the store.
+
+        Args:
+            address: Address of the store.
+            reserve: Sockets for when no descriptor is free.
+        """
         self.era = 0
-        self._client = HttpClient(address.ip, address.port)
+        self._client = HttpClient(address.ip, address.port, reserve)
 
     @property
     def calls(self) -> int:
--- a/tests/gateway/gateway_process.py
+++ b/tests/gateway/gateway_process.py
@@ -27,11 +27,13 @@
 # Longer than any test, so that no timeout depends on the machine's speed.
 LONG_TIMEOUT_MS = 120_000
 CALLER_PORT = 8001
+READY_PORT = 8002
 BYTES_PER_MIB = 1_048_576
 # An unfinished response is a little below the bounds of a single one.
 UNFINISHED_EVENT_BYTES = 900_000
 UNFINISHED_HEAD_BYTES = 60_000
 UNFINISHED_BODY_BYTES = 60_000
+_VERSION_METRIC = re.compile(rb"configuration_version (\d\S*)")
 SERVICES = ("quick", "silent", "large", "event", "head", "body")
 
 
@@ -172,6 +174,29 @@
         assert self._process is not None
         return len(os.listdir(f"/proc/{self._process.pid}/fd"))
 
+    def put_configuration(self, version: int) -> None:
+        """Change the configuration in the store; it says the same."""
+        self._store.standin.put(
+            names.CONFIGURATION_KEY, _configuration(version)
+        )
+
+    async def wait_for_configuration(self, version: int) -> None:
+        """Wait until the gateway says that a version is in force."""
+        while True:
+            with contextlib.suppress(OSError, EOFError):
+                if await self._configuration_version() >= version:
+                    return
+            await asyncio.sleep(0.05)
+
+    async def _configuration_version(self) -> float:
+        reader, writer = await asyncio.open_connection(self.ip, READY_PORT)
+        try:
+            writer.write(b"GET /metrics HTTP/1.0\r\n\r\n")
+            match = _VERSION_METRIC.search(await reader.read())
+            return float(match[1]) if match else 0.0
+        finally:
+            writer.close()
+
     async def wait_for_ordinary_answer(self) -> None:
         """Repeat one ordinary request until it is answered, as callers do."""
         async with asyncio.timeout(PATIENCE_S):
@@ -199,7 +224,7 @@
             "Zones": {"a": "r"},
             "ListenAddresses": {
                 "Frontend": f"{self.ip}:{CALLER_PORT}",
-                "Ready": f"{self.ip}:8002",
+                "Ready": f"{self.ip}:{READY_PORT}",
                 "ControlPlane": f"{self.ip}:8003",
             },
             "InternalPortRange": [7340, 7355],
@@ -254,9 +279,9 @@
     return "\r\n".join(lines).encode() + (HEADER_END if complete else b"\r\n")
 
 
-def _configuration() -> bytes:
+def _configuration(version: int = 1) -> bytes:
     document = {
-        "Version": 1,
+        "Version": version,
         "Routes": [
             {
                 "Name": service,
