End responses to HEAD with their heads

Cause: no part that reads or writes responses was told the method of the request.

Change: connections to upstreams end the response to HEAD with its head and aren't used again. All responses to HEAD are written without a body, those of the gateway, of upstreams, on routes of streams, and of the pages. A 304 keeps the length that the upstream announced.

--- a/src/shallotfold/_gateway/http/messages.py
+++ b/src/shallotfold/_gateway/http/messages.py
@@ -67,6 +67,9 @@
 )
 CONTENT_HEADER_PREFIX = b"content-"
 LAST_CHUNK = b"0\r\n\r\n"
+# A response to this method ends with its head, whatever length it announces
+# (RFC 9110, section 9.3.2).
+HEAD_METHOD = b"HEAD"
 # Other statuses are no responses (RFC 9110, section 15).
 INTERIM_STATUSES = range(100, 200)
 FINAL_STATUSES = range(200, 600)
@@ -76,7 +79,7 @@
     """What marks the end of a response's body (RFC 9112, section 6.3)."""
 
     NO_BODY = "no_body"
-    """The status has no body."""
+    """The status, or the method of the request, has no body."""
     LENGTH = "length"
     """Content-Length."""
     CHUNKED = "chunked"
@@ -119,10 +122,19 @@
 
 
 def response_framing(
-    status: int, headers: Iterable[tuple[bytes, bytes]]
+    status: int,
+    headers: Iterable[tuple[bytes, bytes]],
+    *,
+    head_only: bool = False,
 ) -> BodyFraming:
-    """Return how a response's body is framed; names may have any case."""
-    if status in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
+    """Return how a response's body is framed.
+
+    Args:
+        status: Status of the response.
+        headers: Its headers; names may have any case.
+        head_only: Whether it is the response to a HEAD request.
+    """
+    if head_only or status in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
         return BodyFraming.NO_BODY
     has_length = False
     for name, value in headers:
@@ -178,6 +190,11 @@
         if self.compact_head is not None and not self.headers:
             self.headers, self.original_names = self.compact_head.expand()
 
+    @property
+    def head_only(self) -> bool:
+        """Whether the response consists of its head."""
+        return self.method == HEAD_METHOD
+
     @property
     def path(self) -> str:
         """Path without the query."""
@@ -212,8 +229,18 @@
     content_type: bytes = b"text/plain; charset=utf-8",
     retry_after_s: float | None = None,
     close: bool = False,
+    head_only: bool = False,
 ) -> bytes:
-    """Encode a response that the gateway itself generates."""
+    """Encode a response that the gateway itself generates.
+
+    Args:
+        status: HTTP status.
+        body: Body of the response.
+        content_type: Media type of the body.
+        retry_after_s: When the caller may repeat the request; `None`: not said.
+        close: Whether the connection is closed after the response.
+        head_only: Whether the request was HEAD, so that the body isn't sent.
+    """
     headers = [(b"Content-Length", b"%d" % len(body))]
     if body:
         headers.append((b"Content-Type", content_type))
@@ -222,7 +249,8 @@
     if close:
         headers.append((b"Connection", b"close"))
     reason = HTTPStatus(status).phrase.encode()
-    return encode_response_head(status, reason, headers) + body
+    head = encode_response_head(status, reason, headers)
+    return head if head_only else head + body
 
 
 def encode_chunk(data: bytes) -> bytes:
--- a/src/shallotfold/_gateway/http/upstream_connection.py
+++ b/src/shallotfold/_gateway/http/upstream_connection.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from shallotfold._gateway.http.messages import FINAL_STATUSES
+from shallotfold._gateway.http.messages import HEAD_METHOD
 from shallotfold._gateway.http.messages import INTERIM_STATUSES
 from shallotfold._gateway.http.messages import BodyFraming
 from shallotfold._gateway.http.messages import Headers
@@ -97,6 +98,8 @@
         self._in_body = False
         self._close_delimited = False
         self._completed = False
+        # Whether the response ends with its head, as the request was HEAD.
+        self._head_only = False
         self._surplus_data = False
         self._keep_alive = False
         self._received_bytes = 0
@@ -116,6 +119,7 @@
     def send(self, data: bytes, listener: ResponseListener) -> None:
         """Send a request; its response goes to `listener`."""
         self.expect_response(listener)
+        self._head_only = data.startswith(HEAD_METHOD + b" ")
         if self._transport is None:
             self._fail("connection lost before the request was sent")
             return
@@ -124,6 +128,7 @@
     def expect_response(self, listener: ResponseListener) -> None:
         """Pass the response to a request sent elsewhere to `listener`."""
         self._listener = listener
+        self._head_only = False
         self._completed = False
         self._received_bytes = 0
         self._body_bytes = 0
@@ -314,12 +319,21 @@
         )
         # The end of a response to another request ends no other.
         self._close_delimited = not self._skipping and (
-            response_framing(self._status, self._headers)
+            response_framing(
+                self._status, self._headers, head_only=self._head_only
+            )
             is BodyFraming.CONNECTION_CLOSE
         )
+        if self._head_only and not self._skipping:
+            # The parser waits for the body that the head announces, so that
+            # the connection can't be used again.
+            self._completed = True
+            self._surplus_data = True
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
+        if self._head_only and self._completed:
+            return
         if not self._skipping and self._listener is not None:
             self._body_bytes += len(body)
             self._body_parts.append(body)
--- a/src/shallotfold/_gateway/serving/attempt.py
+++ b/src/shallotfold/_gateway/serving/attempt.py
@@ -27,6 +27,11 @@
         """Whether a successful response is an event stream."""
         ...
 
+    @property
+    def head_only(self) -> bool:
+        """Whether the response consists of its head."""
+        ...
+
     def is_current(self, attempt: Attempt) -> bool:
         """Whether the attempt is the current one."""
         ...
@@ -200,9 +205,12 @@
         self._head_bytes = sum(
             len(name) + len(value) for name, value in headers
         )
-        self.framing = response_framing(status, headers)
+        head_only = self._handler.head_only
+        self.framing = response_framing(status, headers, head_only=head_only)
         self._is_stream = (
-            self._handler.expects_stream and status == HTTPStatus.OK
+            self._handler.expects_stream
+            and status == HTTPStatus.OK
+            and not head_only
         )
         self._handler.on_response_head(self)
         return True
--- a/src/shallotfold/_gateway/serving/gateway.py
+++ b/src/shallotfold/_gateway/serving/gateway.py
@@ -477,6 +477,7 @@
                 body=rejection.reason.encode(),
                 retry_after_s=retry_after_s,
                 close=close,
+                head_only=request.head_only,
             )
         )
         connection.finish(close=close)
--- a/src/shallotfold/_gateway/serving/pages.py
+++ b/src/shallotfold/_gateway/serving/pages.py
@@ -69,7 +69,10 @@
         page = Page(404) if make_page is None else make_page()
         connection.write(
             encode_local_response(
-                page.status, body=page.body, content_type=page.content_type
+                page.status,
+                body=page.body,
+                content_type=page.content_type,
+                head_only=request.head_only,
             )
         )
         connection.finish(close=not request.keep_alive)
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -17,6 +17,7 @@
 from shallotfold._gateway.deciding import effects
 from shallotfold._gateway.deciding import events
 from shallotfold._gateway.http.event_stream import StreamEvent
+from shallotfold._gateway.http.messages import BodyFraming
 from shallotfold._gateway.http.messages import Headers
 from shallotfold._gateway.http.messages import IncomingRequest
 from shallotfold._gateway.http.messages import encode_local_response
@@ -202,6 +203,7 @@
                 body=reason.encode(),
                 retry_after_s=retry_after_s,
                 close=close,
+                head_only=self.head_only,
             )
         )
         self._connection.finish(close=close)
@@ -258,6 +260,11 @@
         """Whether a successful response is an event stream."""
         return self._route.kind is RouteKind.STREAM
 
+    @property
+    def head_only(self) -> bool:
+        """Whether the response consists of its head."""
+        return self._request.head_only
+
     def count_response_bytes(self, count: int) -> None:
         """Count bytes that are buffered; the attempt may be given up."""
         self._gateway.count_response_bytes(count)
@@ -582,8 +589,13 @@
         headers = forwarded_response_headers(
             attempt.headers, self._gateway.names
         )
-        if attempt.status != HTTPStatus.NO_CONTENT:
-            headers.append((b"Content-Length", b"%d" % len(attempt.body)))
+        if attempt.framing is BodyFraming.NO_BODY:
+            # Of what the response to GET has, or would have now.
+            length = attempt.header(b"content-length")
+        else:
+            length = b"%d" % len(attempt.body)
+        if length is not None and attempt.status != HTTPStatus.NO_CONTENT:
+            headers.append((b"Content-Length", length))
         if close:
             headers.append((b"Connection", b"close"))
         head = encode_response_head(attempt.status, attempt.reason, headers)
--- a/tests/gateway/serving/test_protocol_offers.py
+++ b/tests/gateway/serving/test_protocol_offers.py
@@ -13,6 +13,7 @@
 from shallotfold._gateway.http.messages import Headers
 from shallotfold._gateway.http.request_parser import RequestParser
 from tests.gateway.backends import Backend
+from tests.gateway.backends import complete_response
 from tests.gateway.backends import stream_response
 from tests.gateway.serving.harness import GatewayHarness
 from tests.gateway.serving.harness import run_scenario
@@ -226,3 +227,40 @@
 
     def current_headers(self) -> Headers:
         return self._headers
+
+
+@pytest.mark.parametrize("path", ["/book/1", "/talk/1"])
+@pytest.mark.parametrize("offer", OFFERS[:2])
+def test_response_with_an_offer_is_passed_on_whole(
+    offer: tuple[str, ...], path: str
+) -> None:
+    """Only a response with the status 101 accepts another protocol."""
+    lines = [line.encode() for line in offer]
+    event = b"id: 1\ndata: x\n\n"
+    backend = Backend(lambda _: complete_response(event, *lines))
+
+    async def scenario(harness: GatewayHarness) -> None:
+        data = _request("length", path=path)
+        for _ in range(2):
+            received = await harness.send(data, timeout_s=0.3)
+            assert received.startswith(b"HTTP/1.1 200 OK\r\n")
+            assert event in received
+            assert b"Upgrade" not in received
+
+    run_scenario([backend], scenario)
+
+
+@pytest.mark.parametrize("lines", [*OFFERS[:2], ("Upgrade: h2c",), ()])
+def test_response_that_switches_protocols_is_no_answer(
+    lines: tuple[str, ...],
+) -> None:
+    head = b"\r\n".join(
+        [b"HTTP/1.1 101 Switching Protocols", *(x.encode() for x in lines)]
+    )
+    backend = Backend(lambda _: head + b"\r\n\r\n" + signed_response())
+
+    async def scenario(harness: GatewayHarness) -> None:
+        data = _request("length", last=True)
+        assert (await harness.send(data)).startswith(b"HTTP/1.1 502 ")
+
+    run_scenario([backend], scenario)
