Search for idle connections once for many new ones

Change: one search finds the next 64; those that were active meanwhile are passed over. Beside it, a connection to an upstream that is closed for another one is removed from its deque.

The test of the work failed before; the one of the order passes on both.

--- a/src/shallotfold/_gateway/http/upstream_pool.py
+++ b/src/shallotfold/_gateway/http/upstream_pool.py
@@ -202,22 +202,24 @@
 
     def _close_oldest_idle(self) -> bool:
         """Close the connection that has been idle for longest, if any is."""
-        oldest = min(
-            (
-                connection
-                for idle in self._idle_by_upstream.values()
-                for connection in idle
-                if connection.connected
-            ),
-            key=lambda connection: connection.idle_since_s,
-            default=None,
+        connections = (
+            (connection.idle_since_s, key)
+            for key, idle in self._idle_by_upstream.items()
+            for connection in idle
+            if connection.connected
         )
-        if oldest is None:
+        _, key = min(connections, default=(0.0, None))
+        if key is None:
             return False
-        # Requests pass over closed connections in their deque.
-        oldest.abort()
-        self._connections.discard(oldest)
-        return True
+        idle = self._idle_by_upstream[key]
+        # The first in the deque that is open; the others are forgotten, too.
+        while idle:
+            connection = idle.popleft()
+            if connection.connected:
+                connection.abort()
+                self._connections.discard(connection)
+                return True
+        return False
 
     async def _connect_and_send(
         self,
--- a/src/shallotfold/_gateway/serving/caller_memory.py
+++ b/src/shallotfold/_gateway/serving/caller_memory.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import heapq
 from typing import Protocol
 
 import attrs
@@ -22,6 +23,9 @@
 # Connections are ended until this share of a budget is in use, so that the
 # search for those that hold the most is rare.
 RELIEF_SHARE = 7 / 8
+# Connections that one search for idle ones finds, so that a crowd of new
+# connections doesn't cost a search each.
+CONNECTIONS_PER_SEARCH = 64
 # Larger heads are refused while those in service take half of the budget.
 SMALL_HEAD_BYTES = 2_048
 
@@ -121,6 +125,9 @@
         self.set_memory_limit(memory_limit_mib)
         self.max_connections: int | None = None
         self.connections: set[MemoryHolder] = set()
+        # Found by the last search, with when they were active; the first to
+        # end is the last.
+        self._found_waiting: list[tuple[MemoryHolder, float]] = []
         self.head_bytes = 0
         self.served_head_bytes = 0
         self.unread_bytes = 0
@@ -203,10 +210,12 @@
         Returns:
             Whether there was one.
         """
-        waiting = [c for c in self.connections if not c.serving]
-        if not waiting:
+        chosen = self._next_waiting()
+        if chosen is None:
+            self._search_waiting()
+            chosen = self._next_waiting()
+        if chosen is None:
             return False
-        chosen = min(waiting, key=lambda c: (not c.idle, c.last_active_s))
         self._log_end(
             "descriptors",
             Holding(chosen, chosen.waiting_head_bytes, chosen.opened_s),
@@ -215,6 +224,29 @@
         chosen.disconnect()
         return True
 
+    def _next_waiting(self) -> MemoryHolder | None:
+        """Return the next connection of the last search that still waits."""
+        while self._found_waiting:
+            connection, last_active_s = self._found_waiting.pop()
+            if (
+                connection in self.connections
+                and not connection.serving
+                and connection.last_active_s == last_active_s
+            ):
+                return connection
+        return None
+
+    def _search_waiting(self) -> None:
+        """Find those that are idle for longest, or else unread for longest."""
+        waiting = [c for c in self.connections if not c.serving]
+        idle = [c for c in waiting if c.idle]
+        found = heapq.nsmallest(
+            CONNECTIONS_PER_SEARCH,
+            idle or waiting,
+            key=lambda connection: connection.last_active_s,
+        )
+        self._found_waiting = [(c, c.last_active_s) for c in reversed(found)]
+
     def _log_end(self, reason: str, holding: Holding) -> None:
         self.count_ended(reason)
         decision_log.record(
--- a/tests/gateway/serving/test_caller_memory.py
+++ b/tests/gateway/serving/test_caller_memory.py
@@ -7,6 +7,7 @@
 
 from shallotfold._gateway.http.compact_head import CompactHead
 from shallotfold._gateway.serving.caller_connection import MAX_QUEUED_REQUESTS
+from shallotfold._gateway.serving.caller_memory import CallerMemory
 from shallotfold._gateway.serving.caller_memory import Holding
 from shallotfold._gateway.serving.caller_memory import choose_largest
 from shallotfold._gateway.serving.request_parsing import parse_prompt
@@ -281,3 +282,57 @@
             writer.close()
 
     run_scenario([Backend(lambda _: signed_response(body))], scenario)
+
+
+class _CountedConnection:
+    """A connection of a caller that counts how often it is looked at."""
+
+    looks = 0
+
+    def __init__(self, opened_s: float) -> None:
+        self.opened_s = self.last_active_s = opened_s
+        self.waiting_head_bytes = 0
+        self.idle = True
+        self.is_ended = False
+
+    @property
+    def serving(self) -> bool:
+        type(self).looks += 1
+        return False
+
+    def refresh_unread_bytes(self) -> int:
+        return 0
+
+    def end_input(self) -> None:
+        self.is_ended = True
+
+    def disconnect(self) -> None:
+        self.is_ended = True
+
+
+def test_work_for_a_connection_does_not_grow_with_the_others() -> None:
+    """On a full host, each new connection was compared with all others."""
+    memory = CallerMemory()
+    memory.max_connections = 1_000
+    connections = [_CountedConnection(float(n)) for n in range(1_640)]
+    _CountedConnection.looks = 0
+    for connection in connections:
+        assert memory.add(connection)
+    added = len(connections) - memory.max_connections
+    assert [c.is_ended for c in connections].index(False) == added
+    assert _CountedConnection.looks < added * 20
+
+
+def test_connection_that_was_active_since_a_search_is_not_ended() -> None:
+    memory = CallerMemory()
+    memory.max_connections = 100
+    connections = [_CountedConnection(float(n)) for n in range(103)]
+    for connection in connections[:101]:
+        memory.add(connection)
+    connections[1].last_active_s = 1_000.0
+    connections[2].idle = False
+    connections[2].last_active_s = 1_001.0
+    for connection in connections[101:]:
+        memory.add(connection)
+    ended = [n for n, c in enumerate(connections) if c.is_ended]
+    assert ended == [0, 3, 4]
