Hold requests back on entries under which upstreams ended

Cause: entries remembered nothing of what a request had done.

Change: after three upstreams at which equal requests broke off without an answer in between, equal ones are refused as not run for 15 s; then one is tried, and holds double up to two minutes. An answer ends it. At most 512 requests are remembered.

--- a/src/shallotfold/_entry/requests/admission.py
+++ b/src/shallotfold/_entry/requests/admission.py
@@ -36,6 +36,33 @@
     charged_tokens: float = 0.0
 
 
+def crash_key(request: CallerRequest) -> str:
+    """Return what equal requests share; empty if the body isn't known."""
+    if not request.body_sha256:
+        return ""
+    return f"{request.key_sha256}/{request.body_sha256}"
+
+
+def refuse_held(
+    state: EntryState, request: CallerRequest, now_s: float
+) -> Refusal | None:
+    """Refuse a request under which upstreams have ended lately.
+
+    The first one after a hold is admitted, as a trial.
+    """
+    evidence = state.requests.crash_evidence
+    key = crash_key(request)
+    hold_s = evidence.hold_s(key, now_s)
+    if hold_s > 0.0:
+        return Refusal(
+            code=RefusalCode.NO_UPSTREAM,
+            message="Upstreams end under this request; repeat it later.",
+            retry_after_s=hold_s,
+        )
+    evidence.begin_trial(key, now_s)
+    return None
+
+
 def admit(
     state: EntryState, request: CallerRequest, now_s: float
 ) -> Admission | Refusal:
--- a/src/shallotfold/_entry/requests/requests.py
+++ b/src/shallotfold/_entry/requests/requests.py
@@ -28,6 +28,10 @@
     if request.request_id in state.requests.open_by_id:
         return []
     admitted = admission.admit(state, request, event.now_s)
+    if not isinstance(admitted, Refusal):
+        admitted = (
+            admission.refuse_held(state, request, event.now_s) or admitted
+        )
     if isinstance(admitted, Refusal):
         return termination.refusal_effects(request.request_id, admitted)
     open_request = OpenRequest(
@@ -72,8 +76,15 @@
     open_request = state.requests.open_by_id.get(event.request_id)
     if open_request is None or not open_request.is_running(event.attempt):
         return []
+    evidence = state.requests.crash_evidence
+    crash_key = admission.crash_key(open_request.request)
     if event.outcome is Outcome.RAN:
+        evidence.record_answer(crash_key)
         return termination.finish(state, open_request, event)
+    if event.outcome is Outcome.UNKNOWN:
+        evidence.record_broken_off(
+            crash_key, open_request.upstream, event.now_s
+        )
     release_effects = grant_requests.release_grant(
         open_request,
         event.now_s,
@@ -83,9 +94,12 @@
         retry_after_s=event.retry_after_s,
     )
     attempts.record_failure(open_request, event.outcome)
-    if attempts.allow_retry_after_end(state, open_request, event):
+    held_s = evidence.hold_s(crash_key, event.now_s)
+    if held_s <= 0.0 and attempts.allow_retry_after_end(
+        state, open_request, event
+    ):
         return [*release_effects, *_retry(state, open_request, event.now_s)]
-    retry_after_s = max(RETRY_AFTER_S, event.retry_after_s)
+    retry_after_s = max(RETRY_AFTER_S, event.retry_after_s, held_s)
     return [
         *release_effects,
         *termination.refuse_after_failures(
--- a/src/shallotfold/_entry/state/open_requests.py
+++ b/src/shallotfold/_entry/state/open_requests.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from shallotfold._entry.state.crash_evidence import CrashEvidence
 from shallotfold._entry.state.estimates import Estimates
 from shallotfold._entry.state.retry_budget import RetryBudget
 from shallotfold._model.requests import CallerRequest
@@ -112,6 +113,7 @@
         abandoned_claims: Requests that ended while their key was being
             claimed.
         retry_budget: Limits the retries after failures.
+        crash_evidence: Requests under which upstreams ended.
         estimates: Learned lengths and speeds of answers.
         suspected_until_by_host: Until when to avoid owners that did not
             respond.
@@ -127,6 +129,7 @@
     open_by_id: dict[str, OpenRequest] = attrs.field(factory=dict)
     abandoned_claims: set[str] = attrs.field(factory=set)
     retry_budget: RetryBudget = attrs.field(factory=RetryBudget)
+    crash_evidence: CrashEvidence = attrs.field(factory=CrashEvidence)
     estimates: Estimates = attrs.field(factory=Estimates)
     suspected_until_by_host: dict[str, float] = attrs.field(factory=dict)
     owners_by_pool: dict[str, str] = attrs.field(factory=dict)
