Forget ended connections, and load what a reserved socket needs

The pool remembered connections to upstreams that had ended until their limit was reached, which may be thousands. And a reserved socket couldn't connect in a process whose event loop had not connected before: the loop imports the encoding of addresses then, which takes a descriptor. The test passed only after others had connected.

Change: the pool refers to its connections weakly, and the encoding is imported with the reserve. A reserved socket that fails for another reason is logged and doesn't end the process.

Evidence: test_socket_reserve.py behind test_upstream_pool.py hung, and with a timeout failed with the import in its trace; it passes there now, and tests/gateway/http passes.

--- a/src/shallotfold/_gateway/http/socket_reserve.py
+++ b/src/shallotfold/_gateway/http/socket_reserve.py
@@ -1,5 +1,8 @@
 """Keep sockets for the calls that a host depends on."""
 
+# The event loop encodes addresses with it when it connects. Loading it only
+# then would take a descriptor.
+import encodings.idna  # noqa: F401
 import errno
 import socket
 
@@ -46,7 +49,7 @@
                 self._sockets.append(_open_socket())
             except OSError as error:
                 if not is_out_of_descriptors(error):
-                    raise
+                    logger.warning("Reserving a socket failed: {!r}", error)
                 return
 
     def open_socket(self) -> socket.socket:
--- a/src/shallotfold/_gateway/http/upstream_pool.py
+++ b/src/shallotfold/_gateway/http/upstream_pool.py
@@ -6,6 +6,7 @@
 import functools
 import math
 from typing import Protocol
+import weakref
 
 import attrs
 from loguru import logger
@@ -99,8 +100,10 @@
             tuple[str, int, str], collections.deque[UpstreamConnection]
         ] = {}
         self._connect_tasks: set[asyncio.Task[None]] = set()
-        # Those that have ended are removed when the limit is reached.
-        self._connections: set[UpstreamConnection] = set()
+        # Those that are about to end are removed when the limit is reached.
+        self._connections: weakref.WeakSet[UpstreamConnection] = (
+            weakref.WeakSet()
+        )
         self._opening_count = 0
         self.max_connections: int | None = None
         self._pacer = ReadPacer()
@@ -197,7 +200,9 @@
         limit = self.max_connections - self._opening_count
         if len(self._connections) < limit:
             return True
-        self._connections = {c for c in self._connections if c.connected}
+        self._connections = weakref.WeakSet(
+            c for c in self._connections if c.connected
+        )
         return len(self._connections) < limit or self._close_oldest_idle()
 
     def _close_oldest_idle(self) -> bool:
--- a/tests/gateway/http/test_socket_reserve.py
+++ b/tests/gateway/http/test_socket_reserve.py
@@ -77,11 +77,14 @@
         reserve = SocketReserve(1)
         reserve.start()
         with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.settimeout(2.0)
             with _no_free_descriptors():
                 call = asyncio.create_task(_call(kind, listener, reserve))
                 await asyncio.sleep(0.05)
-            await loop.run_in_executor(None, _answer, listener)
-            assert (await call).body == b"ok"
+            response, _ = await asyncio.gather(
+                call, loop.run_in_executor(None, _answer, listener)
+            )
+            assert response.body == b"ok"
         reserve.close()
 
     with asyncio.Runner(loop_factory=new_event_loop) as runner:
--- a/tests/gateway/http/test_upstream_pool.py
+++ b/tests/gateway/http/test_upstream_pool.py
@@ -101,3 +101,24 @@
     assert pool.connections_made == 2
     await pool.close()
     await backend.stop()
+
+
+async def test_connections_that_have_ended_are_not_remembered() -> None:
+    """With a high limit, they would have filled the memory."""
+    backend = Backend(lambda _: complete_response(b"ok"), close=True)
+    await backend.start()
+    upstream = make_upstream("u0", port=backend.port)
+    pool = UpstreamPool(lambda _: MAX_IDLE_CONNECTIONS)
+    pool.max_connections = 1_000
+    for _ in range(20):
+        listener = _Listener()
+        send_handle = pool.send(
+            upstream, b"GET / HTTP/1.1\r\n\r\n", listener, repeatable=True
+        )
+        assert await listener.outcome == "complete"
+        send_handle.cancel()
+        await asyncio.sleep(0.01)
+    del listener, send_handle
+    assert len(pool._connections) <= 2
+    await pool.close()
+    await backend.stop()
