Remove white space behind the values of headers

Cause: the parser removes optional white space before a value, not behind it.

Change: both kinds of connection remove it.

Evidence: 13 new cases failed before and pass.

--- a/src/shallotfold/_gateway/http/messages.py
+++ b/src/shallotfold/_gateway/http/messages.py
@@ -66,6 +66,9 @@
     }
 )
 CONTENT_HEADER_PREFIX = b"content-"
+# Around the value of a header it isn't a part of the value (RFC 9110, section
+# 5.5). The parser removes it before the value only.
+OPTIONAL_WHITESPACE = b" \t"
 LAST_CHUNK = b"0\r\n\r\n"
 # A response to this method ends with its head, whatever length it announces
 # (RFC 9110, section 9.3.2).
--- a/src/shallotfold/_gateway/http/upstream_connection.py
+++ b/src/shallotfold/_gateway/http/upstream_connection.py
@@ -13,6 +13,7 @@
 from shallotfold._gateway.http.messages import FINAL_STATUSES
 from shallotfold._gateway.http.messages import HEAD_METHOD
 from shallotfold._gateway.http.messages import INTERIM_STATUSES
+from shallotfold._gateway.http.messages import OPTIONAL_WHITESPACE
 from shallotfold._gateway.http.messages import BodyFraming
 from shallotfold._gateway.http.messages import Headers
 from shallotfold._gateway.http.messages import response_framing
@@ -293,7 +294,7 @@
         # Trailers belong to no head. One header more shows that the head has
         # too many; the others in the same read aren't kept.
         if not self._in_body and len(self._headers) <= MAX_RESPONSE_HEADERS:
-            self._headers.append((name, value))
+            self._headers.append((name, value.rstrip(OPTIONAL_WHITESPACE)))
 
     def on_headers_complete(self) -> None:
         """Pass the head on, or skip a response to another request."""
--- a/src/shallotfold/_gateway/serving/caller_connection.py
+++ b/src/shallotfold/_gateway/serving/caller_connection.py
@@ -12,6 +12,7 @@
 
 from shallotfold._gateway.core.model import RequestLimits
 from shallotfold._gateway.http.compact_head import CompactHead
+from shallotfold._gateway.http.messages import OPTIONAL_WHITESPACE
 from shallotfold._gateway.http.messages import Headers
 from shallotfold._gateway.http.messages import IncomingRequest
 from shallotfold._gateway.http.messages import encode_local_response
@@ -292,6 +293,7 @@
             return
         # No more than was sent: white space after the colon is optional.
         self._head_bytes += len(name) + len(value) + len(b":\r\n")
+        value = value.rstrip(OPTIONAL_WHITESPACE)
         name_lower = name.lower()
         self._head.add(name, value)
         if name_lower in (b"content-length", b"transfer-encoding"):
--- a/tests/gateway/serving/test_forwarding.py
+++ b/tests/gateway/serving/test_forwarding.py
@@ -288,3 +288,41 @@
 
     run_scenario([backend], scenario, RequestLimits(max_header_bytes=800))
     assert len(backend.requests) == (status == 200)
+
+
+@pytest.mark.parametrize("space", [" ", "\t", " \t  "])
+@pytest.mark.parametrize(
+    "line", ["Host: shop.example", "X-Api-Key: secret", "Attempt-Id: 77"]
+)
+def test_white_space_behind_a_value_is_no_part_of_it(
+    line: str, space: str
+) -> None:
+    """Behind a key it led to 401, behind the host to 404."""
+    backend = Backend(lambda _: signed_response())
+    data = request().replace(line.encode(), f"{line}{space}".encode())
+
+    async def scenario(harness: GatewayHarness) -> None:
+        assert status_of(await harness.send(data)) == 200
+
+    run_scenario([backend], scenario)
+    assert b"Attempt-Id: 77\r\n" in backend.requests[0]
+
+
+@pytest.mark.parametrize("space", [b" ", b"\t"])
+@pytest.mark.parametrize("path", ["/book/1", "/lookup/1"])
+def test_white_space_behind_the_id_of_a_response_is_no_part_of_it(
+    path: str, space: bytes
+) -> None:
+    """The response was ignored, and the caller got 504 though it had run."""
+    backend = Backend(
+        lambda _: complete_response(
+            b"ok", b"Attempt-Id: 77" + space, b"Response-Signature: s" + space
+        )
+    )
+
+    async def scenario(harness: GatewayHarness) -> None:
+        received = await harness.send(request(path))
+        assert status_of(received) == 200
+        assert b"Response-Signature: s\r\n" in received
+
+    run_scenario([backend], scenario)
