--- a/src/shallotfold/_gateway/core/wire_names.py
+++ b/src/shallotfold/_gateway/core/wire_names.py
@@ -30,10 +30,9 @@
         token_counts: Prompt tokens and maximum number of output tokens.
         prompt_parts: Parts of the prompt with their lengths.
         reserved: Further headers that callers may not set.
-        forwarded: Further headers that are meant for whom a message reaches in
-            the end.
-        end_to_end: All headers that a message keeps on its whole way, unless
-            the gateway sets or removes them itself.
+        forwarded: Further headers for the final recipient of a message.
+        end_to_end: All headers for the final recipient. A Connection header
+            can't remove them; the gateway may set or remove some itself.
     """
 
     request_id: bytes
--- a/src/shallotfold/_gateway/http/request_parser.py
+++ b/src/shallotfold/_gateway/http/request_parser.py
@@ -6,7 +6,7 @@
 
 from shallotfold._gateway.http.messages import Headers
 
-# Decide where a request ends, and whether its connection stays open.
+# They decide where a request ends and whether its connection stays open.
 _FRAMING_HEADERS = frozenset(
     {
         b"connection",
