Give the silent client of a test the reserve of sockets

Cause: since clients of peers get a reserve of sockets; the client that test_silent_connections.py puts in their place took no such argument, so that its test failed in the run of all gateway tests. No check is changed.

Evidence: the file passes.

--- a/tests/gateway/test_silent_connections.py
+++ b/tests/gateway/test_silent_connections.py
@@ -15,6 +15,7 @@
 from shallotfold._gateway.http.http_client import CallFailedError
 from shallotfold._gateway.http.http_client import HttpClient
 from shallotfold._gateway.http.http_client import HttpResponse
+from shallotfold._gateway.http.socket_reserve import SocketReserve
 from shallotfold.platform import names
 from tests.gateway.fleet_harness import CONFIGURATION
 from tests.gateway.fleet_harness import FleetHarness
@@ -136,8 +137,10 @@
     def begin(self, duration_s: float) -> None:
         self._ends_s = time.monotonic() + duration_s
 
-    def make_client(self, ip: str, port: int) -> HttpClient:
-        client = HttpClient(ip, port)
+    def make_client(
+        self, ip: str, port: int, reserve: SocketReserve | None = None
+    ) -> HttpClient:
+        client = HttpClient(ip, port, reserve)
         if time.monotonic() > self._ends_s:
             return client
         self.count += 1
