--- a/src/shallotfold/_gateway/http/upstream_pool.py
+++ b/src/shallotfold/_gateway/http/upstream_pool.py
@@ -100,7 +100,7 @@
             tuple[str, int, str], collections.deque[UpstreamConnection]
         ] = {}
         self._connect_tasks: set[asyncio.Task[None]] = set()
-        # Those that are about to end are removed when the limit is reached.
+        # Connections that are closing are removed when the limit is reached.
         self._connections: weakref.WeakSet[UpstreamConnection] = (
             weakref.WeakSet()
         )
@@ -217,7 +217,7 @@
         if key is None:
             return False
         idle = self._idle_by_upstream[key]
-        # The first in the deque that is open; the others are forgotten, too.
+        # Those before the first open one have been closed by the upstream.
         while idle:
             connection = idle.popleft()
             if connection.connected:
--- a/src/shallotfold/_gateway/serving/caller_memory.py
+++ b/src/shallotfold/_gateway/serving/caller_memory.py
@@ -125,8 +125,8 @@
         self.set_memory_limit(memory_limit_mib)
         self.max_connections: int | None = None
         self.connections: set[MemoryHolder] = set()
-        # Found by the last search, with when they were active; the first to
-        # end is the last.
+        # Result of the last search, with the time of their last activity. The
+        # next one to be ended comes last.
         self._found_waiting: list[tuple[MemoryHolder, float]] = []
         self.head_bytes = 0
         self.served_head_bytes = 0
@@ -237,7 +237,11 @@
         return None
 
     def _search_waiting(self) -> None:
-        """Find those that are idle for longest, or else unread for longest."""
+        """Find the connections to end next.
+
+        These are the ones that are idle for longest. Without idle ones, they
+        are those whose unfinished request got no bytes for longest.
+        """
         waiting = [c for c in self.connections if not c.serving]
         idle = [c for c in waiting if c.idle]
         found = heapq.nsmallest(
--- a/src/shallotfold/_gateway/serving/relay.py
+++ b/src/shallotfold/_gateway/serving/relay.py
@@ -590,7 +590,7 @@
             attempt.headers, self._gateway.names
         )
         if attempt.framing is BodyFraming.NO_BODY:
-            # Of what the response to GET has, or would have now.
+            # The length that a response to GET has, as the upstream says.
             length = attempt.header(b"content-length")
         else:
             length = b"%d" % len(attempt.body)
